--- /dev/null
+++ b/cmd/yuccapaddle/main.go
@@ -0,0 +1,12 @@
+// Command yuccapaddle is the command line for callers and operators.
+package main
+
+import (
+	"os"
+
+	"yuccapaddle/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/commander/print.go
@@ -0,0 +1,42 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"yuccapaddle/internal/writer"
+)
+
+const tabPadding = 2
+
+func ctxBackground() context.Context {
+	return context.Background()
+}
+
+func errorText(body string) string {
+	var p writer.Problem
+	if json.Unmarshal([]byte(body), &p) == nil && p.Error != "" {
+		return p.Error
+	}
+	return strings.TrimSpace(body)
+}
+
+// print writes a value as JSON, or its rows as a table.
+func (c *Commander) print(cmd *cobra.Command, v any, rows [][]string) error {
+	out := cmd.OutOrStdout()
+	if c.output == "json" {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, tabPadding, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/commander/state.go
@@ -0,0 +1,69 @@
+package commander
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"yuccapaddle/internal/administrator"
+	"yuccapaddle/internal/driver"
+	"yuccapaddle/internal/server"
+)
+
+func init() {
+	register(newState)
+}
+
+func newState(c *Commander) *cobra.Command {
+	cmd := &cobra.Command{Use: "state", Short: "Shows every host: who is active, revisions, backlog", Args: cobra.NoArgs}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		hosts, err := c.states()
+		if err != nil {
+			return err
+		}
+		rows := [][]string{{"HOST", "ACTIVE", "LEADER", "REVISION", "JOURNAL", "JOBS", "GANGS", "WAITING", "STALLED", "ERROR"}}
+		for _, h := range hosts {
+			rows = append(rows, stateRow(h))
+		}
+		return c.print(cmd, hosts, rows)
+	}
+	return cmd
+}
+
+func stateRow(h administrator.HostState) []string {
+	var s server.State
+	if h.Error != "" || json.Unmarshal(h.State, &s) != nil {
+		return []string{h.Host, "", "", "", "", "", "", "", "", h.Error}
+	}
+	row := []string{h.Host, strconv.FormatBool(s.Active), s.Leader, strconv.FormatUint(s.Revision, 10)}
+	if e := s.Engine; e != nil {
+		return append(row, strconv.FormatUint(e.Journal, 10), strconv.Itoa(e.Jobs), strconv.Itoa(e.Gangs),
+			strconv.Itoa(e.Waiting), strconv.FormatBool(e.Stalled), "")
+	}
+	return append(row, "", "", "", "", "", "")
+}
+
+func (c *Commander) states() ([]administrator.HostState, error) {
+	var hosts []administrator.HostState
+	if err := c.call(fasthttp.MethodGet, "/v1/state", nil, &hosts); err != nil {
+		return nil, statusText(err)
+	}
+	return hosts, nil
+}
+
+// engine returns the state of the active host.
+func (c *Commander) engine() (*driver.Status, error) {
+	hosts, err := c.states()
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range hosts {
+		var s server.State
+		if json.Unmarshal(h.State, &s) == nil && s.Engine != nil {
+			return s.Engine, nil
+		}
+	}
+	return nil, exit(codeUnavailable, "no host is active now, look at: yuccapaddle state")
+}
--- /dev/null
+++ b/internal/driver/act.go
@@ -0,0 +1,213 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/digester"
+	"yuccapaddle/internal/journaler"
+	"yuccapaddle/internal/placer"
+	"yuccapaddle/internal/scheduler"
+)
+
+const (
+	permitEvery  = 800 * time.Millisecond
+	permitRetry  = 100 * time.Millisecond
+	messageTime  = 2 * time.Second
+	syncWait     = 3 * time.Second
+	syncSlack    = time.Second
+	syncPause    = 5 * time.Millisecond
+	silencePause = 300 * time.Millisecond
+	renewEvery   = scheduler.LeaseTime / 3
+)
+
+func defaultPolicy() yuccapaddle.Policy {
+	return placer.New()
+}
+
+// act carries out one action. Messages to workers go out in goroutines of the
+// group; their answers come back as events.
+func (d *Driver) act(ctx context.Context, a yuccapaddle.Action) error {
+	switch a := a.(type) {
+	case yuccapaddle.Reply:
+		d.reply(a)
+	case yuccapaddle.Announce:
+		key := a.Outcome.Workspace + "/" + a.Outcome.ID
+		d.early[key] = a.Outcome
+		d.wake(key, a.Outcome)
+	case yuccapaddle.ReserveAction:
+		d.send(ctx, "reserve", func(ctx context.Context) { d.reserve(ctx, a.Reservation) })
+	case yuccapaddle.StartAction:
+		d.send(ctx, "start", func(ctx context.Context) { d.start(ctx, a.Command) })
+	case yuccapaddle.CheckpointAction:
+		d.send(ctx, "checkpoint", func(ctx context.Context) { d.checkpoint(ctx, a.Command) })
+	case yuccapaddle.StopAction:
+		d.send(ctx, "stop", func(ctx context.Context) { d.stop(ctx, a.Command) })
+	case yuccapaddle.ForgetAction:
+		d.send(ctx, "forget", func(ctx context.Context) { _ = d.worker.Forget(ctx, a.Command) })
+	case yuccapaddle.Broken:
+		return fmt.Errorf("broken invariant: %w", a.Err)
+	}
+	return nil
+}
+
+func (d *Driver) send(ctx context.Context, what string, f func(ctx context.Context)) {
+	d.group.Go(what, func() error {
+		ctx, cancel := context.WithTimeout(ctx, messageTime)
+		defer cancel()
+		f(ctx)
+		return nil
+	})
+}
+
+func (d *Driver) reserve(ctx context.Context, r yuccapaddle.Reservation) {
+	err := d.late(r.NotAfter)
+	if err == nil {
+		err = d.worker.Reserve(ctx, r)
+	}
+	d.post(yuccapaddle.Reserved{Upstream: r.Upstream, Lease: r.Lease, Err: err})
+}
+
+func (d *Driver) start(ctx context.Context, c yuccapaddle.LeaseCommand) {
+	err := d.late(c.NotAfter)
+	if err == nil {
+		err = d.worker.Start(ctx, c)
+	}
+	d.post(yuccapaddle.Started{Upstream: c.Upstream, Lease: c.Lease, Err: err})
+}
+
+// late refuses to send a message whose deadline has passed, as happens after
+// the process was paused.
+func (d *Driver) late(notAfter time.Time) error {
+	if time.Now().Before(notAfter) {
+		return nil
+	}
+	return &yuccapaddle.WorkerError{Reason: "the deadline of the message passed before it was sent"}
+}
+
+func (d *Driver) checkpoint(ctx context.Context, c yuccapaddle.LeaseCommand) {
+	if err := d.worker.Checkpoint(ctx, c); err != nil {
+		d.log.Info("checkpoint not taken", zap.String("lease", c.Lease), zap.String("upstream", c.Upstream), zap.Error(err))
+	}
+}
+
+func (d *Driver) stop(ctx context.Context, c yuccapaddle.LeaseCommand) {
+	reply, err := d.worker.Stop(ctx, c)
+	d.post(yuccapaddle.Stopped{Upstream: c.Upstream, Lease: c.Lease, Reply: reply, Err: err})
+}
+
+// post hands an event to the loop, unless the loop has ended.
+func (d *Driver) post(e yuccapaddle.Event) {
+	select {
+	case d.events <- e:
+	case <-d.done:
+	}
+}
+
+// follow starts a sync loop for each declared upstream and ends those of
+// upstreams that are no longer declared.
+func (d *Driver) follow(ctx context.Context, cfg *yuccapaddle.Config) {
+	declared := map[string]bool{}
+	for _, dom := range cfg.Site.Domains {
+		for _, u := range dom.Upstreams {
+			declared[u.Name] = true
+			if d.syncing[u.Name] != nil {
+				continue
+			}
+			loopCtx, cancel := context.WithCancel(ctx)
+			d.syncing[u.Name] = cancel
+			d.group.Go("sync "+u.Name, func() error { return d.syncLoop(loopCtx, u.Name) })
+		}
+	}
+	for name, cancel := range d.syncing {
+		if !declared[name] {
+			cancel()
+			delete(d.syncing, name)
+		}
+	}
+}
+
+// syncLoop keeps one sync waiting at an upstream, and renews its leases.
+func (d *Driver) syncLoop(ctx context.Context, upstream string) error {
+	var boot string
+	var seq uint64
+	var renewAt time.Time
+	explicit := false
+	for ctx.Err() == nil {
+		req := yuccapaddle.SyncRequest{Upstream: upstream, Token: d.core.Epoch(), Boot: boot, Seq: seq, Explicit: explicit}
+		req.Renew = explicit || !time.Now().Before(renewAt)
+		sentAt := time.Now()
+		if req.Renew {
+			leases, ok := d.leases(upstream)
+			if !ok {
+				return nil
+			}
+			sentAt = time.Now()
+			req.Expiry = sentAt.Add(scheduler.LeaseTime)
+			req.Digest = digester.Digest(leases)
+			if explicit {
+				req.Leases = leases
+			}
+		}
+		req.WaitUntil = sentAt.Add(syncWait)
+		report, err := d.sync(ctx, req)
+		if err != nil {
+			if d.deposed(err) {
+				return journaler.ErrDeposed
+			}
+			d.post(yuccapaddle.Silent{Upstream: upstream})
+			explicit, renewAt = true, time.Time{}
+			_ = sleep(ctx, silencePause)
+			continue
+		}
+		if req.Renew && !report.Mismatch {
+			renewAt = sentAt.Add(renewEvery)
+		}
+		boot, seq, explicit = report.Boot, report.Seq, report.Mismatch
+		d.post(yuccapaddle.Reported{Report: report, SentAt: sentAt})
+		_ = sleep(ctx, syncPause)
+	}
+	return nil
+}
+
+func (d *Driver) sync(ctx context.Context, req yuccapaddle.SyncRequest) (yuccapaddle.Report, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.WaitUntil.Add(syncSlack))
+	defer cancel()
+	return d.worker.Sync(ctx, req)
+}
+
+// deposed reports whether an upstream has seen the token of a later host.
+func (d *Driver) deposed(err error) bool {
+	var we *yuccapaddle.WorkerError
+	return errors.As(err, &we) && we.Outdated
+}
+
+// leases asks the loop for the leases to renew.
+func (d *Driver) leases(upstream string) ([]string, bool) {
+	out := make(chan []string, 1)
+	if !d.call(func() { out <- d.core.Leases(upstream) }) {
+		return nil, false
+	}
+	return <-out, true
+}
+
+// call runs f in the loop; false means that the loop has ended.
+func (d *Driver) call(f func()) bool {
+	ran := make(chan struct{})
+	select {
+	case d.calls <- func() { f(); close(ran) }:
+	case <-d.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-d.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,390 @@
+// Package keeper keeps the scheduler's state: requests, placed gangs and
+// quarantined workers. The state changes only by applying records, so that a
+// host which replays the journal arrives at the same state.
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"yuccapaddle"
+)
+
+// Keeper is the state. It is not safe for concurrent use.
+type Keeper struct {
+	jobs       map[string]*job
+	gangs      map[string]*yuccapaddle.Gang
+	quarantine map[string]time.Time
+	used       map[string]int
+	waiting    map[string]int
+	queue      map[string]bool
+}
+
+// job is a request and what has become of it so far.
+type job struct {
+	Request  *yuccapaddle.Request  `json:"req"`
+	Since    time.Time             `json:"since"`
+	Attempt  int                   `json:"n"`
+	Failures []yuccapaddle.Failure `json:"fail,omitempty"`
+	Resume   bool                  `json:"resume,omitempty"`
+	Service  float64               `json:"svc,omitempty"`
+	StartAt  time.Time             `json:"start,omitzero"`
+	Outcome  *yuccapaddle.Outcome  `json:"out,omitempty"`
+}
+
+// New returns an empty state.
+func New() *Keeper {
+	return &Keeper{
+		jobs:       map[string]*job{},
+		gangs:      map[string]*yuccapaddle.Gang{},
+		quarantine: map[string]time.Time{},
+		used:       map[string]int{},
+		waiting:    map[string]int{},
+		queue:      map[string]bool{},
+	}
+}
+
+// Apply changes the state by one record. An error means that the record does
+// not fit the state, which is a broken invariant.
+func (k *Keeper) Apply(r Record) error {
+	switch r.Kind {
+	case kindAccept:
+		return k.accept(r)
+	case kindPlace:
+		return k.place(r)
+	case kindRelease:
+		return k.release(r)
+	case kindEvict:
+		return k.evict(r)
+	case kindRequeue:
+		return k.requeue(r)
+	case kindEnd:
+		return k.end(r)
+	case kindQuarantine:
+		k.setQuarantine(r)
+		return nil
+	case kindPurge:
+		delete(k.jobs, r.Key)
+		return nil
+	}
+	return fmt.Errorf("journal record has unknown kind %q", r.Kind)
+}
+
+func (k *Keeper) accept(r Record) error {
+	if r.Request == nil {
+		return fmt.Errorf("accept record %q has no request", r.Key)
+	}
+	if _, ok := k.jobs[r.Key]; ok {
+		return fmt.Errorf("request %q is accepted twice", r.Key)
+	}
+	k.jobs[r.Key] = &job{Request: r.Request, Since: r.At}
+	k.waiting[r.Request.Workspace]++
+	k.queue[r.Key] = true
+	return nil
+}
+
+func (k *Keeper) place(r Record) error {
+	j, ok := k.jobs[r.Key]
+	if !ok || j.Outcome != nil || r.Gang == nil {
+		return fmt.Errorf("place record %q has no waiting request", r.Key)
+	}
+	if k.gangs[r.Key] != nil {
+		return fmt.Errorf("request %q is placed twice", r.Key)
+	}
+	g := *r.Gang
+	j.Attempt = g.Attempt
+	k.gangs[r.Key] = &g
+	k.waiting[g.Workspace]--
+	delete(k.queue, r.Key)
+	if g.State != yuccapaddle.GangClaimed {
+		k.hold(&g, 1)
+	}
+	if g.State == yuccapaddle.GangReleased && j.StartAt.IsZero() {
+		j.StartAt = r.At
+	}
+	return nil
+}
+
+func (k *Keeper) release(r Record) error {
+	g := k.gangs[r.Key]
+	if g == nil {
+		return fmt.Errorf("release record %q has no gang", r.Key)
+	}
+	if g.State == yuccapaddle.GangClaimed {
+		k.hold(g, 1)
+	}
+	g.State = yuccapaddle.GangState(r.Why)
+	j := k.jobs[r.Key]
+	if g.State == yuccapaddle.GangReleased && j.StartAt.IsZero() {
+		j.StartAt = r.At
+	}
+	return nil
+}
+
+func (k *Keeper) evict(r Record) error {
+	g := k.gangs[r.Key]
+	if g == nil {
+		return fmt.Errorf("evict record %q has no gang", r.Key)
+	}
+	g.EvictBy = r.Until
+	g.EvictFor = r.Why
+	return nil
+}
+
+func (k *Keeper) requeue(r Record) error {
+	j := k.jobs[r.Key]
+	g := k.gangs[r.Key]
+	if j == nil || g == nil {
+		return fmt.Errorf("requeue record %q has no gang", r.Key)
+	}
+	k.drop(g)
+	k.waiting[g.Workspace]++
+	k.queue[r.Key] = true
+	j.Resume = j.Resume || r.Resume
+	j.Service += r.Service
+	if r.Failure != nil {
+		j.Failures = append(j.Failures, *r.Failure)
+	}
+	return nil
+}
+
+func (k *Keeper) end(r Record) error {
+	j := k.jobs[r.Key]
+	if j == nil || r.Outcome == nil {
+		return fmt.Errorf("end record %q has no request", r.Key)
+	}
+	if j.Outcome != nil && j.Outcome.Verdict.Final() {
+		return fmt.Errorf("request %q is settled twice", r.Key)
+	}
+	wasWaiting := j.Outcome == nil
+	if g := k.gangs[r.Key]; g != nil {
+		k.drop(g)
+		wasWaiting = false
+	}
+	if wasWaiting {
+		k.waiting[j.Request.Workspace]--
+	}
+	j.Outcome = r.Outcome
+	settled := *j.Request // the record may be shared with another state
+	settled.Payload = nil
+	j.Request = &settled
+	delete(k.queue, r.Key)
+	return nil
+}
+
+func (k *Keeper) setQuarantine(r Record) {
+	if r.Until.IsZero() {
+		delete(k.quarantine, r.Key)
+		return
+	}
+	k.quarantine[r.Key] = r.Until
+}
+
+func (k *Keeper) drop(g *yuccapaddle.Gang) {
+	if g.State != yuccapaddle.GangClaimed {
+		k.hold(g, -1)
+	}
+	delete(k.gangs, g.Key)
+}
+
+func (k *Keeper) hold(g *yuccapaddle.Gang, sign int) {
+	for _, m := range g.Members {
+		k.used[m.Worker] += sign * m.Count * g.Accelerators
+		if k.used[m.Worker] == 0 {
+			delete(k.used, m.Worker)
+		}
+	}
+}
+
+// Gang returns the gang of a request, nil if none is placed.
+func (k *Keeper) Gang(key string) *yuccapaddle.Gang {
+	return k.gangs[key]
+}
+
+// Gangs returns all placed gangs by request key. The map is not to be changed.
+func (k *Keeper) Gangs() map[string]*yuccapaddle.Gang {
+	return k.gangs
+}
+
+// GangKeys returns the keys of all placed gangs in order.
+func (k *Keeper) GangKeys() []string {
+	return sortedKeys(k.gangs)
+}
+
+// Used is the number of accelerators held on a worker.
+func (k *Keeper) Used(worker string) int {
+	return k.used[worker]
+}
+
+// WaitingIn counts the waiting requests of a workspace.
+func (k *Keeper) WaitingIn(workspace string) int {
+	return k.waiting[workspace]
+}
+
+// Quarantined returns the end of a worker's quarantine, zero if there is none.
+func (k *Keeper) Quarantined(worker string) time.Time {
+	return k.quarantine[worker]
+}
+
+// QuarantineList returns the quarantined workers in order.
+func (k *Keeper) QuarantineList() []string {
+	return sortedKeys(k.quarantine)
+}
+
+// Request returns an accepted request, nil if it is not known.
+func (k *Keeper) Request(key string) *yuccapaddle.Request {
+	if j := k.jobs[key]; j != nil {
+		return j.Request
+	}
+	return nil
+}
+
+// Attempt is the number of the latest placement of a request.
+func (k *Keeper) Attempt(key string) int {
+	if j := k.jobs[key]; j != nil {
+		return j.Attempt
+	}
+	return 0
+}
+
+// Resumes reports whether a request goes on from a checkpoint.
+func (k *Keeper) Resumes(key string) bool {
+	j := k.jobs[key]
+	return j != nil && j.Resume
+}
+
+// Failures returns the failed attempts of a request.
+func (k *Keeper) Failures(key string) []yuccapaddle.Failure {
+	if j := k.jobs[key]; j != nil {
+		return j.Failures
+	}
+	return nil
+}
+
+// Waiting returns the waiting requests, oldest first.
+func (k *Keeper) Waiting() []yuccapaddle.Waiting {
+	var out []yuccapaddle.Waiting
+	for key := range k.queue {
+		j := k.jobs[key]
+		w := yuccapaddle.Waiting{Request: j.Request, Attempt: j.Attempt, Since: j.Since, Attained: j.Service}
+		for _, f := range j.Failures {
+			if f.Worker == "" {
+				continue
+			}
+			if w.Avoid == nil {
+				w.Avoid = map[string]bool{}
+			}
+			w.Avoid[f.Worker] = true
+		}
+		out = append(out, w)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if !out[a].Since.Equal(out[b].Since) {
+			return out[a].Since.Before(out[b].Since)
+		}
+		return out[a].Request.Key() < out[b].Request.Key()
+	})
+	return out
+}
+
+// Outcome tells what is known of a request.
+func (k *Keeper) Outcome(key string) yuccapaddle.Outcome {
+	j := k.jobs[key]
+	if j == nil {
+		return yuccapaddle.Outcome{Verdict: yuccapaddle.VerdictNotFound}
+	}
+	if j.Outcome != nil {
+		return *j.Outcome
+	}
+	o := yuccapaddle.Outcome{
+		ID:        j.Request.ID,
+		Workspace: j.Request.Workspace,
+		Verdict:   yuccapaddle.VerdictWaiting,
+		Attempts:  j.Attempt,
+		Failures:  j.Failures,
+		SubmitAt:  j.Since,
+		StartAt:   j.StartAt,
+		Ran:       !j.StartAt.IsZero(),
+	}
+	if g := k.gangs[key]; g != nil && g.State == yuccapaddle.GangReleased {
+		o.Verdict = yuccapaddle.VerdictRunning
+	}
+	return o
+}
+
+// Expired returns the settled requests that ended before a time, in order.
+func (k *Keeper) Expired(before time.Time) []string {
+	var out []string
+	for key, j := range k.jobs {
+		if j.Outcome != nil && j.Outcome.Verdict.Final() && j.Outcome.EndAt.Before(before) {
+			out = append(out, key)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Len returns the numbers of known requests and of placed gangs.
+func (k *Keeper) Len() (jobs, gangs int) {
+	return len(k.jobs), len(k.gangs)
+}
+
+type snapshot struct {
+	Jobs       map[string]*job              `json:"jobs"`
+	Gangs      map[string]*yuccapaddle.Gang `json:"gangs"`
+	Quarantine map[string]time.Time         `json:"quarantine"`
+}
+
+// Snapshot encodes the state.
+func (k *Keeper) Snapshot() ([]byte, error) {
+	return json.Marshal(snapshot{Jobs: k.jobs, Gangs: k.gangs, Quarantine: k.quarantine})
+}
+
+// Restore replaces the state by an encoded one.
+func (k *Keeper) Restore(data []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("snapshot cannot be decoded: %w", err)
+	}
+	fresh := New()
+	for key, j := range s.Jobs {
+		if j == nil || j.Request == nil {
+			return fmt.Errorf("snapshot entry %q has no request", key)
+		}
+		fresh.jobs[key] = j
+		if j.Outcome == nil && s.Gangs[key] == nil {
+			fresh.waiting[j.Request.Workspace]++
+			fresh.queue[key] = true
+		}
+	}
+	for key, g := range s.Gangs {
+		if g == nil || fresh.jobs[key] == nil {
+			return fmt.Errorf("snapshot gang %q has no request", key)
+		}
+		fresh.gangs[key] = g
+		if g.State != yuccapaddle.GangClaimed {
+			fresh.hold(g, 1)
+		}
+	}
+	for w, until := range s.Quarantine {
+		fresh.quarantine[w] = until
+	}
+	*k = *fresh
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// HasWaiting reports whether any request waits.
+func (k *Keeper) HasWaiting() bool {
+	return len(k.queue) > 0
+}
--- /dev/null
+++ b/internal/keeper/record.go
@@ -0,0 +1,84 @@
+package keeper
+
+import (
+	"time"
+
+	"yuccapaddle"
+)
+
+// kind names what a record does.
+type kind string
+
+const (
+	kindAccept     kind = "accept"
+	kindPlace      kind = "place"
+	kindRelease    kind = "release"
+	kindEvict      kind = "evict"
+	kindRequeue    kind = "requeue"
+	kindEnd        kind = "end"
+	kindQuarantine kind = "quarantine"
+	kindPurge      kind = "purge"
+)
+
+// Record is one committed change of the state. Only the fields of its kind are
+// set. Records are made by the functions of this package.
+type Record struct {
+	Kind    kind                 `json:"k"`
+	Key     string               `json:"id,omitempty"`
+	At      time.Time            `json:"at"`
+	Request *yuccapaddle.Request `json:"req,omitempty"`
+	Gang    *yuccapaddle.Gang    `json:"gang,omitempty"`
+	Outcome *yuccapaddle.Outcome `json:"out,omitempty"`
+	Failure *yuccapaddle.Failure `json:"fail,omitempty"`
+	Until   time.Time            `json:"until,omitzero"`
+	Why     string               `json:"why,omitempty"`
+	Resume  bool                 `json:"resume,omitempty"`
+	Service float64              `json:"svc,omitempty"`
+}
+
+// Accept takes a request in.
+func Accept(r *yuccapaddle.Request, at time.Time) Record {
+	return Record{Kind: kindAccept, Key: r.Key(), At: at, Request: r}
+}
+
+// Place puts a waiting request on workers.
+func Place(g *yuccapaddle.Gang, at time.Time) Record {
+	return Record{Kind: kindPlace, Key: g.Key, At: at, Gang: g}
+}
+
+// Reserve moves a claimed gang on once its victims have gone.
+func Reserve(key string, at time.Time) Record {
+	return Record{Kind: kindRelease, Key: key, At: at, Why: string(yuccapaddle.GangReserving)}
+}
+
+// Release commits that starts may be sent from now on.
+func Release(key string, at time.Time) Record {
+	return Record{Kind: kindRelease, Key: key, At: at, Why: string(yuccapaddle.GangReleased)}
+}
+
+// Evict tells a gang to go until the deadline.
+func Evict(key, why string, by, at time.Time) Record {
+	return Record{Kind: kindEvict, Key: key, At: at, Until: by, Why: why}
+}
+
+// Requeue returns a stopped gang's request to the queue. A non-nil failure
+// counts as a failed attempt; service is what the attempt attained.
+func Requeue(key string, f *yuccapaddle.Failure, resume bool, service float64, at time.Time) Record {
+	return Record{Kind: kindRequeue, Key: key, At: at, Failure: f, Resume: resume, Service: service}
+}
+
+// End settles a request.
+func End(o *yuccapaddle.Outcome, at time.Time) Record {
+	return Record{Kind: kindEnd, Key: o.Workspace + "/" + o.ID, At: at, Outcome: o}
+}
+
+// Quarantine keeps a worker out of placements until a time; a zero time ends
+// the quarantine.
+func Quarantine(worker, why string, until, at time.Time) Record {
+	return Record{Kind: kindQuarantine, Key: worker, At: at, Until: until, Why: why}
+}
+
+// Purge drops a settled request whose retention has ended.
+func Purge(key string, at time.Time) Record {
+	return Record{Kind: kindPurge, Key: key, At: at}
+}
--- /dev/null
+++ b/internal/receiver/receiver.go
@@ -0,0 +1,85 @@
+// Package receiver serves what other hosts of the system ask of this one.
+package receiver
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/converter"
+	"yuccapaddle/internal/driver"
+	"yuccapaddle/internal/forwarder"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/watcher"
+)
+
+const mostWait = 10 * time.Second
+
+// Receiver implements the Peer service.
+type Receiver struct {
+	peer.UnimplementedPeerServer
+	local func() forwarder.Local
+	watch *watcher.Watcher
+	state func() []byte
+}
+
+// New returns the service; local returns the engine while this host is active,
+// and state describes the host in JSON.
+func New(local func() forwarder.Local, watch *watcher.Watcher, state func() []byte) *Receiver {
+	return &Receiver{local: local, watch: watch, state: state}
+}
+
+// Submit implements peer.PeerServer.
+func (r *Receiver) Submit(ctx context.Context, m *peer.SubmitRequest) (*peer.OutcomeReply, error) {
+	req, err := converter.Request(m)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return r.ask(func(l forwarder.Local) (yuccapaddle.Outcome, error) { return l.Submit(ctx, req) })
+}
+
+// Cancel implements peer.PeerServer.
+func (r *Receiver) Cancel(ctx context.Context, m *peer.KeyRequest) (*peer.OutcomeReply, error) {
+	return r.ask(func(l forwarder.Local) (yuccapaddle.Outcome, error) { return l.Cancel(ctx, m.GetKey()) })
+}
+
+// Await implements peer.PeerServer.
+func (r *Receiver) Await(ctx context.Context, m *peer.KeyRequest) (*peer.OutcomeReply, error) {
+	wait := min(time.Duration(max(m.GetWaitMs(), 0))*time.Millisecond, mostWait)
+	deadline := time.Now().Add(wait)
+	return r.ask(func(l forwarder.Local) (yuccapaddle.Outcome, error) { return l.Await(ctx, m.GetKey(), deadline) })
+}
+
+func (r *Receiver) ask(f func(l forwarder.Local) (yuccapaddle.Outcome, error)) (*peer.OutcomeReply, error) {
+	local := r.local()
+	if local == nil {
+		return &peer.OutcomeReply{Inactive: true}, nil
+	}
+	o, err := f(local)
+	if errors.Is(err, driver.ErrInactive) {
+		return &peer.OutcomeReply{Inactive: true}, nil
+	}
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return converter.Reply(o), nil
+}
+
+// Notify implements peer.PeerServer.
+func (r *Receiver) Notify(_ context.Context, m *peer.NotifyRequest) (*peer.NotifyReply, error) {
+	cfg, err := watcher.Decode(m.GetConfig())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	r.watch.Offer(cfg)
+	return &peer.NotifyReply{Revision: r.watch.Current().Revision}, nil
+}
+
+// State implements peer.PeerServer.
+func (r *Receiver) State(context.Context, *peer.StateRequest) (*peer.StateReply, error) {
+	return &peer.StateReply{State: r.state()}, nil
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,282 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/keeper"
+)
+
+// plan asks the policy and carries out what it wants.
+func (s *Scheduler) plan() {
+	waiting := s.state.Waiting()
+	if len(waiting) == 0 {
+		return
+	}
+	for i := range waiting {
+		s.relent(&waiting[i])
+	}
+	view := s.view(waiting)
+	for _, p := range s.policy.Plan(view).Placements {
+		s.place(&p)
+	}
+}
+
+// relent lets a request back onto workers where it failed a while ago, so that
+// it is not kept waiting when there are no others.
+func (s *Scheduler) relent(w *yuccapaddle.Waiting) {
+	failures := s.state.Failures(w.Request.Key())
+	if n := len(failures); n > 0 && s.now.Sub(failures[n-1].At) >= avoidTime {
+		w.Avoid = nil
+	}
+}
+
+func (s *Scheduler) view(waiting []yuccapaddle.Waiting) *yuccapaddle.View {
+	v := &yuccapaddle.View{
+		Now: s.now, Site: &s.cfg.Site, Workers: s.topo.Workers(), Index: s.topo.Index(), Homes: s.homes,
+		Waiting: waiting, Gangs: s.state.Gangs(), Request: s.state.Request, Lost: s.lostWork,
+	}
+	for i := range v.Workers {
+		w := &v.Workers[i]
+		w.Usable = s.usable(w.Name)
+		w.Free = w.Accelerators - s.state.Used(w.Name)
+		w.Later = w.Free
+	}
+	for _, g := range v.Gangs {
+		s.countGang(v, g)
+	}
+	return v
+}
+
+// countGang takes claims off the free room, and counts as free later what goes.
+func (s *Scheduler) countGang(v *yuccapaddle.View, g *yuccapaddle.Gang) {
+	lg := s.live[g.Key]
+	going := g.Evicting() || (lg != nil && lg.stopping)
+	claimed := g.State == yuccapaddle.GangClaimed
+	if !going && !claimed {
+		return
+	}
+	for _, m := range g.Members {
+		i, ok := v.Index[m.Worker]
+		if !ok {
+			continue
+		}
+		n := m.Count * g.Accelerators
+		if claimed {
+			v.Workers[i].Free -= n
+			v.Workers[i].Later -= n
+			continue
+		}
+		v.Workers[i].Later += n
+	}
+}
+
+// lostWork is what an eviction of the gang would lose: everything since it was
+// placed or last saved.
+func (s *Scheduler) lostWork(g *yuccapaddle.Gang) float64 {
+	since := g.PlacedAt
+	if lg := s.live[g.Key]; lg != nil && lg.savedAt.After(since) {
+		since = lg.savedAt
+	}
+	return s.now.Sub(since).Seconds() * float64(g.Need())
+}
+
+func (s *Scheduler) place(p *yuccapaddle.Placement) {
+	r := s.state.Request(p.Key)
+	g := &yuccapaddle.Gang{
+		Key: p.Key, Attempt: s.state.Attempt(p.Key) + 1, Workspace: r.Workspace, Domain: p.Domain,
+		Members: p.Members, Accelerators: r.Accelerators, State: yuccapaddle.GangReserving,
+		Home: p.Home, PlacedAt: s.now, Boots: map[string]string{},
+	}
+	for _, m := range p.Members {
+		name := s.topo.UpstreamOf(m.Worker)
+		g.Boots[name] = s.upstreams[name].boot
+	}
+	if p.Claim {
+		g.State = yuccapaddle.GangClaimed
+	} else if len(g.Boots) == 1 {
+		g.State = yuccapaddle.GangReleased // one message reserves and starts all
+	}
+	s.propose(keeper.Place(g, s.now))
+	lg := s.track(s.state.Gang(p.Key))
+	for _, key := range p.Victims {
+		s.evict(s.state.Gang(key), "workspace "+r.Workspace+" reclaims its guarantee")
+	}
+	if p.Claim {
+		s.claims[p.Key] = lg
+		return
+	}
+	s.onCommit(func() { s.launch(lg) })
+}
+
+// tick lets deadlines pass.
+func (s *Scheduler) tick() {
+	if s.cfg == nil {
+		return
+	}
+	for _, key := range s.state.GangKeys() {
+		if lg := s.live[key]; lg != nil {
+			s.tickGang(lg)
+		}
+	}
+	s.tickUpstreams()
+	s.endQuarantines()
+	for worker, until := range s.cooling {
+		if !until.After(s.now) {
+			delete(s.cooling, worker)
+			s.dirty = true
+		}
+	}
+	if s.state.HasWaiting() {
+		s.dirty = true
+	}
+	if s.now.Before(s.purgeAt) || s.stalled {
+		return
+	}
+	s.purgeAt = s.now.Add(purgeInterval)
+	if keep := s.cfg.Site.Limits.RetentionMS; keep > 0 {
+		for _, key := range s.state.Expired(s.now.Add(-time.Duration(keep) * time.Millisecond)) {
+			s.propose(keeper.Purge(key, s.now))
+		}
+	}
+}
+
+func (s *Scheduler) tickGang(lg *liveGang) {
+	switch {
+	case lg.stopping:
+		s.tickStop(lg)
+	case lg.gang.State == yuccapaddle.GangClaimed:
+	case lg.gang.Evicting() && !s.now.Before(lg.gang.EvictBy):
+		s.beginStop(lg, ending{kind: endRequeue, why: lg.gang.EvictFor})
+	case !lg.all(phaseStarted):
+		s.tickLaunch(lg)
+	}
+}
+
+func (s *Scheduler) tickStop(lg *liveGang) {
+	lapsed := !s.now.Before(lg.lapseBy)
+	for _, sh := range lg.shares {
+		if sh.phase == phaseOver {
+			continue
+		}
+		if lapsed {
+			sh.phase = phaseOver
+		} else if !s.now.Before(sh.retryAt) {
+			s.sendStop(lg, sh)
+		}
+	}
+	if lapsed {
+		s.conclude(lg)
+	}
+}
+
+// advanceClaims moves claims on whose victims have gone.
+func (s *Scheduler) advanceClaims() {
+	keys := make([]string, 0, len(s.claims))
+	for key := range s.claims {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.advanceClaim(s.claims[key])
+	}
+}
+
+func (s *Scheduler) advanceClaim(lg *liveGang) {
+	g := lg.gang
+	for _, m := range g.Members {
+		if !s.usable(m.Worker) {
+			s.forgetLive(g.Key)
+			s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
+			s.dirty = true
+			return
+		}
+		if s.topo.Capacity(m.Worker)-s.state.Used(m.Worker) < m.Count*g.Accelerators {
+			return
+		}
+	}
+	if !s.canPlan() {
+		return
+	}
+	delete(s.claims, g.Key)
+	s.propose(keeper.Reserve(g.Key, s.now))
+	lg.launchBy = s.now.Add(launchTime)
+	s.onCommit(func() { s.launch(lg) })
+}
+
+func (s *Scheduler) tickLaunch(lg *liveGang) {
+	if s.now.After(lg.launchBy) {
+		s.beginStop(lg, ending{kind: endRequeue, why: "its start took too long"})
+		return
+	}
+	for _, sh := range lg.shares {
+		if sh.retryAt.IsZero() || s.now.Before(sh.retryAt) || !s.mayStart(lg.gang) {
+			continue
+		}
+		switch sh.phase {
+		case phaseAsked:
+			s.sendReserve(lg, sh)
+		case phaseReserved:
+			if lg.released() {
+				s.sendStart(lg, sh)
+			}
+		}
+	}
+}
+
+// tickUpstreams stops gangs whose upstream has been silent for too long: their
+// tasks there end with the lease, and no gang is to run in part.
+func (s *Scheduler) tickUpstreams() {
+	for _, name := range s.topo.Upstreams() {
+		u := s.upstreams[name]
+		if u.silentSince.IsZero() || s.now.Sub(u.silentSince) < silenceTime {
+			continue
+		}
+		if !u.gone {
+			u.gone, s.rehome, s.dirty = true, true, true
+		}
+		for _, key := range s.state.GangKeys() {
+			lg := s.live[key]
+			if lg == nil || lg.stopping || lg.gang.State == yuccapaddle.GangClaimed || lg.share(name) == nil {
+				continue
+			}
+			s.beginStop(lg, ending{kind: endRequeue, why: "upstream " + name + " does not answer"})
+		}
+	}
+}
+
+// Leases lists the leases to renew at an upstream: those that it has confirmed
+// and that nobody is ending.
+func (s *Scheduler) Leases(upstream string) []string {
+	var out []string
+	for lease, lg := range s.leases {
+		sh := lg.share(upstream)
+		if sh == nil || lg.stopping {
+			continue
+		}
+		recovering := sh.phase == phaseAsked && lg.released()
+		if sh.phase == phaseReserved || sh.phase == phaseStarted || recovering {
+			out = append(out, lease)
+		}
+	}
+	return out
+}
+
+// Usage returns the accelerators held on each busy worker, and the workers that
+// get no new work now.
+func (s *Scheduler) Usage() (used map[string]int, unusable []string) {
+	used = map[string]int{}
+	if s.topo == nil {
+		return used, nil
+	}
+	for _, w := range s.topo.Workers() {
+		if n := s.state.Used(w.Name); n > 0 {
+			used[w.Name] = n
+		}
+		if !s.usable(w.Name) {
+			unusable = append(unusable, w.Name)
+		}
+	}
+	return used, unusable
+}
--- /dev/null
+++ b/internal/scheduler/submit.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/keeper"
+)
+
+const (
+	retryAfterLimit   = 2 * time.Second
+	retryAfterOutage  = 3 * time.Second
+	defaultWaitingMax = 5000
+)
+
+func (s *Scheduler) submit(e yuccapaddle.Submitted) {
+	r := e.Request
+	key := r.Key()
+	if known := s.state.Request(key); known != nil {
+		s.repeat(e, known)
+		return
+	}
+	if reason, retryAfter := s.refusal(r); reason != "" {
+		s.do(yuccapaddle.Reply{Ticket: e.Ticket, Outcome: refused(r, reason, retryAfter)})
+		return
+	}
+	s.propose(keeper.Accept(r, s.now))
+	s.dirty = true
+	s.replyCommitted(e.Ticket, key)
+}
+
+// repeat answers a submission whose id is known: it is the same request again,
+// or a mistake of the caller.
+func (s *Scheduler) repeat(e yuccapaddle.Submitted, known *yuccapaddle.Request) {
+	if known.Content != e.Request.Content {
+		reason := fmt.Sprintf("id %q was already used for another request", e.Request.ID)
+		s.do(yuccapaddle.Reply{Ticket: e.Ticket, Outcome: refused(e.Request, reason, time.Time{})})
+		return
+	}
+	s.replyCommitted(e.Ticket, known.Key())
+}
+
+func (s *Scheduler) replyCommitted(ticket uint64, key string) {
+	s.onCommit(func() { s.do(yuccapaddle.Reply{Ticket: ticket, Outcome: s.state.Outcome(key)}) })
+}
+
+func refused(r *yuccapaddle.Request, reason string, retryAfter time.Time) yuccapaddle.Outcome {
+	return yuccapaddle.Outcome{
+		ID: r.ID, Workspace: r.Workspace, Verdict: yuccapaddle.VerdictRefused, Reason: reason, RetryAfter: retryAfter,
+	}
+}
+
+// refusal returns why a request is not taken, "" if it is. A zero time means
+// that trying again will not help.
+func (s *Scheduler) refusal(r *yuccapaddle.Request) (string, time.Time) {
+	switch {
+	case s.cfg == nil:
+		return "no configuration has been applied yet", s.now.Add(retryAfterOutage)
+	case s.stalled:
+		return "the platform's key-value service does not answer", s.now.Add(retryAfterOutage)
+	case s.now.After(r.AcceptBy):
+		return "the submission came too late to this host", s.now
+	}
+	ws := findWorkspace(&s.cfg.Site, r.Workspace)
+	if ws == nil {
+		return fmt.Sprintf("workspace %q does not exist", r.Workspace), time.Time{}
+	}
+	if reason := s.impossible(r, ws); reason != "" {
+		return reason, time.Time{}
+	}
+	most := s.cfg.Site.Limits.WaitingPerWorkspace
+	if most <= 0 {
+		most = defaultWaitingMax
+	}
+	if n := s.state.WaitingIn(r.Workspace); n >= most {
+		return fmt.Sprintf("workspace %q already has %d waiting requests", r.Workspace, n), s.now.Add(retryAfterLimit)
+	}
+	return "", time.Time{}
+}
+
+// impossible says why a request can never run on the declared capacity.
+func (s *Scheduler) impossible(r *yuccapaddle.Request, ws *yuccapaddle.Workspace) string {
+	need := r.Need()
+	if ws.Quota > 0 && need > ws.Quota {
+		return fmt.Sprintf("request needs %d accelerators, the quota of workspace %q is %d", need, ws.Name, ws.Quota)
+	}
+	if r.Team != "" {
+		team := findTeam(ws, r.Team)
+		if team == nil {
+			return fmt.Sprintf("team %q does not exist in workspace %q", r.Team, ws.Name)
+		}
+		if team.Quota > 0 && need > team.Quota {
+			return fmt.Sprintf("request needs %d accelerators, the quota of team %q is %d", need, team.Name, team.Quota)
+		}
+	}
+	room := map[string]int{}
+	most := 0
+	for _, w := range s.topo.Workers() {
+		unit := w.Domain
+		switch r.Span {
+		case yuccapaddle.SpanWorker:
+			unit = w.Name
+		case yuccapaddle.SpanRack:
+			unit = w.Domain + "/" + w.Rack
+		}
+		room[unit] += w.Accelerators / r.Accelerators
+		most = max(most, room[unit])
+	}
+	if most < r.Tasks {
+		return fmt.Sprintf("no %s has room for %d tasks of %d accelerators, the most is %d tasks", r.Span, r.Tasks, r.Accelerators, most)
+	}
+	return ""
+}
+
+func (s *Scheduler) cancel(e yuccapaddle.Cancelled) {
+	o := s.state.Outcome(e.Key)
+	if o.Verdict == yuccapaddle.VerdictNotFound || o.Verdict.Final() || o.Verdict == yuccapaddle.VerdictUnknown {
+		s.replyCommitted(e.Ticket, e.Key)
+		return
+	}
+	g := s.state.Gang(e.Key)
+	if g == nil || g.State == yuccapaddle.GangClaimed {
+		s.endCancelled(e.Key, o.Ran)
+	} else if lg := s.live[e.Key]; lg != nil {
+		s.propose(keeper.Evict(e.Key, evictCancelled, s.now, s.now))
+		s.beginStop(lg, ending{kind: endCancel})
+	}
+	s.dirty = true
+	s.replyCommitted(e.Ticket, e.Key)
+}
+
+func (s *Scheduler) endCancelled(key string, ran bool) {
+	o := s.state.Outcome(key)
+	o.Verdict, o.Ran, o.EndAt = yuccapaddle.VerdictCancelled, ran, s.now
+	o.Reason = "cancelled before it started"
+	if ran {
+		o.Reason = "cancelled after it had started"
+	}
+	s.forgetLive(key)
+	s.propose(keeper.End(&o, s.now))
+}
+
+func findWorkspace(site *yuccapaddle.Site, name string) *yuccapaddle.Workspace {
+	for i := range site.Workspaces {
+		if site.Workspaces[i].Name == name {
+			return &site.Workspaces[i]
+		}
+	}
+	return nil
+}
+
+func findTeam(ws *yuccapaddle.Workspace, name string) *yuccapaddle.Team {
+	for i := range ws.Teams {
+		if ws.Teams[i].Name == name {
+			return &ws.Teams[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,366 @@
+// Package server puts the parts of one host together and runs them until a
+// planned stop.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+	"google.golang.org/grpc"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/administrator"
+	"yuccapaddle/internal/applier"
+	"yuccapaddle/internal/authenticator"
+	"yuccapaddle/internal/driver"
+	"yuccapaddle/internal/forwarder"
+	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/leaser"
+	"yuccapaddle/internal/limiter"
+	"yuccapaddle/internal/loader"
+	"yuccapaddle/internal/mapper"
+	"yuccapaddle/internal/monitor"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/permitter"
+	"yuccapaddle/internal/receiver"
+	"yuccapaddle/internal/responder"
+	"yuccapaddle/internal/watcher"
+)
+
+const (
+	gaugeEvery   = time.Second
+	readyBehind  = 10 * time.Second
+	stopPoll     = 20 * time.Millisecond
+	mostMessage  = 4 << 20
+	shutdownTime = 2 * time.Second
+)
+
+// Server is one host of the system.
+type Server struct {
+	host      *loader.Host
+	store     yuccapaddle.Store
+	hosts     yuccapaddle.HostList
+	worker    yuccapaddle.Worker
+	policy    yuccapaddle.Policy
+	log       *zap.Logger
+	nonce     string
+	lease     *leaser.Leaser
+	watch     *watcher.Watcher
+	permit    *permitter.Permitter
+	forward   *forwarder.Forwarder
+	respond   *responder.Responder
+	admin     *administrator.Administrator
+	monitor   *monitor.Monitor
+	limit     *limiter.Limiter
+	engine    atomic.Pointer[driver.Driver]
+	topology  atomic.Pointer[mapper.Mapper]
+	stopping  atomic.Bool
+	startedAt time.Time
+	listeners []net.Listener
+	servers   []*fasthttp.Server
+	grpc      *grpc.Server
+}
+
+// Option changes a Server under construction.
+type Option func(*Server)
+
+// WithPolicy replaces the placement policy.
+func WithPolicy(p yuccapaddle.Policy) Option {
+	return func(s *Server) { s.policy = p }
+}
+
+// WithHostList adds the platform's host list.
+func WithHostList(h yuccapaddle.HostList) Option {
+	return func(s *Server) { s.hosts = h }
+}
+
+// New returns a Server. nonce differs for every process. worker receives a
+// function that finds an upstream's address.
+func New(host *loader.Host, nonce string, store yuccapaddle.Store,
+	worker func(addressOf func(upstream string) string) yuccapaddle.Worker, log *zap.Logger, opts ...Option,
+) *Server {
+	s := &Server{host: host, store: store, log: log, nonce: nonce, startedAt: time.Now()}
+	for _, o := range opts {
+		o(s)
+	}
+	s.worker = worker(s.addressOf)
+	s.watch = watcher.New(store, log, s.configured)
+	s.permit = permitter.New(store, nonce)
+	s.lease = leaser.New(store, host.Name, host.Listen.Peers, nonce, log)
+	budget := rate.NewLimiter(rate.Limit(host.Limits.RetriesASecond), host.Limits.RetriesAtOnce)
+	s.forward = forwarder.New(host.Name, s.lease.Holder, s.local, budget)
+	auth := authenticator.New(host.Tokens)
+	s.monitor = monitor.New(host.Name, s.ready)
+	s.limit = limiter.New(host.Limits.CallerRate, host.Limits.CallerBurst, host.Limits.InFlight)
+	s.respond = responder.New(auth, s.forward, s.limit, host, log, s.monitor.Observe)
+	s.admin = administrator.New(auth, applier.New(store, nonce), s.watch, s.forward, store, host, s.state, log,
+		administrator.WithNotify(s.notifyPeers))
+	return s
+}
+
+func (s *Server) addressOf(upstream string) string {
+	if m := s.topology.Load(); m != nil {
+		return m.AddressOf(upstream)
+	}
+	return ""
+}
+
+// local returns the engine while this host is active.
+func (s *Server) local() forwarder.Local {
+	if d := s.engine.Load(); d != nil {
+		return d
+	}
+	return nil
+}
+
+func (s *Server) configured(cfg *yuccapaddle.Config) {
+	s.topology.Store(mapper.New(&cfg.Site))
+	if d := s.engine.Load(); d != nil {
+		d.Configure(cfg)
+	}
+	s.log.Info("configuration in force", zap.Uint64("revision", cfg.Revision))
+}
+
+// notifyPeers pushes an accepted configuration; a host that is missed learns of
+// it by its own watch.
+func (s *Server) notifyPeers(cfg *yuccapaddle.Config) {
+	data, err := json.Marshal(cfg)
+	if err != nil {
+		s.log.Error("the configuration cannot be encoded", zap.Error(err))
+		return
+	}
+	g, _ := guarder.New(context.Background(), s.log)
+	for _, p := range s.host.Peers {
+		if p.Name == s.host.Name {
+			continue
+		}
+		g.Go("notify", func() error {
+			if _, err := s.forward.Notify(context.Background(), p.Address, data); err != nil {
+				s.log.Info("a host was not notified", zap.String("host", p.Name), zap.Error(err))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// ready tells the balancer whether to send requests here.
+func (s *Server) ready() (bool, string) {
+	switch {
+	case s.stopping.Load():
+		return false, "this host is stopping"
+	case s.watch.Current() == nil:
+		return false, "no configuration has been applied yet"
+	}
+	if _, _, ok := s.lease.Holder(); !ok && time.Since(s.startedAt) < readyBehind {
+		return false, "the active host is not known yet"
+	}
+	return true, ""
+}
+
+// State is what a host tells operators of itself.
+type State struct {
+	Host     string         `json:"host"`
+	Domain   string         `json:"domain"`
+	Active   bool           `json:"active"`
+	Leader   string         `json:"leader,omitempty"`
+	Revision uint64         `json:"revision"`
+	Heard    time.Time      `json:"storeHeardAt"`
+	InFlight int64          `json:"inFlight"`
+	Stopping bool           `json:"stopping"`
+	Engine   *driver.Status `json:"engine,omitempty"`
+}
+
+func (s *Server) state() []byte {
+	st := State{
+		Host: s.host.Name, Domain: s.host.Domain, Heard: s.watch.Heard().UTC(), InFlight: s.limit.InFlight(),
+		Stopping: s.stopping.Load(),
+	}
+	st.Leader, _, _ = s.lease.Holder()
+	if cfg := s.watch.Current(); cfg != nil {
+		st.Revision = cfg.Revision
+	}
+	if d := s.engine.Load(); d != nil {
+		if status, ok := d.Status(); ok {
+			st.Active, st.Engine = true, &status
+		}
+	}
+	data, err := json.Marshal(st)
+	if err != nil {
+		s.log.Error("the state cannot be encoded", zap.Error(err))
+		return []byte("{}")
+	}
+	return data
+}
+
+// Run serves until stop is closed, then drains, and returns nil; it returns an
+// error for a broken invariant or an address that cannot be served.
+func (s *Server) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := guarder.New(ctx, s.log)
+	if err := s.listen(g); err != nil {
+		s.closeListeners()
+		return err
+	}
+	g.Go("configuration", func() error { return s.watch.Run(ctx) })
+	g.Go("lease", func() error { return s.lease.Run(ctx, s.active) })
+	g.Go("gauges", func() error { return s.gauges(ctx) })
+	if s.hosts != nil {
+		g.Go("host list", func() error { return s.followHosts(ctx) })
+	}
+	g.Go("stop", func() error {
+		select {
+		case <-ctx.Done():
+		case <-stop:
+			s.drain()
+		}
+		s.shutdown()
+		cancel()
+		return nil
+	})
+	err := g.Wait()
+	s.forward.Close()
+	return errors.Join(err, s.monitor.Close())
+}
+
+// active runs the engine while this host has the lease.
+func (s *Server) active(ctx context.Context) error {
+	opts := []driver.Option{}
+	if s.policy != nil {
+		opts = append(opts, driver.WithPolicy(s.policy))
+	}
+	d := driver.New(s.store, s.worker, s.nonce, s.log, s.watch.Current, s.renewPermit, opts...)
+	s.engine.Store(d)
+	defer s.engine.CompareAndSwap(d, nil)
+	return d.Run(ctx)
+}
+
+func (s *Server) renewPermit(ctx context.Context) (time.Time, error) {
+	cfg := s.watch.Current()
+	if cfg == nil {
+		return time.Time{}, errors.New("no configuration has been applied yet")
+	}
+	until, err := s.permit.Renew(ctx, cfg.Revision)
+	if errors.Is(err, permitter.ErrOutdated) {
+		s.watch.Poke()
+	}
+	return until, err
+}
+
+func (s *Server) followHosts(ctx context.Context) error {
+	ticker := time.NewTicker(time.Duration(s.host.Limits.HostListEveryMS) * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		d := s.engine.Load()
+		if d == nil {
+			continue
+		}
+		hosts, err := s.hosts.Hosts(ctx)
+		if err != nil {
+			s.log.Info("the host list does not answer", zap.Error(err))
+			continue
+		}
+		d.List(hosts)
+	}
+}
+
+func (s *Server) gauges(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		s.monitor.Gauge("in_flight", float64(s.limit.InFlight()))
+		if cfg := s.watch.Current(); cfg != nil {
+			s.monitor.Gauge("config_revision", float64(cfg.Revision))
+		}
+		active := 0.0
+		if d := s.engine.Load(); d != nil {
+			if st, ok := d.Status(); ok {
+				active = 1
+				s.monitor.Gauge("jobs", float64(st.Jobs))
+				s.monitor.Gauge("gangs", float64(st.Gangs))
+				s.monitor.Gauge("waiting", float64(st.Waiting))
+				s.monitor.Gauge("commits", float64(st.Commits))
+				s.monitor.Gauge("shortages", float64(len(st.Shortages)))
+			}
+		}
+		s.monitor.Gauge("active", active)
+	}
+}
+
+func (s *Server) closeListeners() {
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+func (s *Server) bind(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("address %s cannot be served: %w", address, err)
+	}
+	s.listeners = append(s.listeners, l)
+	return l, nil
+}
+
+func (s *Server) listen(g *guarder.Guarder) error {
+	handlers := []struct {
+		address string
+		handle  fasthttp.RequestHandler
+	}{
+		{s.host.Listen.Callers, s.respond.Handle},
+		{s.host.Listen.Operators, s.admin.Handle},
+		{s.host.Listen.Metrics, s.monitor.Handle},
+	}
+	for _, h := range handlers {
+		l, err := s.bind(h.address)
+		if err != nil {
+			return err
+		}
+		srv := s.http(h.handle)
+		s.servers = append(s.servers, srv)
+		g.Go("http "+h.address, func() error { return srv.Serve(l) })
+	}
+	l, err := s.bind(s.host.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
+	peer.RegisterPeerServer(s.grpc, receiver.New(s.local, s.watch, s.state))
+	g.Go("grpc", func() error { return s.grpc.Serve(l) })
+	return nil
+}
+
+func (s *Server) http(handle fasthttp.RequestHandler) *fasthttp.Server {
+	limits := s.host.Limits
+	return &fasthttp.Server{
+		Handler:                      handle,
+		Name:                         "yuccapaddle",
+		Concurrency:                  limits.Connections,
+		MaxRequestBodySize:           limits.BodyBytes,
+		ReadBufferSize:               limits.HeaderBytes,
+		ReadTimeout:                  time.Duration(limits.ReadMS) * time.Millisecond,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		Logger:                       zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,52 @@
+package yuccapaddle
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Entry is one key of the platform's key-value service. Revision 0 means that
+// the key does not exist. Revisions grow over the whole service.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// Write is a compare-and-swap: it takes effect only while the key has revision
+// IfRevision (0: the key does not exist). A non-zero Expiry binds the key to a
+// lease that the service ends at that time.
+type Write struct {
+	Key        string
+	Value      []byte
+	IfRevision uint64
+	Expiry     time.Time
+}
+
+// Store is the platform's key-value service.
+//
+// Every error of Put and Delete matches exactly one of ErrConflict,
+// ErrNotApplied and ErrUnknown, so that a caller knows what happened.
+type Store interface {
+	// Get reads a key; an absent key is an Entry with Revision 0.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List reads all keys with the prefix, in key order.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Put writes a key and returns its new revision.
+	Put(ctx context.Context, w Write) (uint64, error)
+	// Delete removes a key that has the given revision.
+	Delete(ctx context.Context, key string, ifRevision uint64) error
+	// Watch waits until the key's revision differs from after, or until the
+	// deadline, and returns the entry as it is then.
+	Watch(ctx context.Context, key string, after uint64, deadline time.Time) (Entry, error)
+}
+
+var (
+	// ErrConflict: the write was not applied because the revision differs.
+	ErrConflict = errors.New("the key has another revision")
+	// ErrNotApplied: the write certainly had no effect.
+	ErrNotApplied = errors.New("the write was not applied")
+	// ErrUnknown: the write may or may not have taken effect.
+	ErrUnknown = errors.New("it is not known whether the write was applied")
+)
