sessions: play golden sessions of whole hosts in virtual time

Cause: nothing proved the path or its refusals. Ruled out: a home-made simulator; the real hosts run in a synctest bubble with the stand-ins behind gates that can be cut or held shut. Change: harness, first session (submit to answer on any host, each refusal), history checks in internal/verifier.

--- a/cmd/yuccapaddled/main.go
+++ b/cmd/yuccapaddled/main.go
@@ -67,7 +67,7 @@
 	s := server.New(host, namer.Unique(host.Name), storer.New(host.Platform.Store), worker, log, opts...)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := s.Run(ctx.Done()); err != nil {
+	if err := s.Run(context.Background(), ctx.Done()); err != nil {
 		log.Error("stopped", zap.String("error", eris.ToString(eris.Wrap(err, "run the host"), true)))
 		return err
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -48,12 +48,30 @@
 	budget *rate.Limiter
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
+	dial   func(address string) (peer.PeerClient, error)
+}
+
+// Option changes a Forwarder under construction.
+type Option func(*Forwarder)
+
+// WithDial replaces the way to reach other hosts, unless it is nil.
+func WithDial(dial func(address string) (peer.PeerClient, error)) Option {
+	return func(f *Forwarder) {
+		if dial != nil {
+			f.dial = dial
+		}
+	}
 }
 
 // New returns a Forwarder for the host with the name self. holder returns the
 // active host and local the engine of this one, nil while it is not active.
-func New(self string, holder func() (string, string, bool), local func() Local, budget *rate.Limiter) *Forwarder {
-	return &Forwarder{self: self, holder: holder, local: local, budget: budget, conns: map[string]*grpc.ClientConn{}}
+func New(self string, holder func() (string, string, bool), local func() Local, budget *rate.Limiter, opts ...Option) *Forwarder {
+	f := &Forwarder{self: self, holder: holder, local: local, budget: budget, conns: map[string]*grpc.ClientConn{}}
+	f.dial = f.connect
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 // attempt makes one try at the active host. sent is false if nothing can have
@@ -173,19 +191,19 @@
 		o, err = once(ctx, local, nil)
 		return o, true, err
 	}
-	conn, err := f.connect(address)
+	remote, err := f.dial(address)
 	if err != nil {
 		return o, false, err
 	}
-	o, err = once(ctx, nil, peer.NewPeerClient(conn))
+	o, err = once(ctx, nil, remote)
 	return o, true, err
 }
 
-func (f *Forwarder) connect(address string) (*grpc.ClientConn, error) {
+func (f *Forwarder) connect(address string) (peer.PeerClient, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c := f.conns[address]; c != nil {
-		return c, nil
+		return peer.NewPeerClient(c), nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -194,19 +212,19 @@
 		return nil, fmt.Errorf("connect to host %s: %w", address, err)
 	}
 	f.conns[address] = c
-	return c, nil
+	return peer.NewPeerClient(c), nil
 }
 
 // Notify tells another host of an accepted configuration and returns the
 // revision in force there.
 func (f *Forwarder) Notify(ctx context.Context, address string, config []byte) (uint64, error) {
-	conn, err := f.connect(address)
+	remote, err := f.dial(address)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, notifyTime)
 	defer cancel()
-	m, err := peer.NewPeerClient(conn).Notify(ctx, &peer.NotifyRequest{Config: config})
+	m, err := remote.Notify(ctx, &peer.NotifyRequest{Config: config})
 	if err != nil {
 		return 0, fmt.Errorf("notify host %s: %w", address, err)
 	}
@@ -215,13 +233,13 @@
 
 // State returns the state of another host, in JSON.
 func (f *Forwarder) State(ctx context.Context, address string) ([]byte, error) {
-	conn, err := f.connect(address)
+	remote, err := f.dial(address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTime)
 	defer cancel()
-	m, err := peer.NewPeerClient(conn).State(ctx, &peer.StateRequest{})
+	m, err := remote.State(ctx, &peer.StateRequest{})
 	if err != nil {
 		return nil, fmt.Errorf("ask host %s for its state: %w", address, err)
 	}
--- a/internal/loader/host.go
+++ b/internal/loader/host.go
@@ -77,7 +77,8 @@
 	Hash string `json:"hash"`
 }
 
-func defaultHost() Host {
+// Defaults returns a host section with every default in place.
+func Defaults() Host {
 	return Host{Limits: Limits{
 		BodyBytes:       64 << 10,
 		HeaderBytes:     8 << 10,
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -62,7 +62,7 @@
 	if err != nil || len(problems) > 0 {
 		return nil, problems, err
 	}
-	s := Settings{Host: defaultHost()}
+	s := Settings{Host: Defaults()}
 	dec := json.NewDecoder(bytes.NewReader(merged))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -26,7 +27,8 @@
 // New returns a Monitor; ready tells whether the balancer should send requests,
 // and why not.
 func New(host string, ready func() (bool, string)) *Monitor {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "yuccapaddle", Tags: map[string]string{"host": host}, CachedReporter: reporter,
 		Separator: promreporter.DefaultSeparator,
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -6,6 +6,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/keeper"
+	"yuccapaddle/internal/verifier"
 )
 
 // plan asks the policy and carries out what it wants.
@@ -122,6 +123,7 @@
 	}
 	s.tickUpstreams()
 	s.endQuarantines()
+	s.verify()
 	for worker, until := range s.cooling {
 		if !until.After(s.now) {
 			delete(s.cooling, worker)
@@ -142,6 +144,17 @@
 	}
 }
 
+// verify checks the invariants once a second.
+func (s *Scheduler) verify() {
+	if s.now.Before(s.verifyAt) {
+		return
+	}
+	s.verifyAt = s.now.Add(verifyInterval)
+	if err := s.Verify(); err != nil {
+		s.do(yuccapaddle.Broken{Err: err})
+	}
+}
+
 func (s *Scheduler) tickGang(lg *liveGang) {
 	switch {
 	case lg.stopping:
@@ -280,3 +293,15 @@
 	}
 	return used, unusable
 }
+
+// Verify returns a broken invariant of the state, nil if all hold.
+func (s *Scheduler) Verify() error {
+	if s.topo == nil {
+		return nil
+	}
+	v := verifier.Verifier{
+		Site: &s.cfg.Site, Since: s.configAt, Capacity: s.topo.Capacity, Homes: s.homes,
+		Gangs: s.state.Gangs(), Request: s.state.Request,
+	}
+	return v.Check()
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,6 +25,7 @@
 	coolTime       = 2 * time.Second
 	avoidTime      = 5 * time.Second
 	purgeInterval  = 5 * time.Second
+	verifyInterval = time.Second
 	defaultGraceMS = 1500
 )
 
@@ -47,6 +48,8 @@
 	claims     map[string]*liveGang
 	permit     time.Time
 	purgeAt    time.Time
+	verifyAt   time.Time
+	configAt   time.Time
 	stalled    bool
 	committing bool
 	batch      []keeper.Record
@@ -191,7 +194,7 @@
 		return // never go back to an older revision
 	}
 	first := s.cfg == nil
-	s.cfg = cfg
+	s.cfg, s.configAt = cfg, s.now
 	s.topo = mapper.New(&cfg.Site)
 	for _, name := range s.topo.Upstreams() {
 		if s.upstreams[name] == nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,6 +64,8 @@
 	topology  atomic.Pointer[mapper.Mapper]
 	stopping  atomic.Bool
 	startedAt time.Time
+	quiet     bool
+	dial      func(address string) (peer.PeerClient, error)
 	listeners []net.Listener
 	servers   []*fasthttp.Server
 	grpc      *grpc.Server
@@ -77,6 +79,17 @@
 	return func(s *Server) { s.policy = p }
 }
 
+// WithoutListeners leaves the host without sockets; its handlers are called
+// directly.
+func WithoutListeners() Option {
+	return func(s *Server) { s.quiet = true }
+}
+
+// WithDial replaces the way to reach other hosts.
+func WithDial(dial func(address string) (peer.PeerClient, error)) Option {
+	return func(s *Server) { s.dial = dial }
+}
+
 // WithHostList adds the platform's host list.
 func WithHostList(h yuccapaddle.HostList) Option {
 	return func(s *Server) { s.hosts = h }
@@ -96,7 +109,7 @@
 	s.permit = permitter.New(store, nonce)
 	s.lease = leaser.New(store, host.Name, host.Listen.Peers, nonce, log)
 	budget := rate.NewLimiter(rate.Limit(host.Limits.RetriesASecond), host.Limits.RetriesAtOnce)
-	s.forward = forwarder.New(host.Name, s.lease.Holder, s.local, budget)
+	s.forward = forwarder.New(host.Name, s.lease.Holder, s.local, budget, forwarder.WithDial(s.dial))
 	auth := authenticator.New(host.Tokens)
 	s.monitor = monitor.New(host.Name, s.ready)
 	s.limit = limiter.New(host.Limits.CallerRate, host.Limits.CallerBurst, host.Limits.InFlight)
@@ -202,14 +215,17 @@
 }
 
 // Run serves until stop is closed, then drains, and returns nil; it returns an
-// error for a broken invariant or an address that cannot be served.
-func (s *Server) Run(stop <-chan struct{}) error {
-	ctx, cancel := context.WithCancel(context.Background())
+// error for a broken invariant or an address that cannot be served. The end of
+// the context ends it without a drain.
+func (s *Server) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := guarder.New(ctx, s.log)
-	if err := s.listen(g); err != nil {
-		s.closeListeners()
-		return err
+	if !s.quiet {
+		if err := s.listen(g); err != nil {
+			s.closeListeners()
+			return err
+		}
 	}
 	g.Go("configuration", func() error { return s.watch.Run(ctx) })
 	g.Go("lease", func() error { return s.lease.Run(ctx, s.active) })
@@ -344,11 +360,26 @@
 		return err
 	}
 	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
-	peer.RegisterPeerServer(s.grpc, receiver.New(s.local, s.watch, s.state))
+	peer.RegisterPeerServer(s.grpc, s.Peers())
 	g.Go("grpc", func() error { return s.grpc.Serve(l) })
 	return nil
 }
 
+// Callers is the handler of the caller interface.
+func (s *Server) Callers() fasthttp.RequestHandler {
+	return s.respond.Handle
+}
+
+// Operators is the handler of the operator interface.
+func (s *Server) Operators() fasthttp.RequestHandler {
+	return s.admin.Handle
+}
+
+// Peers serves the other hosts.
+func (s *Server) Peers() peer.PeerServer {
+	return receiver.New(s.local, s.watch, s.state)
+}
+
 func (s *Server) http(handle fasthttp.RequestHandler) *fasthttp.Server {
 	limits := s.host.Limits
 	return &fasthttp.Server{
--- /dev/null
+++ b/internal/verifier/history.go
@@ -0,0 +1,196 @@
+package verifier
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"yuccapaddle"
+)
+
+// Run is one period in which a task ran on a worker, as the workers recorded.
+type Run struct {
+	Key, Lease, Worker, Domain string
+	Rank                       int
+	Resumed, Done              bool
+	StartAt, EndAt             time.Time
+}
+
+// Exit is a period in which no task may start at a place: a failure domain or
+// an upstream's workers, from the acceptance of the order to the return.
+type Exit struct {
+	Place    func(r *Run) bool
+	Name     string
+	From, To time.Time
+}
+
+// History is what happened in a session.
+type History struct {
+	Runs     []Run
+	Requests map[string]*yuccapaddle.Request
+	// Told are all outcomes that any caller was told, in order.
+	Told map[string][]yuccapaddle.Outcome
+	// Whole returns the answer that a rank of a request gives.
+	Whole func(key string, rank int) string
+	Exits []Exit
+	// ExitWithin is how long after an order a start may still happen.
+	ExitWithin time.Duration
+	// PartialWithin is how long members of a gang may run without the others.
+	PartialWithin time.Duration
+	Now           time.Time
+}
+
+// Check returns every broken promise.
+func (h *History) Check() []error {
+	var out []error
+	out = append(out, h.atMostOnce()...)
+	out = append(out, h.wholeGangs()...)
+	out = append(out, h.truth()...)
+	out = append(out, h.exits()...)
+	return out
+}
+
+// atMostOnce: a request that is not repeatable runs once; going on from a
+// checkpoint is the same run.
+func (h *History) atMostOnce() []error {
+	var out []error
+	fresh := map[string]int{}
+	for _, r := range h.Runs {
+		req := h.Requests[r.Key]
+		if req == nil || req.Repeatable || r.Resumed {
+			continue
+		}
+		task := fmt.Sprintf("%s#%d", r.Key, r.Rank)
+		fresh[task]++
+		if fresh[task] == 2 {
+			out = append(out, fmt.Errorf("task %s is not repeatable and ran twice", task))
+		}
+	}
+	return out
+}
+
+// wholeGangs: while any task of an attempt runs, the others run or are done,
+// but for a short time at its start and at its end.
+func (h *History) wholeGangs() []error {
+	byLease := map[string][]Run{}
+	for _, r := range h.Runs {
+		byLease[r.Lease] = append(byLease[r.Lease], r)
+	}
+	var out []error
+	for lease, runs := range byLease {
+		req := h.Requests[runs[0].Key]
+		if req == nil {
+			continue
+		}
+		if alone := h.alone(runs, req.Tasks); alone > h.PartialWithin {
+			out = append(out, fmt.Errorf("gang %s ran in part for %v", lease, alone))
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Error() < out[b].Error() })
+	return out
+}
+
+// alone is the longest time from the moment at which a member was missing, not
+// started or stopped before its end, until the last other member stopped.
+func (h *History) alone(runs []Run, tasks int) time.Duration {
+	last, first := runs[0].StartAt, runs[0].StartAt
+	latestStart := runs[0].StartAt
+	broken := time.Time{}
+	for _, r := range runs {
+		end := h.end(r)
+		if end.After(last) {
+			last = end
+		}
+		if r.StartAt.Before(first) {
+			first = r.StartAt
+		}
+		if r.StartAt.After(latestStart) {
+			latestStart = r.StartAt
+		}
+		stopped := !r.Done && !r.EndAt.IsZero()
+		if stopped && (broken.IsZero() || r.EndAt.Before(broken)) {
+			broken = r.EndAt
+		}
+	}
+	if len(runs) < tasks {
+		broken = first
+	}
+	alone := latestStart.Sub(first)
+	if !broken.IsZero() {
+		alone = max(alone, last.Sub(broken))
+	}
+	return alone
+}
+
+func (h *History) end(r Run) time.Time {
+	if r.EndAt.IsZero() {
+		return h.Now
+	}
+	return r.EndAt
+}
+
+// truth: what callers were told agrees with what ran, and stays so.
+func (h *History) truth() []error {
+	ran := map[string]bool{}
+	for _, r := range h.Runs {
+		ran[r.Key] = true
+	}
+	var out []error
+	for key, told := range h.Told {
+		final := yuccapaddle.Verdict("")
+		for _, o := range told {
+			if err := h.outcome(key, o, ran[key]); err != nil {
+				out = append(out, err)
+			}
+			if !o.Verdict.Final() || o.Verdict == yuccapaddle.VerdictRefused {
+				continue
+			}
+			if final != "" && final != o.Verdict {
+				out = append(out, fmt.Errorf("request %s was first told %s, then %s", key, final, o.Verdict))
+			}
+			final = o.Verdict
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Error() < out[b].Error() })
+	return out
+}
+
+func (h *History) outcome(key string, o yuccapaddle.Outcome, ran bool) error {
+	notRun := o.Verdict == yuccapaddle.VerdictRefused || (o.Verdict.Final() && !o.Ran)
+	accepted := false
+	for _, other := range h.Told[key] {
+		accepted = accepted || (other.Verdict != yuccapaddle.VerdictRefused && other.Verdict != yuccapaddle.VerdictNotFound && other.Verdict != yuccapaddle.VerdictUnknown)
+	}
+	if notRun && ran && !accepted {
+		return fmt.Errorf("request %s was told %s (not run), but it ran", key, o.Verdict)
+	}
+	if o.Verdict == yuccapaddle.VerdictCancelled && !o.Ran && ran {
+		return fmt.Errorf("request %s was told that it was cancelled before its start, but it ran", key)
+	}
+	if o.Verdict != yuccapaddle.VerdictDone || h.Requests[key] == nil {
+		return nil
+	}
+	if len(o.Parts) != h.Requests[key].Tasks {
+		return fmt.Errorf("request %s got %d parts of %d", key, len(o.Parts), h.Requests[key].Tasks)
+	}
+	for rank, p := range o.Parts {
+		if want := h.Whole(key, rank); string(p) != want {
+			return fmt.Errorf("request %s got part %d %s, its own is %s", key, rank, p, want)
+		}
+	}
+	return nil
+}
+
+func (h *History) exits() []error {
+	var out []error
+	for _, e := range h.Exits {
+		for i := range h.Runs {
+			r := &h.Runs[i]
+			late := r.StartAt.After(e.From.Add(h.ExitWithin)) && (e.To.IsZero() || r.StartAt.Before(e.To))
+			if late && e.Place(r) {
+				out = append(out, fmt.Errorf("task %s#%d started at %s %v after it was taken out", r.Key, r.Rank, e.Name, r.StartAt.Sub(e.From)))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/sessions/harness_test.go
@@ -0,0 +1,395 @@
+package sessions
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/applier"
+	"yuccapaddle/internal/authenticator"
+	"yuccapaddle/internal/loader"
+	"yuccapaddle/internal/mapper"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/server"
+	"yuccapaddle/internal/standin/lister"
+	"yuccapaddle/internal/standin/storer"
+	"yuccapaddle/internal/standin/worker"
+	"yuccapaddle/internal/verifier"
+)
+
+const (
+	exitWithin    = 3 * time.Second
+	partialWithin = 15 * time.Second
+)
+
+var errCut = errors.New("the connection is cut")
+
+// world is a whole system in one process and in virtual time: hosts of the real
+// code, with small fakes at the interfaces.
+type world struct {
+	t       *testing.T
+	store   *storer.Storer
+	list    *lister.Lister
+	worker  *worker.Worker
+	hosts   map[string]*host
+	site    yuccapaddle.Site
+	topo    *mapper.Mapper
+	mu      sync.Mutex
+	out     strings.Builder
+	history verifier.History
+	group   errgroup.Group
+	lag     time.Duration
+}
+
+// host is one entry host behind a gate that can be cut or held shut.
+type host struct {
+	name   string
+	server *server.Server
+	gate   *gate
+	cancel context.CancelFunc
+	stop   chan struct{}
+	done   chan struct{}
+}
+
+// gate stands between a host and everything else.
+type gate struct {
+	mu       sync.Mutex
+	shut     chan struct{} // closed while the host runs
+	running  bool
+	storeCut atomic.Bool
+	workCut  atomic.Bool
+	peersCut atomic.Bool
+	dead     atomic.Bool
+}
+
+func newGate() *gate {
+	g := &gate{shut: make(chan struct{}), running: true}
+	close(g.shut)
+	return g
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running {
+		g.running, g.shut = false, make(chan struct{})
+	}
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.running {
+		g.running = true
+		close(g.shut)
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	ch := g.shut
+	g.mu.Unlock()
+	<-ch
+}
+
+// call runs f through the gate, which may hold it before and after.
+func call[T any](g *gate, cut *atomic.Bool, refused error, f func() (T, error)) (T, error) {
+	var zero T
+	g.pass()
+	if cut.Load() || g.dead.Load() {
+		return zero, refused
+	}
+	v, err := f()
+	g.pass()
+	if g.dead.Load() {
+		return zero, refused
+	}
+	return v, err
+}
+
+type gatedStore struct {
+	*gate
+	inner yuccapaddle.Store
+}
+
+func (s gatedStore) Get(ctx context.Context, key string) (yuccapaddle.Entry, error) {
+	return call(s.gate, &s.storeCut, yuccapaddle.ErrNotApplied, func() (yuccapaddle.Entry, error) { return s.inner.Get(ctx, key) })
+}
+
+func (s gatedStore) List(ctx context.Context, prefix string) ([]yuccapaddle.Entry, error) {
+	return call(s.gate, &s.storeCut, yuccapaddle.ErrNotApplied, func() ([]yuccapaddle.Entry, error) { return s.inner.List(ctx, prefix) })
+}
+
+func (s gatedStore) Put(ctx context.Context, w yuccapaddle.Write) (uint64, error) {
+	return call(s.gate, &s.storeCut, yuccapaddle.ErrNotApplied, func() (uint64, error) { return s.inner.Put(ctx, w) })
+}
+
+func (s gatedStore) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	_, err := call(s.gate, &s.storeCut, yuccapaddle.ErrNotApplied, func() (int, error) { return 0, s.inner.Delete(ctx, key, ifRevision) })
+	return err
+}
+
+func (s gatedStore) Watch(ctx context.Context, key string, after uint64, deadline time.Time) (yuccapaddle.Entry, error) {
+	return call(s.gate, &s.storeCut, yuccapaddle.ErrNotApplied, func() (yuccapaddle.Entry, error) {
+		return s.inner.Watch(ctx, key, after, deadline)
+	})
+}
+
+type gatedWorker struct {
+	*gate
+	inner yuccapaddle.Worker
+}
+
+func (w gatedWorker) command(f func() error) error {
+	_, err := call(w.gate, &w.workCut, yuccapaddle.ErrNoAnswer, func() (int, error) { return 0, f() })
+	return err
+}
+
+func (w gatedWorker) Reserve(ctx context.Context, r yuccapaddle.Reservation) error {
+	return w.command(func() error { return w.inner.Reserve(ctx, r) })
+}
+
+func (w gatedWorker) Start(ctx context.Context, c yuccapaddle.LeaseCommand) error {
+	return w.command(func() error { return w.inner.Start(ctx, c) })
+}
+
+func (w gatedWorker) Checkpoint(ctx context.Context, c yuccapaddle.LeaseCommand) error {
+	return w.command(func() error { return w.inner.Checkpoint(ctx, c) })
+}
+
+func (w gatedWorker) Forget(ctx context.Context, c yuccapaddle.LeaseCommand) error {
+	return w.command(func() error { return w.inner.Forget(ctx, c) })
+}
+
+func (w gatedWorker) Stop(ctx context.Context, c yuccapaddle.LeaseCommand) (yuccapaddle.StopReply, error) {
+	return call(w.gate, &w.workCut, yuccapaddle.ErrNoAnswer, func() (yuccapaddle.StopReply, error) { return w.inner.Stop(ctx, c) })
+}
+
+func (w gatedWorker) Sync(ctx context.Context, r yuccapaddle.SyncRequest) (yuccapaddle.Report, error) {
+	return call(w.gate, &w.workCut, yuccapaddle.ErrNoAnswer, func() (yuccapaddle.Report, error) { return w.inner.Sync(ctx, r) })
+}
+
+// peerClient calls another host's service through both gates.
+type peerClient struct {
+	from, to *gate
+	server   peer.PeerServer
+}
+
+func ask[R, A any](p peerClient, f func(context.Context, *R) (*A, error), ctx context.Context, r *R) (*A, error) {
+	return call(p.from, &p.from.peersCut, errCut, func() (*A, error) {
+		return call(p.to, &p.to.peersCut, errCut, func() (*A, error) { return f(ctx, r) })
+	})
+}
+
+func (p peerClient) Submit(ctx context.Context, r *peer.SubmitRequest, _ ...grpc.CallOption) (*peer.OutcomeReply, error) {
+	return ask(p, p.server.Submit, ctx, r)
+}
+
+func (p peerClient) Cancel(ctx context.Context, r *peer.KeyRequest, _ ...grpc.CallOption) (*peer.OutcomeReply, error) {
+	return ask(p, p.server.Cancel, ctx, r)
+}
+
+func (p peerClient) Await(ctx context.Context, r *peer.KeyRequest, _ ...grpc.CallOption) (*peer.OutcomeReply, error) {
+	return ask(p, p.server.Await, ctx, r)
+}
+
+func (p peerClient) Notify(ctx context.Context, r *peer.NotifyRequest, _ ...grpc.CallOption) (*peer.NotifyReply, error) {
+	return ask(p, p.server.Notify, ctx, r)
+}
+
+func (p peerClient) State(ctx context.Context, r *peer.StateRequest, _ ...grpc.CallOption) (*peer.StateReply, error) {
+	return ask(p, p.server.State, ctx, r)
+}
+
+func newWorld(t *testing.T, site yuccapaddle.Site) *world {
+	w := &world{
+		t: t, store: storer.New(), list: lister.New(), worker: worker.New(), hosts: map[string]*host{},
+		site: site, topo: mapper.New(&site),
+	}
+	for _, d := range site.Domains {
+		for _, u := range d.Upstreams {
+			w.worker.Add(u)
+		}
+	}
+	w.history = verifier.History{
+		Requests: map[string]*yuccapaddle.Request{}, Told: map[string][]yuccapaddle.Outcome{},
+		Whole:      func(key string, rank int) string { return fmt.Sprintf(`{"rank":%d,"answer":%q}`, rank, key) },
+		ExitWithin: exitWithin, PartialWithin: partialWithin,
+	}
+	return w
+}
+
+// hostNames are the hosts that know one another as peers.
+var hostNames = []string{"h1", "h2", "h3"}
+
+func (w *world) settings(name string) *loader.Host {
+	h := loader.Defaults()
+	h.Name, h.Domain, h.Region = name, "d1", "r1"
+	h.Listen.Peers = name
+	for _, n := range hostNames {
+		h.Peers = append(h.Peers, loader.Peer{Name: n, Address: n})
+	}
+	for _, ws := range w.site.Workspaces {
+		h.Tokens.Callers = append(h.Tokens.Callers, loader.CallerToken{Workspace: ws.Name, Caller: "c", Hash: authenticator.Hash(ws.Name)})
+	}
+	h.Tokens.Callers = append(h.Tokens.Callers, loader.CallerToken{Workspace: "nowhere", Caller: "c", Hash: authenticator.Hash("nowhere")})
+	h.Tokens.Operators = []loader.OperatorToken{{Name: "op", Hash: authenticator.Hash("op")}}
+	h.Limits.DrainMS = 100
+	return &h
+}
+
+func (w *world) start(name string) {
+	h := &host{name: name, gate: newGate(), stop: make(chan struct{}), done: make(chan struct{})}
+	wrap := func(func(string) string) yuccapaddle.Worker { return gatedWorker{h.gate, w.worker} }
+	w.mu.Lock()
+	boot := len(w.hosts)
+	w.mu.Unlock()
+	nonce := fmt.Sprintf("%s-%d-%d", name, boot, time.Now().UnixNano())
+	h.server = server.New(w.settings(name), nonce, gatedStore{h.gate, w.store}, wrap, zap.NewNop(),
+		server.WithoutListeners(), server.WithHostList(w.list), server.WithDial(func(address string) (peer.PeerClient, error) {
+			return w.dial(h, address)
+		}))
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	w.mu.Lock()
+	w.hosts[name] = h
+	w.mu.Unlock()
+	w.group.Go(func() error {
+		defer close(h.done)
+		return h.server.Run(ctx, h.stop)
+	})
+}
+
+func (w *world) dial(from *host, address string) (peer.PeerClient, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	to := w.hosts[address]
+	if to == nil || to.gate.dead.Load() {
+		return nil, errCut
+	}
+	return peerClient{from: from.gate, to: to.gate, server: to.server.Peers()}, nil
+}
+
+// kill ends a host at once: nothing of it reaches the outside any more.
+func (w *world) kill(name string) {
+	h := w.hosts[name]
+	h.gate.dead.Store(true)
+	h.gate.resume()
+	h.cancel()
+	<-h.done
+}
+
+func (w *world) closeAll() {
+	w.store.SetFaults(storer.Faults{})
+	for _, name := range sorted(w.hosts) {
+		w.kill(name)
+	}
+	err := w.group.Wait()
+	qt.Assert(w.t, err, qt.IsNil)
+}
+
+// http calls a handler of a host as a caller would.
+func (w *world) http(h *host, handle fasthttp.RequestHandler, method, uri, token string, body any) (int, []byte) {
+	var req fasthttp.Request
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.Header.Set("Authorization", "Bearer "+token)
+	if text, ok := body.(string); ok {
+		req.SetBodyString(text)
+	} else if body != nil {
+		data, err := json.Marshal(body)
+		qt.Assert(w.t, err, qt.IsNil)
+		req.SetBody(data)
+	}
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&req, nil, nil)
+	h.gate.pass()
+	handle(&ctx)
+	h.gate.pass()
+	if h.gate.dead.Load() {
+		return 0, nil // the connection broke
+	}
+	return ctx.Response.StatusCode(), append([]byte(nil), ctx.Response.Body()...)
+}
+
+func (w *world) change(h *host, action, target string, base uint64, site *yuccapaddle.Site) applier.Result {
+	id := fmt.Sprintf("%s %s %d", action, target, time.Now().UnixNano())
+	c := applier.Change{ID: id, Action: action, Target: target, Base: base, Site: site, Reason: "session"}
+	_, body := w.http(h, h.server.Operators(), "POST", "/v1/change", "op", c)
+	var r applier.Result
+	if body != nil {
+		qt.Assert(w.t, json.Unmarshal(body, &r), qt.IsNil)
+	}
+	if r.Status == applier.Accepted {
+		w.noteExit(action, target, time.Now())
+	}
+	return r
+}
+
+// noteExit records from when on nothing may start at a place.
+func (w *world) noteExit(action, target string, from time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch action {
+	case applier.ActionDomainOut, applier.ActionUpstreamDrain, applier.ActionWorkerDrain, "leaving":
+		w.history.Exits = append(w.history.Exits, verifier.Exit{Name: target, From: from, Place: func(r *verifier.Run) bool {
+			return r.Worker == target || r.Domain == target || w.topo.UpstreamOf(r.Worker) == target
+		}})
+	case applier.ActionDomainBack, applier.ActionUpstreamBack, applier.ActionWorkerBack, "live":
+		for i := range w.history.Exits {
+			if e := &w.history.Exits[i]; e.Name == target && e.To.IsZero() {
+				e.To = from
+			}
+		}
+	}
+}
+
+// check holds the recorded history against the promises.
+func (w *world) check() []error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history.Now = time.Now()
+	w.history.Runs = nil
+	for _, r := range w.worker.Runs() {
+		w.history.Runs = append(w.history.Runs, verifier.Run{
+			Key: r.Key, Lease: r.Lease, Worker: r.Worker, Domain: w.topo.DomainOf(w.topo.UpstreamOf(r.Worker)),
+			Rank: r.Rank, Resumed: r.Resumed, Done: r.Done, StartAt: r.StartAt, EndAt: r.EndAt,
+		})
+	}
+	return w.history.Check()
+}
+
+func (w *world) told(key string, o yuccapaddle.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history.Told[key] = append(w.history.Told[key], o)
+}
+
+func (w *world) printf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(&w.out, format+"\n", args...)
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/sessions/sessions_test.go
@@ -0,0 +1,387 @@
+// Package sessions plays whole sessions against golden files: the real hosts in
+// virtual time, small fakes for the platform, faults at chosen moments.
+package sessions
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/responder"
+	"yuccapaddle/internal/server"
+	"yuccapaddle/internal/standin/storer"
+	"yuccapaddle/internal/standin/worker"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// smallSite has two failure domains of one upstream with two racks of two
+// workers each, and three workspaces, two of which hold guarantees.
+func smallSite() yuccapaddle.Site {
+	var domains []yuccapaddle.Domain
+	for _, d := range []string{"d1", "d2"} {
+		var racks []yuccapaddle.Rack
+		for _, r := range []string{"ra", "rb"} {
+			racks = append(racks, yuccapaddle.Rack{Name: d + r, Workers: 2, Accelerators: 8})
+		}
+		domains = append(domains, yuccapaddle.Domain{Name: d, Region: "r" + d, Upstreams: []yuccapaddle.Upstream{
+			{Name: d + "u1", Address: "127.0.0.1:1" + d[1:], Racks: racks[:1]},
+			{Name: d + "u2", Address: "127.0.0.1:2" + d[1:], Racks: racks[1:]},
+		}})
+	}
+	return yuccapaddle.Site{
+		Name: "small", Domains: domains,
+		Workspaces: []yuccapaddle.Workspace{
+			{Name: "a", Guarantees: []yuccapaddle.Guarantee{{Count: 1, Workers: 2, Accelerators: 8, Span: yuccapaddle.SpanRack}}},
+			{Name: "b", Guarantees: []yuccapaddle.Guarantee{{Count: 2, Workers: 1, Accelerators: 4, Span: yuccapaddle.SpanWorker}}, Quota: 32},
+			{Name: "c", Teams: []yuccapaddle.Team{{Name: "t", Quota: 8}}},
+		},
+		Limits: yuccapaddle.Limits{WaitingPerWorkspace: 50, Attempts: 3, EvictionGraceMS: 1500, QuarantineStrikes: 2, QuarantineMS: 60_000, GangAgeingMS: 30_000},
+	}
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".session")
+		t.Run(name, func(t *testing.T) { playFile(t, file) })
+	}
+}
+
+func playFile(t *testing.T, file string) {
+	script, err := os.ReadFile(file)
+	qt.Assert(t, err, qt.IsNil)
+	var got string
+	synctest.Test(t, func(t *testing.T) {
+		got = play(t, string(script))
+	})
+	golden := strings.TrimSuffix(file, ".session") + ".golden"
+	if *update {
+		qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
+	}
+	want, err := os.ReadFile(golden)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, string(want))
+}
+
+func play(t *testing.T, script string) string {
+	w := newWorld(t, smallSite())
+	for _, line := range strings.Split(script, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		w.printf("> %s", line)
+		w.command(strings.Fields(line))
+		synctest.Wait()
+	}
+	for _, err := range w.check() {
+		w.printf("BROKEN: %v", err)
+	}
+	w.printf("history checked: %d runs", len(w.history.Runs))
+	w.closeAll()
+	return w.out.String()
+}
+
+func (w *world) command(args []string) {
+	verbs := map[string]func([]string){
+		"start": w.doStart, "kill": w.doKill, "pause": w.doPause, "resume": w.doResume, "stop": w.doStop, "cut": w.doCut,
+		"apply": w.doApply, "change": w.doChange, "submit": w.doSubmit, "cancel": w.doCancel, "show": w.doShow, "await": w.doAwait,
+		"advance": w.doAdvance, "store": w.doStore, "worker": w.doWorker, "restart": w.doRestart, "list": w.doList,
+		"lag": w.doLag, "state": w.doState, "runs": w.doRuns, "raw": w.doRaw, "burst": w.doBurst,
+	}
+	verb, ok := verbs[args[0]]
+	qt.Assert(w.t, ok, qt.IsTrue, qt.Commentf("command %q does not exist", args[0]))
+	verb(args[1:])
+}
+
+func (w *world) doStart(args []string) {
+	for _, name := range args {
+		w.start(name)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+	}
+}
+
+func (w *world) doKill(args []string) { w.kill(args[0]) }
+
+func (w *world) doPause(args []string) { w.hosts[args[0]].gate.pause() }
+
+func (w *world) doResume(args []string) { w.hosts[args[0]].gate.resume() }
+
+// doStop is a planned stop; it returns when the host has drained.
+func (w *world) doStop(args []string) {
+	h := w.hosts[args[0]]
+	close(h.stop)
+	<-h.done
+}
+
+// doCut cuts or heals a host's connections: cut h1 store|workers|peers on|off.
+func (w *world) doCut(args []string) {
+	g := w.hosts[args[0]].gate
+	on := args[2] == "on"
+	switch args[1] {
+	case "store":
+		g.storeCut.Store(on)
+	case "workers":
+		g.workCut.Store(on)
+	case "peers":
+		g.peersCut.Store(on)
+	}
+}
+
+func (w *world) doApply(args []string) {
+	site := w.site
+	r := w.change(w.hosts[args[0]], "apply", "", 0, &site)
+	w.printf("%s revision %d %s", r.Status, r.Revision, r.Reason)
+}
+
+// doChange: change h1 domain-out d1 [base]. With & the answer comes later.
+func (w *world) doChange(args []string) {
+	base := uint64(0)
+	background := args[len(args)-1] == "&"
+	if len(args) > 3 && !background {
+		base, _ = strconv.ParseUint(args[3], 10, 64)
+	}
+	run := func() error {
+		r := w.change(w.hosts[args[0]], args[1], args[2], base, nil)
+		w.printf("%s %s: %s revision %d %s", args[1], args[2], r.Status, r.Revision, r.Reason)
+		return nil
+	}
+	if background {
+		w.group.Go(run)
+		return
+	}
+	_ = run()
+}
+
+// doSubmit: submit h1 a/x tasks=2 acc=4 ms=100 class=quick span=rack team=t
+// repeatable fail=why wait=10s &
+func (w *world) doSubmit(args []string) {
+	h := w.hosts[args[0]]
+	key := args[1]
+	ws, id, _ := strings.Cut(key, "/")
+	opts := options(args[2:])
+	s := responder.Submission{
+		ID: id, Team: opts["team"], Class: opts["class"], Tasks: atoi(opts["tasks"], 1), Accelerators: atoi(opts["acc"], 1),
+		Span: opts["span"], Repeatable: opts["repeatable"] != "",
+	}
+	p := worker.Payload{MS: int64(atoi(opts["ms"], 100)), Answer: json.RawMessage(strconv.Quote(key)), Fail: opts["fail"]}
+	s.Payload, _ = json.Marshal(p)
+	if w.history.Requests[key] == nil {
+		w.mu.Lock()
+		w.history.Requests[key] = &yuccapaddle.Request{ID: id, Workspace: ws, Tasks: s.Tasks, Accelerators: s.Accelerators, Repeatable: s.Repeatable}
+		w.mu.Unlock()
+	}
+	w.perform(opts["&"] != "", func() { w.tell(key, h, "POST", "/v1/requests?wait="+opts["wait"], ws, s) })
+}
+
+func (w *world) perform(background bool, f func()) {
+	if !background {
+		f()
+		return
+	}
+	w.group.Go(func() error { f(); return nil })
+}
+
+// tell makes a call and prints what the caller was told.
+func (w *world) tell(key string, h *host, method, uri, token string, body any) {
+	status, answer := w.http(h, h.server.Callers(), method, uri, token, body)
+	if answer == nil {
+		w.printf("%s: the connection broke", key)
+		return
+	}
+	var o yuccapaddle.Outcome
+	if err := json.Unmarshal(answer, &o); err != nil || o.Verdict == "" {
+		w.printf("%s: %d %s", key, status, answer)
+		return
+	}
+	w.told(key, o)
+	text := fmt.Sprintf("%s: %d %s", key, status, o.Verdict)
+	if o.Verdict != yuccapaddle.VerdictWaiting && o.Verdict != yuccapaddle.VerdictRunning && o.Verdict != yuccapaddle.VerdictNotFound {
+		text += fmt.Sprintf(" ran=%v attempts=%d parts=%d", o.Ran, o.Attempts, len(o.Parts))
+	}
+	if !o.RetryAfter.IsZero() {
+		text += " retry"
+	}
+	if o.Reason != "" {
+		text += " (" + o.Reason + ")"
+	}
+	w.printf("%s", text)
+}
+
+func (w *world) doCancel(args []string) {
+	ws, id, _ := strings.Cut(args[1], "/")
+	opts := options(args[2:])
+	w.perform(opts["&"] != "", func() {
+		w.tell(args[1], w.hosts[args[0]], "DELETE", "/v1/requests/"+id+"?wait="+opts["wait"], ws, nil)
+	})
+}
+
+func (w *world) doShow(args []string) { w.doAwait([]string{args[0], args[1], "0s"}) }
+
+func (w *world) doAwait(args []string) {
+	ws, id, _ := strings.Cut(args[1], "/")
+	w.perform(args[len(args)-1] == "&", func() {
+		w.tell(args[1], w.hosts[args[0]], "GET", "/v1/requests/"+id+"?wait="+args[2], ws, nil)
+	})
+}
+
+// doRaw sends a body as it is: raw h1 token body...
+func (w *world) doRaw(args []string) {
+	h := w.hosts[args[0]]
+	status, answer := w.http(h, h.server.Callers(), "POST", "/v1/requests", args[1], strings.Join(args[2:], " "))
+	w.printf("%d %s", status, answer)
+}
+
+// doBurst submits n requests at once and waits for all: burst h1 a/x n ms=50
+func (w *world) doBurst(args []string) {
+	n := atoi(args[2], 1)
+	before := w.store.Counts()
+	var done []string
+	results := make(chan string, n)
+	for i := range n {
+		key := fmt.Sprintf("%s%d", args[1], i)
+		ws, id, _ := strings.Cut(key, "/")
+		w.mu.Lock()
+		w.history.Requests[key] = &yuccapaddle.Request{ID: id, Workspace: ws, Tasks: 1, Accelerators: 1}
+		w.mu.Unlock()
+		p, _ := json.Marshal(worker.Payload{MS: int64(atoi(options(args[3:])["ms"], 100)), Answer: json.RawMessage(strconv.Quote(key))})
+		s := responder.Submission{ID: id, Class: "quick", Tasks: 1, Accelerators: 1, Span: "worker", Payload: p}
+		w.group.Go(func() error {
+			h := w.hosts[args[0]]
+			_, answer := w.http(h, h.server.Callers(), "POST", "/v1/requests?wait=30s", ws, s)
+			var o yuccapaddle.Outcome
+			_ = json.Unmarshal(answer, &o)
+			w.told(key, o)
+			results <- string(o.Verdict)
+			return nil
+		})
+	}
+	for range n {
+		done = append(done, <-results)
+	}
+	count := map[string]int{}
+	for _, v := range done {
+		count[v]++
+	}
+	for _, v := range sorted(count) {
+		w.printf("%s: %d", v, count[v])
+	}
+	writes := w.store.Counts().Writes - before.Writes
+	w.printf("at most 0.1 store writes a request: %v", float64(writes) <= 0.1*float64(n))
+}
+
+func (w *world) doAdvance(args []string) {
+	d, err := time.ParseDuration(args[0])
+	qt.Assert(w.t, err, qt.IsNil)
+	time.Sleep(d)
+}
+
+// doStore: store down|up, or store key=value...
+func (w *world) doStore(args []string) {
+	opts := options(args)
+	w.store.SetFaults(storer.Faults{
+		Down: opts["down"] != "", SlowMS: atoi(opts["slow"], 0), LoseAnswers: atoi(opts["lose-answers"], 0),
+		LoseWrites: atoi(opts["lose-writes"], 0), StaleReads: opts["stale"] != "", HangWatches: opts["hang"] != "",
+	})
+}
+
+func (w *world) doWorker(args []string) {
+	opts := options(args[1:])
+	f := worker.Faults{
+		Dead: opts["dead"] != "", Leaving: opts["leaving"] != "", RefuseReserves: atoi(opts["refuse-reserves"], 0),
+		RefuseStarts: atoi(opts["refuse-starts"], 0), LoseStartAnswers: atoi(opts["lose-start-answers"], 0),
+		LoseStarts: atoi(opts["lose-starts"], 0), FailTasks: opts["fail"] != "", IgnoreCheckpoint: opts["ignore-checkpoint"] != "",
+		ReportTwice: opts["twice"] != "", ReverseParts: opts["reverse"] != "", LateMS: atoi(opts["late"], 0),
+	}
+	qt.Assert(w.t, w.worker.SetFaults(args[0], f), qt.IsNil)
+}
+
+func (w *world) doRestart(args []string) { qt.Assert(w.t, w.worker.Restart(args[0]), qt.IsNil) }
+
+// doList sets a host's state in the host list: list d1u1 leaving
+func (w *world) doList(args []string) {
+	w.list.Set(yuccapaddle.Host{Name: args[0], Role: "upstream", State: yuccapaddle.HostState(args[1])})
+	w.noteExit(args[1], args[0], time.Now().Add(w.lag))
+}
+
+func (w *world) doLag(args []string) {
+	d, err := time.ParseDuration(args[0])
+	qt.Assert(w.t, err, qt.IsNil)
+	w.lag = d
+	w.list.SetFaults(d, false)
+}
+
+// doState prints every host's revision, and the active one's work.
+func (w *world) doState(args []string) {
+	for _, name := range sorted(w.hosts) {
+		h := w.hosts[name]
+		if h.gate.dead.Load() || len(args) > 0 && args[0] != name {
+			continue
+		}
+		reply, err := h.server.Peers().State(w.t.Context(), nil)
+		qt.Assert(w.t, err, qt.IsNil)
+		var st server.State
+		qt.Assert(w.t, json.Unmarshal(reply.GetState(), &st), qt.IsNil)
+		line := fmt.Sprintf("%s active=%v revision=%d", name, st.Active, st.Revision)
+		if e := st.Engine; e != nil {
+			line += fmt.Sprintf(" gangs=%d waiting=%d quarantined=%v shortages=%d", e.Gangs, e.Waiting, e.Quarantined, len(e.Shortages))
+		}
+		w.printf("%s", line)
+	}
+}
+
+// doRuns prints how often the tasks of a request ran.
+func (w *world) doRuns(args []string) {
+	fresh, resumed, finished := 0, 0, 0
+	for _, r := range w.worker.Runs() {
+		if r.Key != args[0] {
+			continue
+		}
+		if r.Resumed {
+			resumed++
+		} else {
+			fresh++
+		}
+		if r.Done {
+			finished++
+		}
+	}
+	w.printf("%s: %d fresh starts, %d resumed, %d finished", args[0], fresh, resumed, finished)
+}
+
+func options(args []string) map[string]string {
+	out := map[string]string{}
+	for _, a := range args {
+		k, v, ok := strings.Cut(a, "=")
+		if !ok {
+			v = "yes"
+		}
+		out[k] = v
+	}
+	if out["wait"] == "" {
+		out["wait"] = "0s"
+	}
+	return out
+}
+
+func atoi(s string, fallback int) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return fallback
+	}
+	return n
+}
