--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -21,6 +21,7 @@
 	renewEvery = 800 * time.Millisecond
 	watchTime  = time.Second
 	retryEvery = 200 * time.Millisecond
+	yieldTime  = 2 * time.Second
 )
 
 // Leaser keeps the lease while it can, and knows who holds it.
@@ -30,6 +31,7 @@
 	log     *zap.Logger
 	holder  atomic.Pointer[Holder]
 	yielded atomic.Bool
+	away    bool // the service did not answer the last call
 }
 
 // Holder is the value of the lease.
@@ -84,6 +86,14 @@
 		if err := ctx.Err(); err != nil {
 			return 0, err
 		}
+		if l.away {
+			// After an outage of the service the former holder goes first: a
+			// change of the active host would cost what it has not committed.
+			l.away = false
+			pause(ctx, yieldTime)
+			after = l.follow(ctx, after)
+			continue
+		}
 		if l.yielded.Load() {
 			after = l.follow(ctx, after)
 			continue
@@ -103,6 +113,7 @@
 func (l *Leaser) follow(ctx context.Context, after uint64) uint64 {
 	e, err := l.store.Watch(ctx, key, after, time.Now().Add(watchTime))
 	if err != nil {
+		l.away = true
 		pause(ctx, retryEvery)
 		return after
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -30,6 +30,7 @@
 	heard   atomic.Int64
 	onNew   func(*yuccapaddle.Config)
 	poke    chan struct{}
+	wanted  atomic.Bool // read at once instead of watching
 	stop    atomic.Pointer[context.CancelFunc]
 }
 
@@ -50,6 +51,7 @@
 
 // Poke makes the watcher read now, after another host has told of a change.
 func (w *Watcher) Poke() {
+	w.wanted.Store(true)
 	select {
 	case w.poke <- struct{}{}:
 	default:
@@ -99,17 +101,20 @@
 	return nil
 }
 
-// next waits for a change; a poke ends the wait and reads at once.
+// next waits for a change. It reads at once after a poke, and after a watch that
+// failed, so that a host whose watch hangs still learns of changes.
 func (w *Watcher) next(ctx context.Context, revision uint64) (yuccapaddle.Entry, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, 2*watchTime)
 	defer cancel()
 	w.stop.Store(&cancel)
-	select {
-	case <-w.poke:
-		return w.store.Get(ctx, Key)
-	default:
+	if w.wanted.Swap(false) {
+		return w.store.Get(watchCtx, Key)
+	}
+	e, err := w.store.Watch(watchCtx, Key, revision, time.Now().Add(watchTime))
+	if err != nil {
+		w.wanted.Store(true)
 	}
-	return w.store.Watch(watchCtx, Key, revision, time.Now().Add(watchTime))
+	return e, err
 }
 
 func (w *Watcher) take(e yuccapaddle.Entry) error {
