sessions: play seeded random histories; settle what was unknown

Ruled out: holding answers back until they are committed, which would stop all service during an outage of the platform. Change: reads after failed watches, bounded waits, probing of unsettled requests; without any evidence a recovered request stays unknown instead of failed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+GO ?= go
+
+.PHONY: build test race lint format generate soak measure bench demo
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo:
+	$(GO) run ./cmd/yuccapaddle demo
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+format:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+generate:
+	$(GO) build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=module=yuccapaddle --go-grpc_out=. --go-grpc_opt=module=yuccapaddle internal/peer/peer.proto
+
+SEED ?= 1
+N ?= 200
+soak:
+	$(GO) test ./sessions -run TestHistories -count=1 -timeout 0 -histories $(N) -seed $(SEED) -v
+
+measure:
+	$(GO) test ./measures -run TestMeasures -count=1 -timeout 0 -measure -v
+
+bench:
+	$(GO) test ./... -run '^$$' -bench . -benchmem
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -111,7 +111,7 @@
 func Run(args []string) int {
 	root := New()
 	root.SetArgs(args)
-	err := root.Execute()
+	err := root.ExecuteContext(ctxBackground())
 	if err == nil {
 		return 0
 	}
--- a/internal/driver/serve.go
+++ b/internal/driver/serve.go
@@ -156,16 +156,20 @@
 // has been decided is committed.
 func (d *Driver) Close() {
 	d.closing.Store(true)
+	if !d.running.Load() {
+		return // the journal is not open yet: nothing has been decided
+	}
 	deadline := time.Now().Add(closeTime)
+	stalled := false
 	for time.Now().Before(deadline) {
 		idle := true
-		d.call(func() { idle = d.sentAt.IsZero() && !d.core.Pending() })
+		d.call(func() { idle, stalled = d.sentAt.IsZero() && !d.core.Pending(), d.stalled })
 		if idle {
 			return
 		}
 		time.Sleep(tickEvery / 10)
 	}
-	d.log.Warn("records were not committed before the stop", zap.Bool("stalled", d.stalled))
+	d.log.Warn("records were not committed before the stop", zap.Bool("stalled", stalled))
 }
 
 // Status is a summary for operators.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,7 +139,7 @@
 		wait := max(time.Until(slice), 0)
 		ctx, cancel := context.WithTimeout(ctx, wait+awaitSlack)
 		defer cancel()
-		return reply(remote.Await(ctx, &peer.KeyRequest{Key: key, WaitMs: wait.Milliseconds()}))
+		return reply(remote.Await(ctx, &peer.KeyRequest{Key: key, WaitMs: (wait + time.Millisecond - 1).Milliseconds()}))
 	})
 	return o, err
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -20,6 +20,7 @@
 	used       map[string]int
 	waiting    map[string]int
 	queue      map[string]bool
+	unsettled  map[string]bool
 }
 
 // job is a request and what has become of it so far.
@@ -32,6 +33,9 @@
 	Service  float64               `json:"svc,omitempty"`
 	StartAt  time.Time             `json:"start,omitzero"`
 	Outcome  *yuccapaddle.Outcome  `json:"out,omitempty"`
+	// Last is the gang of a request whose outcome is unknown: its upstreams are
+	// asked until they tell.
+	Last *yuccapaddle.Gang `json:"last,omitempty"`
 }
 
 // New returns an empty state.
@@ -43,6 +47,7 @@
 		used:       map[string]int{},
 		waiting:    map[string]int{},
 		queue:      map[string]bool{},
+		unsettled:  map[string]bool{},
 	}
 }
 
@@ -159,9 +164,17 @@
 		return fmt.Errorf("request %q is settled twice", r.Key)
 	}
 	wasWaiting := j.Outcome == nil
+	j.Last = nil
 	if g := k.gangs[r.Key]; g != nil {
 		k.drop(g)
 		wasWaiting = false
+		if r.Outcome.Verdict == yuccapaddle.VerdictUnknown && r.Why != whySettled {
+			j.Last = g
+		}
+	}
+	delete(k.unsettled, r.Key)
+	if j.Last != nil {
+		k.unsettled[r.Key] = true
 	}
 	if wasWaiting {
 		k.waiting[j.Request.Workspace]--
@@ -198,6 +211,15 @@
 	}
 }
 
+// Unsettled returns the last gangs of the requests whose outcome is unknown.
+func (k *Keeper) Unsettled() []*yuccapaddle.Gang {
+	out := make([]*yuccapaddle.Gang, 0, len(k.unsettled))
+	for _, key := range sortedKeys(k.unsettled) {
+		out = append(out, k.jobs[key].Last)
+	}
+	return out
+}
+
 // Gang returns the gang of a request, nil if none is placed.
 func (k *Keeper) Gang(key string) *yuccapaddle.Gang {
 	return k.gangs[key]
@@ -354,6 +376,9 @@
 			return fmt.Errorf("snapshot entry %q has no request", key)
 		}
 		fresh.jobs[key] = j
+		if j.Last != nil {
+			fresh.unsettled[key] = true
+		}
 		if j.Outcome == nil && s.Gangs[key] == nil {
 			fresh.waiting[j.Request.Workspace]++
 			fresh.queue[key] = true
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -20,6 +20,9 @@
 	kindPurge      kind = "purge"
 )
 
+// whySettled marks an end after which nothing more will be learnt.
+const whySettled = "settled"
+
 // Record is one committed change of the state. Only the fields of its kind are
 // set. Records are made by the functions of this package.
 type Record struct {
@@ -72,6 +75,14 @@
 	return Record{Kind: kindEnd, Key: o.Workspace + "/" + o.ID, At: at, Outcome: o}
 }
 
+// Settle ends the questions about an outcome that was unknown. If it stays
+// unknown, nobody can tell any more.
+func Settle(o *yuccapaddle.Outcome, at time.Time) Record {
+	r := End(o, at)
+	r.Why = whySettled
+	return r
+}
+
 // Quarantine keeps a worker out of placements until a time; a zero time ends
 // the quarantine.
 func Quarantine(worker, why string, until, at time.Time) Record {
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -32,6 +32,7 @@
 	holder  atomic.Pointer[Holder]
 	yielded atomic.Bool
 	away    bool // the service did not answer the last call
+	hung    bool // the last watch failed
 }
 
 // Holder is the value of the lease.
@@ -109,9 +110,19 @@
 	}
 }
 
-// follow waits for a change of the lease and notes the holder.
+// follow waits for a change of the lease and notes the holder. After a watch
+// that failed or hung it reads instead.
 func (l *Leaser) follow(ctx context.Context, after uint64) uint64 {
-	e, err := l.store.Watch(ctx, key, after, time.Now().Add(watchTime))
+	callCtx, cancel := context.WithTimeout(ctx, 2*watchTime)
+	defer cancel()
+	var e yuccapaddle.Entry
+	var err error
+	if l.hung {
+		e, err = l.store.Get(callCtx, key)
+	} else {
+		e, err = l.store.Watch(callCtx, key, after, time.Now().Add(watchTime))
+	}
+	l.hung = err != nil && !l.hung
 	if err != nil {
 		l.away = true
 		pause(ctx, retryEvery)
--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -49,9 +49,22 @@
 	ending   ending
 	startAt  time.Time
 	savedAt  time.Time
+	// recovered: a former host placed it, and may have given out its answer
+	// before it could commit that. unfinished: a task certainly did not end well,
+	// so that no answer can have been given out.
+	recovered  bool
+	unfinished bool
 }
 
 func (s *Scheduler) track(g *yuccapaddle.Gang) *liveGang {
+	lg := s.split(g)
+	s.live[g.Key] = lg
+	s.leases[lg.lease] = lg
+	return lg
+}
+
+// split divides a gang into its shares.
+func (s *Scheduler) split(g *yuccapaddle.Gang) *liveGang {
 	lg := &liveGang{gang: g, lease: g.Lease(), parts: map[int]json.RawMessage{}, launchBy: s.now.Add(launchTime)}
 	byUpstream := map[string]*share{}
 	for _, m := range g.Members {
@@ -64,8 +77,6 @@
 		}
 		sh.members = append(sh.members, m)
 	}
-	s.live[g.Key] = lg
-	s.leases[lg.lease] = lg
 	return lg
 }
 
@@ -124,6 +135,7 @@
 	for _, key := range s.state.GangKeys() {
 		g := s.state.Gang(key)
 		lg := s.track(g)
+		lg.recovered = true
 		if g.State == yuccapaddle.GangClaimed {
 			s.claims[key] = lg
 			continue
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -124,6 +124,7 @@
 	s.tickUpstreams()
 	s.endQuarantines()
 	s.verify()
+	s.probe()
 	for worker, until := range s.cooling {
 		if !until.After(s.now) {
 			delete(s.cooling, worker)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -1,11 +1,9 @@
 package scheduler
 
 import (
-	"strings"
 	"time"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/keeper"
 )
 
 // reported takes in what an upstream says of its tasks and workers.
@@ -150,11 +148,8 @@
 		s.stopOrphan(upstream, t.Lease)
 		return
 	}
-	key := t.Lease[:max(strings.LastIndexByte(t.Lease, '/'), 0)]
-	if o := s.state.Outcome(key); o.Verdict == yuccapaddle.VerdictUnknown && t.State != yuccapaddle.TaskNeverStarted {
-		o.Verdict, o.Ran, o.EndAt = yuccapaddle.VerdictFailed, true, s.now
-		o.Reason = "it ran but was cut off from this system, and it is not repeatable"
-		s.propose(keeper.End(&o, s.now))
+	if s.unsettled[t.Lease] != nil {
+		return // it is being asked for
 	}
 	lease := t.Lease
 	s.onCommit(func() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	avoidTime      = 5 * time.Second
 	purgeInterval  = 5 * time.Second
 	verifyInterval = time.Second
+	probeInterval  = 2 * time.Second
 	defaultGraceMS = 1500
 )
 
@@ -46,6 +47,8 @@
 	cooling    map[string]time.Time
 	strikes    map[string]map[string]bool
 	claims     map[string]*liveGang
+	unsettled  map[string]*liveGang // by lease
+	probeAt    time.Time
 	permit     time.Time
 	purgeAt    time.Time
 	verifyAt   time.Time
@@ -82,6 +85,7 @@
 		cooling:    map[string]time.Time{},
 		strikes:    map[string]map[string]bool{},
 		claims:     map[string]*liveGang{},
+		unsettled:  map[string]*liveGang{},
 		purgeAt:    now.Add(purgeInterval),
 	}
 	return s
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -78,7 +78,11 @@
 
 func (s *Scheduler) stopped(e yuccapaddle.Stopped) {
 	lg := s.leases[e.Lease]
-	if lg == nil || !lg.stopping {
+	if lg == nil {
+		s.probed(e)
+		return
+	}
+	if !lg.stopping {
 		return
 	}
 	sh := lg.share(e.Upstream)
@@ -108,6 +112,7 @@
 		if t.State != yuccapaddle.TaskNeverStarted {
 			sh.ran = true
 		}
+		lg.unfinished = lg.unfinished || t.State != yuccapaddle.TaskDone
 		if t.Checkpointed {
 			sh.checkpointed[t.Rank] = true
 		}
@@ -142,7 +147,7 @@
 		s.retry(lg)
 	case lg.ending.kind != endFail && ran && lg.allCheckpointed():
 		s.requeue(lg, true) // goes on where it was saved: still the same run
-	case ran:
+	case ran && (lg.unfinished || !lg.recovered):
 		s.settle(lg, yuccapaddle.VerdictFailed, "it ran and is not repeatable: "+lg.ending.why, true)
 	default:
 		s.settle(lg, yuccapaddle.VerdictUnknown, "it may have run and is not repeatable: "+lg.ending.why, true)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -78,10 +78,9 @@
 
 type lease struct {
 	yuccapaddle.Reservation
-	tasks  map[int]*task
-	timer  *time.Timer
-	over   bool
-	change uint64
+	tasks map[int]*task
+	timer *time.Timer
+	over  bool
 }
 
 type task struct {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -88,7 +88,11 @@
 		}
 		retry = retryFirst
 		w.heard.Store(time.Now().UnixNano())
-		if e.Revision == revision || e.Revision == 0 {
+		if e.Revision == revision {
+			continue
+		}
+		if e.Revision < revision {
+			w.pause(ctx, retryFirst) // an old value; the next answer may be one too
 			continue
 		}
 		if err := w.take(e); err != nil {
--- a/sessions/harness_test.go
+++ b/sessions/harness_test.go
@@ -55,6 +55,7 @@
 	group   errgroup.Group
 	lag     time.Duration
 	begin   time.Time
+	orders  []order
 }
 
 // host is one entry host behind a gate that can be cut or held shut.
@@ -360,30 +361,67 @@
 	if body != nil {
 		qt.Assert(w.t, json.Unmarshal(body, &r), qt.IsNil)
 	}
-	if r.Status == applier.Accepted {
-		w.noteExit(action, target, asked, time.Now())
+	// A return whose fate is unknown may be in force as well.
+	back := strings.HasSuffix(action, "-back") && r.Status != applier.Conflict && r.Status != applier.Invalid && r.Status != applier.NotApplied
+	if r.Status == applier.Accepted || back {
+		w.noteExit(action, target, r.Revision, asked, time.Now())
 	}
 	return r
 }
 
-// noteExit records the time in which nothing may start at a place: from the
-// acceptance of the order to take it out, until the return is asked for, since
-// that return may be in force before its answer arrives.
-func (w *world) noteExit(action, target string, asked, accepted time.Time) {
+// order is one accepted order to take a place out or to bring it back. Answers
+// may arrive out of order; the revision tells which order came first.
+type order struct {
+	place           string
+	out             bool
+	revision        float64
+	asked, accepted time.Time
+}
+
+// noteExit records an order. A return whose fate is unknown, with revision 0,
+// counts from when it was asked for.
+func (w *world) noteExit(action, target string, revision uint64, asked, accepted time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	o := order{place: target, revision: float64(revision), asked: asked, accepted: accepted}
 	switch action {
 	case applier.ActionDomainOut, applier.ActionUpstreamDrain, applier.ActionWorkerDrain, "leaving":
-		w.history.Exits = append(w.history.Exits, verifier.Exit{Name: target, From: accepted, Place: func(r *verifier.Run) bool {
-			return r.Worker == target || r.Domain == target || w.topo.UpstreamOf(r.Worker) == target
-		}})
+		o.out = true
 	case applier.ActionDomainBack, applier.ActionUpstreamBack, applier.ActionWorkerBack, "live":
-		for i := range w.history.Exits {
-			if e := &w.history.Exits[i]; e.Name == target && e.To.IsZero() {
-				e.To = asked
+	default:
+		return
+	}
+	if revision == 0 {
+		for _, other := range w.orders {
+			o.revision = max(o.revision, other.revision)
+		}
+		o.revision += 0.5
+	}
+	w.orders = append(w.orders, o)
+}
+
+// exits are the periods in which nothing may start: from the acceptance of an
+// order to take a place out, until its return is asked for, since the return
+// may be in force before its answer arrives.
+func (w *world) exits() []verifier.Exit {
+	sort.SliceStable(w.orders, func(a, b int) bool { return w.orders[a].revision < w.orders[b].revision })
+	var out []verifier.Exit
+	for i, o := range w.orders {
+		if !o.out {
+			continue
+		}
+		e := verifier.Exit{Name: o.place, From: o.accepted, Place: func(r *verifier.Run) bool {
+			return r.Worker == o.place || r.Domain == o.place || w.topo.UpstreamOf(r.Worker) == o.place
+		}}
+		for _, back := range w.orders[i+1:] {
+			if back.place == o.place && !back.out {
+				e.To = back.asked
+				break
 			}
 		}
+		out = append(out, e)
 	}
+	return out
 }
 
 // check holds the recorded history against the promises.
@@ -392,6 +430,7 @@
 	defer w.mu.Unlock()
 	w.history.Now = time.Now()
 	w.history.Runs = nil
+	w.history.Exits = w.exits()
 	for _, r := range w.worker.Runs() {
 		w.history.Runs = append(w.history.Runs, verifier.Run{
 			Key: r.Key, Lease: r.Lease, Worker: r.Worker, Domain: w.topo.DomainOf(w.topo.UpstreamOf(r.Worker)),
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -335,7 +335,7 @@
 // doList sets a host's state in the host list: list d1u1 leaving
 func (w *world) doList(args []string) {
 	w.list.Set(yuccapaddle.Host{Name: args[0], Role: "upstream", State: yuccapaddle.HostState(args[1])})
-	w.noteExit(args[1], args[0], time.Now(), time.Now().Add(w.lag))
+	w.noteExit(args[1], args[0], 0, time.Now(), time.Now().Add(w.lag))
 }
 
 func (w *world) doLag(args []string) {
