processes: kill, freeze and stop real processes

Ruled out: waiting for times; every test waits for a state. Change: three tests with three daemons, the platform and the upstreams as processes on loopback. The command line makes a connection for each call: the first run of TestRollingStop failed because a kept connection had died with the old process.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -46,6 +46,7 @@
 type Caller struct {
 	client *fasthttp.Client
 	token  string
+	fresh  bool
 }
 
 // Option changes a Caller under construction.
@@ -56,6 +57,12 @@
 	return func(c *Caller) { c.token = token }
 }
 
+// WithFreshConnections makes a connection for each call, so that a server which
+// restarted between two calls is not met through a dead one.
+func WithFreshConnections() Option {
+	return func(c *Caller) { c.fresh = true }
+}
+
 // New returns a Caller.
 func New(opts ...Option) *Caller {
 	c := &Caller{client: &fasthttp.Client{
@@ -87,6 +94,9 @@
 	defer fasthttp.ReleaseResponse(res)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(url)
+	if c.fresh {
+		req.SetConnectionClose()
+	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -130,7 +130,7 @@
 	if len(c.servers) == 0 {
 		return exit(codeUsage, "no server is given: use --server IP:port or set %s", serverVariable)
 	}
-	client := caller.New(caller.WithToken(c.token))
+	client := caller.New(caller.WithToken(c.token), caller.WithFreshConnections())
 	var last error
 	for range triesPerServer {
 		for _, server := range c.servers {
--- /dev/null
+++ b/processes/processes_test.go
@@ -0,0 +1,389 @@
+// Package processes runs the real programs as separate processes on loopback,
+// and kills, freezes and stops them. It waits for states, never for times.
+package processes
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/applier"
+	"yuccapaddle/internal/authenticator"
+	"yuccapaddle/internal/caller"
+	"yuccapaddle/internal/loader"
+	"yuccapaddle/internal/responder"
+	"yuccapaddle/internal/server"
+	"yuccapaddle/internal/standin/worker"
+)
+
+const (
+	hostCount = 3
+	patience  = 90 * time.Second // the end of waiting for a state that never comes
+	poll      = 20 * time.Millisecond
+	callTime  = 60 * time.Second
+)
+
+// bed is a whole deployment of processes.
+type bed struct {
+	t         *testing.T
+	dir       string
+	bin       string
+	platform  string
+	settings  loader.Settings
+	hosts     []loader.Host
+	processes map[string]*exec.Cmd
+	calls     *caller.Caller
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}, calls: caller.New(caller.WithToken("team"), caller.WithFreshConnections())}
+	b.bin = filepath.Join(b.dir, "bin") + "/"
+	out, err := exec.Command("go", "build", "-o", b.bin, "../cmd/...").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	t.Cleanup(b.close)
+	b.configure()
+	b.run("platform", "standin", "platform", "--address", b.platform)
+	b.run("upstreams", append([]string{"standin", "upstreams"}, b.files(0)...)...)
+	b.until("the platform answers", func() bool {
+		return b.calls.Call(t.Context(), fasthttp.MethodGet, "http://"+b.platform+"/counts", nil, nil, time.Second) == nil
+	})
+	for i := range b.hosts {
+		b.startHost(i)
+	}
+	b.until("the configuration is accepted", func() bool {
+		return b.change(0, applier.Change{ID: "first", Action: applier.ActionApply, Site: &b.settings.Site, Reason: "test"}).Status == applier.Accepted
+	})
+	b.until("a request is answered", func() bool {
+		o, err := b.submit(0, responder.Submission{ID: "probe", Class: "quick", Tasks: 1, Accelerators: 1}, 1, "1s")
+		return err == nil && o.Verdict == yuccapaddle.VerdictDone
+	})
+	return b
+}
+
+// address returns a free port on loopback.
+func (b *bed) address() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(b.t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (b *bed) configure() {
+	b.platform = b.address()
+	site := yuccapaddle.Site{Name: "test", Limits: yuccapaddle.Limits{EvictionGraceMS: 500, Attempts: 3}}
+	for _, d := range []string{"d1", "d2"} {
+		site.Domains = append(site.Domains, yuccapaddle.Domain{Name: d, Region: "r", Upstreams: []yuccapaddle.Upstream{
+			{Name: d + "-u1", Address: b.address(), Racks: []yuccapaddle.Rack{{Name: d + "-ra", Workers: 2, Accelerators: 8}}},
+			{Name: d + "-u2", Address: b.address(), Racks: []yuccapaddle.Rack{{Name: d + "-rb", Workers: 2, Accelerators: 8}}},
+		}})
+	}
+	site.Workspaces = []yuccapaddle.Workspace{{Name: "w", Guarantees: []yuccapaddle.Guarantee{{Count: 1, Workers: 2, Accelerators: 8, Span: yuccapaddle.SpanRack}}}}
+	b.settings = loader.Settings{Host: loader.Defaults(), Site: site}
+	var peers []loader.Peer
+	for i := range hostCount {
+		peers = append(peers, loader.Peer{Name: fmt.Sprintf("h%d", i), Address: b.address()})
+	}
+	for i := range hostCount {
+		h := loader.Defaults()
+		h.Name, h.Domain, h.Region, h.Peers = peers[i].Name, "d1", "r", peers
+		h.Listen = loader.Listen{Callers: b.address(), Operators: b.address(), Peers: peers[i].Address, Metrics: b.address()}
+		h.Platform = loader.Platform{Store: b.platform, HostList: b.platform}
+		h.Tokens.Callers = []loader.CallerToken{{Workspace: "w", Caller: "c", Hash: authenticator.Hash("team")}}
+		h.Tokens.Operators = []loader.OperatorToken{{Name: "op", Hash: authenticator.Hash("team")}}
+		b.hosts = append(b.hosts, h)
+		b.write(fmt.Sprintf("host%d.json", i), map[string]any{"host": h})
+	}
+	b.write("base.json", map[string]any{"site": site})
+}
+
+func (b *bed) write(name string, v any) {
+	data, err := json.Marshal(v)
+	qt.Assert(b.t, err, qt.IsNil)
+	qt.Assert(b.t, os.WriteFile(filepath.Join(b.dir, name), data, 0o600), qt.IsNil)
+}
+
+func (b *bed) files(host int) []string {
+	return []string{"--base", filepath.Join(b.dir, "base.json"), "--overlay", filepath.Join(b.dir, fmt.Sprintf("host%d.json", host))}
+}
+
+func (b *bed) run(name string, args ...string) {
+	cmd := exec.Command(b.bin+args[0], args[1:]...)
+	log, err := os.OpenFile(filepath.Join(b.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	qt.Assert(b.t, err, qt.IsNil)
+	cmd.Stdout, cmd.Stderr = log, log
+	qt.Assert(b.t, cmd.Start(), qt.IsNil)
+	b.processes[name] = cmd
+}
+
+func (b *bed) startHost(i int) {
+	b.run(b.hosts[i].Name, append([]string{"yuccapaddled", "--log", "debug"}, b.files(i)...)...)
+}
+
+func (b *bed) close() {
+	for name, cmd := range b.processes {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if b.t.Failed() {
+			b.showLog(name)
+		}
+	}
+}
+
+func (b *bed) showLog(name string) {
+	f, err := os.Open(filepath.Join(b.dir, name+".log"))
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	data, _ := io.ReadAll(f)
+	lines := strings.Split(string(data), "\n")
+	b.t.Logf("%s:\n%s", name, strings.Join(lines[max(len(lines)-15, 0):], "\n"))
+}
+
+func (b *bed) until(what string, ok func() bool) {
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			qt.Assert(b.t, what, qt.Equals, "", qt.Commentf("this state never came"))
+		}
+		time.Sleep(poll)
+	}
+}
+
+func (b *bed) change(host int, c applier.Change) applier.Result {
+	var r applier.Result
+	_ = b.calls.Call(b.t.Context(), fasthttp.MethodPost, "http://"+b.hosts[host].Listen.Operators+"/v1/change", c, &r, callTime)
+	return r
+}
+
+func (b *bed) submit(host int, s responder.Submission, ms int64, wait string) (yuccapaddle.Outcome, error) {
+	s.Payload, _ = json.Marshal(worker.Payload{MS: ms, Answer: json.RawMessage(`"` + s.ID + `"`)})
+	return b.ask(fasthttp.MethodPost, host, "?wait="+wait, s)
+}
+
+func (b *bed) ask(method string, host int, path string, body any) (yuccapaddle.Outcome, error) {
+	var o yuccapaddle.Outcome
+	err := b.calls.Call(b.t.Context(), method, "http://"+b.hosts[host].Listen.Callers+"/v1/requests"+path, body, &o, callTime)
+	if status, ok := err.(*caller.StatusError); ok {
+		_ = json.Unmarshal([]byte(status.Text()), &o)
+		if o.Verdict != "" {
+			return o, nil
+		}
+	}
+	return o, err
+}
+
+// settled asks the hosts in turn until one knows the final outcome.
+func (b *bed) settled(id string, hosts ...int) yuccapaddle.Outcome {
+	var o yuccapaddle.Outcome
+	b.until("request "+id+" is settled", func() bool {
+		for _, h := range hosts {
+			got, err := b.ask(fasthttp.MethodGet, h, "/"+id+"?wait=2s", nil)
+			if err == nil && got.Verdict.Final() {
+				o = got
+				return true
+			}
+		}
+		return false
+	})
+	return o
+}
+
+func (b *bed) state(host int) (server.State, bool) {
+	var all []struct {
+		State server.State `json:"state"`
+	}
+	err := b.calls.Call(b.t.Context(), fasthttp.MethodGet, "http://"+b.hosts[host].Listen.Operators+"/v1/state", nil, &all, callTime)
+	if err != nil || len(all) == 0 {
+		return server.State{}, false
+	}
+	return all[0].State, true
+}
+
+// active returns the host that is active, other than those left out.
+func (b *bed) active(without ...int) int {
+	found := -1
+	b.until("a host is active", func() bool {
+		for i := range b.hosts {
+			skip := false
+			for _, w := range without {
+				skip = skip || w == i
+			}
+			if skip {
+				continue
+			}
+			if st, ok := b.state(i); ok && st.Active {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (b *bed) signal(host int, sig syscall.Signal) {
+	qt.Assert(b.t, b.processes[b.hosts[host].Name].Process.Signal(sig), qt.IsNil)
+}
+
+func (b *bed) runs(id string) []worker.Run {
+	var all, out []worker.Run
+	err := b.calls.Call(b.t.Context(), fasthttp.MethodGet, "http://"+b.settings.Site.Domains[0].Upstreams[0].Address+"/runs", nil, &all, callTime)
+	qt.Assert(b.t, err, qt.IsNil)
+	for _, r := range all {
+		if r.Key == "w/"+id {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// others returns the hosts but one.
+func others(host int) []int {
+	var out []int
+	for i := range hostCount {
+		if i != host {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func gang(id string, repeatable bool) responder.Submission {
+	return responder.Submission{ID: id, Tasks: 8, Accelerators: 4, Span: "domain", Repeatable: repeatable}
+}
+
+func TestKilledHost(t *testing.T) {
+	b := newBed(t)
+	active := b.active()
+	waiting := others(active)
+	outcomes := make([]yuccapaddle.Outcome, 2)
+	var g errgroup.Group
+	for i, h := range waiting {
+		g.Go(func() error {
+			o, err := b.submit(h, gang(fmt.Sprintf("g%d", i), false), 4000, "30s")
+			outcomes[i] = o
+			return err
+		})
+	}
+	b.until("a gang runs", func() bool { return len(b.runs("g0"))+len(b.runs("g1")) > 0 })
+	b.signal(active, syscall.SIGKILL)
+	qt.Assert(t, g.Wait(), qt.IsNil)
+	for i := range outcomes {
+		id := fmt.Sprintf("g%d", i)
+		o := b.settled(id, waiting...)
+		qt.Assert(t, o.Verdict, qt.Equals, yuccapaddle.VerdictDone, qt.Commentf("%+v", o))
+		qt.Assert(t, len(o.Parts), qt.Equals, 8)
+		qt.Assert(t, len(b.runs(id)), qt.Equals, 8, qt.Commentf("every task ran once"))
+	}
+}
+
+func TestFrozenHost(t *testing.T) {
+	b := newBed(t)
+	active := b.active()
+	rest := others(active)
+	_, err := b.submit(rest[0], gang("frozen", false), 8000, "0s")
+	qt.Assert(t, err, qt.IsNil)
+	b.until("the gang runs", func() bool { return len(b.runs("frozen")) == 8 })
+	b.signal(active, syscall.SIGSTOP)
+	next := b.active(active)
+	qt.Assert(t, b.change(next, applier.Change{ID: "out", Action: applier.ActionDomainOut, Target: "d1", Reason: "test"}).Status, qt.Equals, applier.Accepted)
+	qt.Assert(t, b.change(next, applier.Change{ID: "out2", Action: applier.ActionDomainOut, Target: "d2", Reason: "test"}).Status, qt.Equals, applier.Accepted)
+	accepted := time.Now()
+	_, err = b.submit(next, gang("late", true), 100, "0s")
+	qt.Assert(t, err, qt.IsNil)
+	b.signal(active, syscall.SIGCONT)
+	b.until("the woken host has stepped down", func() bool {
+		st, ok := b.state(active)
+		return ok && !st.Active && st.Revision == 3
+	})
+	for _, r := range append(b.runs("frozen"), b.runs("late")...) {
+		qt.Assert(t, r.StartAt.After(accepted.Add(3*time.Second)), qt.IsFalse, qt.Commentf("%+v", r))
+	}
+	qt.Assert(t, len(b.runs("late")), qt.Equals, 0)
+	qt.Assert(t, b.change(active, applier.Change{ID: "back", Action: applier.ActionDomainBack, Target: "d1", Reason: "test"}).Status, qt.Equals, applier.Accepted)
+	qt.Assert(t, b.settled("late", 0, 1, 2).Verdict, qt.Equals, yuccapaddle.VerdictDone)
+	b.settled("frozen", 0, 1, 2)
+	fresh := 0
+	for _, r := range b.runs("frozen") {
+		if !r.Resumed {
+			fresh++
+		}
+	}
+	qt.Assert(t, fresh, qt.Equals, 8, qt.Commentf("not repeatable: started once"))
+}
+
+func TestRollingStop(t *testing.T) {
+	b := newBed(t)
+	stop := make(chan struct{})
+	var g errgroup.Group
+	answered := make([]atomic.Int64, hostCount)
+	var cut atomic.Pointer[error]
+	for h := range hostCount {
+		g.Go(func() error {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return nil
+				default:
+				}
+				id := fmt.Sprintf("r%d-%d", h, n)
+				o, err := b.submitReady(h, id)
+				if err != nil {
+					err = fmt.Errorf("request %s was cut: %w", id, err)
+					cut.Store(&err)
+					return err
+				}
+				if o.Verdict.Final() && o.Verdict != yuccapaddle.VerdictDone {
+					return fmt.Errorf("request %s: %+v", id, o)
+				}
+				answered[h].Add(1)
+			}
+		})
+	}
+	b.until("requests are answered", func() bool { return answered[0].Load() > 3 && answered[1].Load() > 3 && answered[2].Load() > 3 })
+	for h := range hostCount {
+		cmd := b.processes[b.hosts[h].Name]
+		b.signal(h, syscall.SIGTERM)
+		qt.Assert(t, cmd.Wait(), qt.IsNil, qt.Commentf("a planned stop ends well"))
+		b.startHost(h)
+		before := answered[h].Load()
+		b.until("the host serves again", func() bool { return cut.Load() != nil || answered[h].Load() > before+3 })
+	}
+	close(stop)
+	qt.Assert(t, g.Wait(), qt.IsNil)
+}
+
+// submitReady plays the balancer: it sends to a host that says it is ready, the
+// named one if possible. A connection that was never made is tried elsewhere.
+func (b *bed) submitReady(first int, id string) (yuccapaddle.Outcome, error) {
+	deadline := time.Now().Add(patience)
+	for n := 0; ; n++ {
+		h := (first + n) % hostCount
+		if time.Now().After(deadline) {
+			return yuccapaddle.Outcome{}, fmt.Errorf("no host is ready")
+		}
+		url := "http://" + b.hosts[h].Listen.Metrics + "/readyz"
+		if err := b.calls.Call(b.t.Context(), fasthttp.MethodGet, url, nil, nil, time.Second); err != nil {
+			time.Sleep(poll)
+			continue
+		}
+		s := responder.Submission{ID: id, Class: "quick", Tasks: 1, Accelerators: 1, Span: "worker"}
+		return b.submit(h, s, 50, "20s")
+	}
+}
