placer, scheduler: remember what does not fit within a pass; keep what ran in earlier attempts

Change: failed shapes are remembered for a pass; a long queue is planned every 10 ms; requeue records carry whether the attempt may have run.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,6 +30,7 @@
 	Attempt  int                   `json:"n"`
 	Failures []yuccapaddle.Failure `json:"fail,omitempty"`
 	Resume   bool                  `json:"resume,omitempty"`
+	Ran      bool                  `json:"ran,omitempty"` // in an earlier attempt
 	Service  float64               `json:"svc,omitempty"`
 	StartAt  time.Time             `json:"start,omitzero"`
 	Outcome  *yuccapaddle.Outcome  `json:"out,omitempty"`
@@ -148,6 +149,7 @@
 	k.waiting[g.Workspace]++
 	k.queue[r.Key] = true
 	j.Resume = j.Resume || r.Resume
+	j.Ran = j.Ran || r.Ran
 	j.Service += r.Service
 	if r.Failure != nil {
 		j.Failures = append(j.Failures, *r.Failure)
@@ -277,6 +279,12 @@
 	return j != nil && j.Resume
 }
 
+// Ran reports whether a task of an earlier attempt may have run.
+func (k *Keeper) Ran(key string) bool {
+	j := k.jobs[key]
+	return j != nil && j.Ran
+}
+
 // Failures returns the failed attempts of a request.
 func (k *Keeper) Failures(key string) []yuccapaddle.Failure {
 	if j := k.jobs[key]; j != nil {
@@ -287,8 +295,9 @@
 
 // Waiting returns the waiting requests, oldest first.
 func (k *Keeper) Waiting() []yuccapaddle.Waiting {
-	var out []yuccapaddle.Waiting
-	for key := range k.queue {
+	keys := sortedKeys(k.queue)
+	out := make([]yuccapaddle.Waiting, 0, len(keys))
+	for _, key := range keys {
 		j := k.jobs[key]
 		w := yuccapaddle.Waiting{Request: j.Request, Attempt: j.Attempt, Since: j.Since, Attained: j.Service}
 		for _, f := range j.Failures {
@@ -302,12 +311,7 @@
 		}
 		out = append(out, w)
 	}
-	sort.Slice(out, func(a, b int) bool {
-		if !out[a].Since.Equal(out[b].Since) {
-			return out[a].Since.Before(out[b].Since)
-		}
-		return out[a].Request.Key() < out[b].Request.Key()
-	})
+	sort.SliceStable(out, func(a, b int) bool { return out[a].Since.Before(out[b].Since) })
 	return out
 }
 
@@ -328,10 +332,10 @@
 		Failures:  j.Failures,
 		SubmitAt:  j.Since,
 		StartAt:   j.StartAt,
-		Ran:       !j.StartAt.IsZero(),
+		Ran:       j.Ran,
 	}
 	if g := k.gangs[key]; g != nil && g.State == yuccapaddle.GangReleased {
-		o.Verdict = yuccapaddle.VerdictRunning
+		o.Verdict, o.Ran = yuccapaddle.VerdictRunning, true
 	}
 	return o
 }
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -36,6 +36,7 @@
 	Until   time.Time            `json:"until,omitzero"`
 	Why     string               `json:"why,omitempty"`
 	Resume  bool                 `json:"resume,omitempty"`
+	Ran     bool                 `json:"ran,omitempty"`
 	Service float64              `json:"svc,omitempty"`
 }
 
@@ -65,9 +66,10 @@
 }
 
 // Requeue returns a stopped gang's request to the queue. A non-nil failure
-// counts as a failed attempt; service is what the attempt attained.
-func Requeue(key string, f *yuccapaddle.Failure, resume bool, service float64, at time.Time) Record {
-	return Record{Kind: kindRequeue, Key: key, At: at, Failure: f, Resume: resume, Service: service}
+// counts as a failed attempt; ran tells whether a task of the attempt may have
+// run, and service is what it attained.
+func Requeue(key string, f *yuccapaddle.Failure, ran, resume bool, service float64, at time.Time) Record {
+	return Record{Kind: kindRequeue, Key: key, At: at, Failure: f, Ran: ran, Resume: resume, Service: service}
 }
 
 // End settles a request.
--- a/internal/placer/home.go
+++ b/internal/placer/home.go
@@ -10,6 +10,10 @@
 // lost work.
 func (p *pass) placeHome(w yuccapaddle.Waiting) (yuccapaddle.Placement, bool) {
 	var best yuccapaddle.Placement
+	key := homeKey{w.Request.Workspace, w.Request.Tasks, w.Request.Accelerators, w.Request.Span}
+	if p.homeless[key] && len(w.Avoid) == 0 {
+		return best, false
+	}
 	bestLost, found := 0.0, false
 	for _, n := range p.homes[w.Request.Workspace] {
 		h := &p.v.Homes[n]
@@ -33,6 +37,9 @@
 			break
 		}
 	}
+	if !found && len(w.Avoid) == 0 {
+		p.homeless[key] = true // homes only fill up within a pass
+	}
 	return best, found
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -70,6 +70,7 @@
 	victim   map[string]bool
 	reserved map[int]bool
 	barred   map[borrowKey]bool
+	homeless map[homeKey]bool
 	groups   map[yuccapaddle.Span][][]int
 	onWorker map[string][]*yuccapaddle.Gang
 }
@@ -81,12 +82,20 @@
 	quick               bool
 }
 
+// homeKey is all that decides whether a home has room for a request.
+type homeKey struct {
+	workspace           string
+	tasks, accelerators int
+	span                yuccapaddle.Span
+}
+
 func newPass(v *yuccapaddle.View) *pass {
 	p := &pass{
 		v: v, free: make([]int, len(v.Workers)), later: make([]int, len(v.Workers)), owner: make([]int, len(v.Workers)),
 		homes: map[string][]int{}, homeUsed: map[string]map[string]int{}, homeHas: map[string]map[string]bool{},
 		held: map[string]int{}, quota: map[string]int{}, promised: map[string]int{}, overlong: map[string]int{},
 		victim: map[string]bool{}, reserved: map[int]bool{}, barred: map[borrowKey]bool{},
+		homeless: map[homeKey]bool{},
 		groups: map[yuccapaddle.Span][][]int{},
 	}
 	for i, w := range v.Workers {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -15,6 +15,9 @@
 	if len(waiting) == 0 {
 		return
 	}
+	if len(waiting) > longQueue {
+		s.planAt = s.now.Add(planInterval)
+	}
 	for i := range waiting {
 		s.relent(&waiting[i])
 	}
@@ -202,7 +205,7 @@
 	for _, m := range g.Members {
 		if !s.usable(m.Worker) {
 			s.forgetLive(g.Key)
-			s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
+			s.propose(keeper.Requeue(g.Key, nil, false, false, 0, s.now))
 			s.dirty = true
 			return
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 	purgeInterval  = 5 * time.Second
 	verifyInterval = time.Second
 	probeInterval  = 2 * time.Second
+	planInterval   = 10 * time.Millisecond // between two plans of a long queue
+	longQueue      = 64
 	defaultGraceMS = 1500
 )
 
@@ -49,6 +51,7 @@
 	claims     map[string]*liveGang
 	unsettled  map[string]*liveGang // by lease
 	probeAt    time.Time
+	planAt     time.Time
 	permit     time.Time
 	purgeAt    time.Time
 	verifyAt   time.Time
@@ -100,7 +103,7 @@
 	if s.rehome {
 		s.assignHomes()
 	}
-	if s.dirty && s.canPlan() {
+	if s.dirty && s.canPlan() && !s.now.Before(s.planAt) {
 		s.dirty = false
 		s.advanceClaims()
 		s.plan()
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -29,7 +29,7 @@
 	s.dirty = true
 	if g.State == yuccapaddle.GangClaimed {
 		s.forgetLive(g.Key)
-		s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
+		s.propose(keeper.Requeue(g.Key, nil, false, false, 0, s.now))
 		return
 	}
 	if !lg.released() {
@@ -140,7 +140,7 @@
 	}
 	switch {
 	case lg.ending.kind == endCancel:
-		s.settle(lg, yuccapaddle.VerdictCancelled, cancelReason(ran || maybe), ran || maybe)
+		s.settle(lg, yuccapaddle.VerdictCancelled, cancelReason(ran || maybe || s.state.Ran(lg.gang.Key)), ran || maybe)
 	case !ran && !maybe:
 		s.requeue(lg, false)
 	case s.state.Request(lg.gang.Key).Repeatable:
@@ -164,7 +164,7 @@
 func (s *Scheduler) settle(lg *liveGang, v yuccapaddle.Verdict, reason string, ran bool) {
 	o := s.state.Outcome(lg.gang.Key)
 	o.Verdict, o.Reason, o.EndAt = v, reason, s.now
-	o.Ran = ran || len(o.Failures) > 0
+	o.Ran = ran || s.state.Ran(lg.gang.Key)
 	if lg.ending.failure != nil {
 		o.Failures = append(append([]yuccapaddle.Failure(nil), o.Failures...), *lg.ending.failure)
 	}
@@ -172,12 +172,16 @@
 }
 
 func (s *Scheduler) requeue(lg *liveGang, resume bool) {
+	ran := false
+	for _, sh := range lg.shares {
+		ran = ran || sh.ran || sh.maybe
+	}
 	service := 0.0
 	if !lg.startAt.IsZero() {
 		service = s.now.Sub(lg.startAt).Seconds() * float64(lg.gang.Need())
 	}
 	s.forgetLive(lg.gang.Key)
-	s.propose(keeper.Requeue(lg.gang.Key, lg.ending.failure, resume, service, s.now))
+	s.propose(keeper.Requeue(lg.gang.Key, lg.ending.failure, ran, resume, service, s.now))
 	s.dirty = true
 	s.forgetShares(lg)
 }
--- a/sessions/histories_test.go
+++ b/sessions/histories_test.go
@@ -224,6 +224,7 @@
 			h.do(fmt.Sprintf("cut %s workers off", n))
 		}
 	}
+	h.do("advance 20s") // orders still on their way come first
 	h.do("change h1 domain-back d1")
 	h.do("change h1 domain-back d2")
 	h.do("advance " + healTime.String())
