placer: use the racks that have the least room left

Change: among placements of equal cost the racks with the least free room are taken; callers in the measures submit again after a refusal.

--- a/internal/placer/borrow.go
+++ b/internal/placer/borrow.go
@@ -14,7 +14,7 @@
 	if p.barred[key] && len(w.Avoid) == 0 {
 		return best, 0, false
 	}
-	var score [4]int
+	var score [5]int
 	for _, group := range p.unitGroups(r.Span) {
 		members := p.fillGroup(group, w)
 		if members == nil {
@@ -34,9 +34,10 @@
 }
 
 // score orders candidate placements, less is better: intrusion into homes, a
-// foreign region, racks used, and the room that would be left over.
-func (p *pass) score(group []int, members []yuccapaddle.Member, r *yuccapaddle.Request) [4]int {
-	var s [4]int
+// foreign region, racks used, free room around, and the room left on the
+// workers themselves.
+func (p *pass) score(group []int, members []yuccapaddle.Member, r *yuccapaddle.Request) [5]int {
+	var s [5]int
 	racks := map[string]bool{}
 	for _, m := range members {
 		i := p.v.Index[m.Worker]
@@ -44,16 +45,17 @@
 		take := m.Count * r.Accelerators
 		unowned := p.v.Workers[i].Accelerators - p.owner[i]
 		s[0] += max(take-min(unowned, p.free[i]), 0)
-		s[3] += p.free[i] - take
+		s[4] += p.free[i] - take
 	}
 	if r.Region != "" && p.v.Workers[group[0]].Region != r.Region {
 		s[1] = 1
 	}
 	s[2] = len(racks)
+	s[3] = p.roomAround(members)
 	return s
 }
 
-func less(a, b [4]int) bool {
+func less(a, b [5]int) bool {
 	for i := range a {
 		if a[i] != b[i] {
 			return a[i] < b[i]
--- a/internal/placer/home.go
+++ b/internal/placer/home.go
@@ -14,7 +14,7 @@
 	if p.homeless[key] && len(w.Avoid) == 0 {
 		return best, false
 	}
-	bestLost, found := 0.0, false
+	bestLost, bestRoom, found := 0.0, 0, false
 	for _, n := range p.homes[w.Request.Workspace] {
 		h := &p.v.Homes[n]
 		members := p.fillHome(h, w)
@@ -26,16 +26,18 @@
 			continue
 		}
 		claim := !p.fitsNow(members, w.Request.Accelerators)
-		if found && !(best.Claim && !claim) && !lessLost(lost, bestLost) {
+		room := p.roomAround(members)
+		better := !found || (best.Claim && !claim)
+		if best.Claim == claim {
+			better = better || lessLost(lost, bestLost) || (lost == bestLost && room < bestRoom)
+		}
+		if !better {
 			continue
 		}
 		best = yuccapaddle.Placement{
 			Key: w.Request.Key(), Domain: h.Domain, Members: members, Home: h.ID, Claim: claim, Victims: victims,
 		}
-		bestLost, found = lost, true
-		if !claim {
-			break
-		}
+		bestLost, bestRoom, found = lost, room, true
 	}
 	if !found && len(w.Avoid) == 0 {
 		p.homeless[key] = true // homes only fill up within a pass
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -73,6 +73,8 @@
 	homeless map[homeKey]bool
 	groups   map[yuccapaddle.Span][][]int
 	onWorker map[string][]*yuccapaddle.Gang
+	rackOf   []int // rack number of each worker
+	rackFree []int // free accelerators of each rack
 }
 
 // borrowKey is all that decides whether a request can borrow.
@@ -109,11 +111,38 @@
 			p.quota[ws.Name+"/"+t.Name] = t.Quota
 		}
 	}
+	p.countRacks()
 	p.countHomes()
 	p.countGangs()
 	return p
 }
 
+// countRacks sums up the free room of each rack: work goes to the racks that
+// have the least, so that others stay whole for large gangs.
+func (p *pass) countRacks() {
+	p.rackOf = make([]int, len(p.v.Workers))
+	for i := range p.v.Workers {
+		w := &p.v.Workers[i]
+		if i == 0 || w.Rack != p.v.Workers[i-1].Rack || w.Domain != p.v.Workers[i-1].Domain {
+			p.rackFree = append(p.rackFree, 0)
+		}
+		p.rackOf[i] = len(p.rackFree) - 1
+		p.rackFree[p.rackOf[i]] += p.free[i]
+	}
+}
+
+// roomAround is the free room of the racks that the members would use.
+func (p *pass) roomAround(members []yuccapaddle.Member) int {
+	room, last := 0, -1
+	for _, m := range members {
+		if rack := p.rackOf[p.v.Index[m.Worker]]; rack != last {
+			room += p.rackFree[rack]
+			last = rack
+		}
+	}
+	return room
+}
+
 func (p *pass) countHomes() {
 	for n, h := range p.v.Homes {
 		p.homes[h.Workspace] = append(p.homes[h.Workspace], n)
@@ -232,6 +261,7 @@
 	for _, m := range placement.Members {
 		i := p.v.Index[m.Worker]
 		p.free[i] -= m.Count * r.Accelerators
+		p.rackFree[p.rackOf[i]] -= m.Count * r.Accelerators
 		p.later[i] -= m.Count * r.Accelerators
 		if placement.Home != "" {
 			p.homeUsed[placement.Home][m.Worker] += m.Count * r.Accelerators
--- a/measures/engine_test.go
+++ b/measures/engine_test.go
@@ -183,6 +183,13 @@
 	}
 }
 
+// again submits a refused request once more, as a caller does.
+func (e *engine) again(key string) {
+	r := e.jobs[key].request
+	r.AcceptBy = e.now.Add(5 * time.Second)
+	e.feed(yuccapaddle.Submitted{Ticket: uint64(len(e.jobs)), Request: &r})
+}
+
 func (e *engine) act(a yuccapaddle.Action) {
 	switch a := a.(type) {
 	case yuccapaddle.ReserveAction:
@@ -200,6 +207,11 @@
 	case yuccapaddle.StopAction:
 		c := a.Command
 		e.after(messageDelay, func() { e.stop(c) })
+	case yuccapaddle.Reply:
+		o := a.Outcome
+		if o.Verdict == yuccapaddle.VerdictRefused && !o.RetryAfter.IsZero() {
+			e.after(o.RetryAfter.Sub(e.now), func() { e.again(o.Workspace + "/" + o.ID) })
+		}
 	case yuccapaddle.Broken:
 		panic(a.Err)
 	}
