--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -4,7 +4,8 @@
 
 import "yuccapaddle"
 
-// Mapper is the declared topology. It does not change once built.
+// Mapper is the declared topology. It does not change once built, but for the
+// answers that MostTasks remembers: only one goroutine may call that.
 type Mapper struct {
 	workers   []yuccapaddle.WorkerView
 	index     map[string]int
@@ -14,6 +15,13 @@
 	out       map[string]bool
 	drained   map[string]bool
 	order     []string
+	most      map[roomKey]int
+}
+
+// roomKey is a question about the largest gang that the declared capacity takes.
+type roomKey struct {
+	span         yuccapaddle.Span
+	accelerators int
 }
 
 // New builds the topology of a site.
@@ -24,6 +32,7 @@
 		addresses: map[string]string{},
 		out:       map[string]bool{},
 		drained:   map[string]bool{},
+		most:      map[roomKey]int{},
 	}
 	for _, name := range site.DrainedUpstreams {
 		m.drained[name] = true
@@ -69,6 +78,30 @@
 	return 0
 }
 
+// MostTasks is the largest number of tasks with so many accelerators each that
+// any unit of the span takes when it is empty.
+func (m *Mapper) MostTasks(span yuccapaddle.Span, accelerators int) int {
+	key := roomKey{span, accelerators}
+	if n, ok := m.most[key]; ok {
+		return n
+	}
+	room := map[string]int{}
+	most := 0
+	for _, w := range m.workers {
+		unit := w.Domain
+		switch span {
+		case yuccapaddle.SpanWorker:
+			unit = w.Name
+		case yuccapaddle.SpanRack:
+			unit = w.Domain + "/" + w.Rack
+		}
+		room[unit] += w.Accelerators / accelerators
+		most = max(most, room[unit])
+	}
+	m.most[key] = most
+	return most
+}
+
 // Index maps worker names to positions. It is not to be changed.
 func (m *Mapper) Index() map[string]int {
 	return m.index
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -94,20 +94,7 @@
 			return fmt.Sprintf("request needs %d accelerators, the quota of team %q is %d", need, team.Name, team.Quota)
 		}
 	}
-	room := map[string]int{}
-	most := 0
-	for _, w := range s.topo.Workers() {
-		unit := w.Domain
-		switch r.Span {
-		case yuccapaddle.SpanWorker:
-			unit = w.Name
-		case yuccapaddle.SpanRack:
-			unit = w.Domain + "/" + w.Rack
-		}
-		room[unit] += w.Accelerators / r.Accelerators
-		most = max(most, room[unit])
-	}
-	if most < r.Tasks {
+	if most := s.topo.MostTasks(r.Span, r.Accelerators); most < r.Tasks {
 		return fmt.Sprintf("no %s has room for %d tasks of %d accelerators, the most is %d tasks", r.Span, r.Tasks, r.Accelerators, most)
 	}
 	return ""
