--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -32,7 +32,7 @@
 	holder  atomic.Pointer[Holder]
 	yielded atomic.Bool
 	away    bool // the service did not answer the last call
-	hung    bool // the last watch failed
+	hung    bool // read instead of watching: the last watch failed, or there was none
 }
 
 // Holder is the value of the lease.
@@ -46,7 +46,7 @@
 // New returns a Leaser for a host; address is where other hosts reach it, and
 // nonce differs for every process.
 func New(store yuccapaddle.Store, host, address, nonce string, log *zap.Logger) *Leaser {
-	return &Leaser{store: store, self: Holder{Host: host, Address: address, Nonce: nonce}, log: log}
+	return &Leaser{store: store, self: Holder{Host: host, Address: address, Nonce: nonce}, log: log, hung: true}
 }
 
 // Holder returns the host that held the lease when last seen.
@@ -95,18 +95,21 @@
 			after = l.follow(ctx, after)
 			continue
 		}
-		if l.yielded.Load() {
-			after = l.follow(ctx, after)
+		after = l.follow(ctx, after)
+		switch {
+		case l.away || l.yielded.Load():
 			continue
+		case after != 0 && l.mine():
+			return after, nil // an earlier write whose answer was lost
+		case after != 0:
+			continue // another host has it; trying would only cost a write
 		}
 		rev, err := l.put(ctx, 0)
 		if err == nil {
 			return rev, nil
 		}
-		after = l.follow(ctx, after)
-		if after != 0 && l.mine() {
-			return after, nil // an earlier write whose answer was lost
-		}
+		l.hung = true // read next, whatever became of the write
+		pause(ctx, retryEvery)
 	}
 }
 
