--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -16,6 +16,7 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/checker"
 	"yuccapaddle/internal/permitter"
+	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/watcher"
 )
 
@@ -82,7 +83,7 @@
 		old, rev, err := a.read(ctx)
 		if err != nil {
 			last = err
-			if pause(ctx) != nil {
+			if sleeper.Sleep(ctx, retryPause) != nil {
 				break
 			}
 			continue
@@ -104,7 +105,7 @@
 		} else {
 			last = err
 		}
-		if pause(ctx) != nil {
+		if sleeper.Sleep(ctx, retryPause) != nil {
 			break
 		}
 	}
@@ -250,14 +251,3 @@
 	}
 	return string(patch), nil
 }
-
-func pause(ctx context.Context) error {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/driver/act.go
+++ b/internal/driver/act.go
@@ -13,6 +13,7 @@
 	"yuccapaddle/internal/journaler"
 	"yuccapaddle/internal/placer"
 	"yuccapaddle/internal/scheduler"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -162,7 +163,7 @@
 			}
 			d.post(yuccapaddle.Silent{Upstream: upstream})
 			explicit, renewAt = true, time.Time{}
-			_ = sleep(ctx, silencePause)
+			_ = sleeper.Sleep(ctx, silencePause)
 			continue
 		}
 		if req.Renew && !report.Mismatch {
@@ -170,7 +171,7 @@
 		}
 		boot, seq, explicit = report.Boot, report.Seq, report.Mismatch
 		d.post(yuccapaddle.Reported{Report: report, SentAt: sentAt})
-		_ = sleep(ctx, syncPause)
+		_ = sleeper.Sleep(ctx, syncPause)
 	}
 	return nil
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -18,6 +18,7 @@
 	"yuccapaddle/internal/journaler"
 	"yuccapaddle/internal/keeper"
 	"yuccapaddle/internal/scheduler"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -167,7 +168,7 @@
 			return nil, ctx.Err()
 		}
 		d.log.Warn("the journal cannot be opened yet", zap.Error(err))
-		if err := sleep(ctx, stallAfter); err != nil {
+		if err := sleeper.Sleep(ctx, stallAfter); err != nil {
 			return nil, err
 		}
 	}
@@ -319,7 +320,7 @@
 			return err
 		}
 		d.log.Warn("the snapshot cannot be written yet", zap.Error(err))
-		if err := sleep(ctx, tickEvery); err != nil {
+		if err := sleeper.Sleep(ctx, tickEvery); err != nil {
 			return err
 		}
 	}
@@ -334,18 +335,7 @@
 		} else {
 			pause = permitRetry
 		}
-		_ = sleep(ctx, pause)
+		_ = sleeper.Sleep(ctx, pause)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, t time.Duration) error {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"yuccapaddle/internal/converter"
 	"yuccapaddle/internal/driver"
 	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -168,7 +168,7 @@
 		if reached && !f.budget.Allow() {
 			return o, sent, fmt.Errorf("the retry budget of host %q is used up: %w", f.self, err)
 		}
-		if sleep(ctx, backoff) != nil {
+		if sleeper.Jitter(ctx, backoff) != nil {
 			return o, sent, err
 		}
 		backoff = min(2*backoff, retryMost)
@@ -254,14 +254,3 @@
 		_ = c.Close()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -9,27 +9,26 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/keeper"
+	"yuccapaddle/internal/namer"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
-	ringSlots      = 256
-	snapshotAfter  = 128     // entries between two snapshots
-	snapshotBytes  = 8 << 20 // bytes of entries between two snapshots
-	partBytes      = 700_000 // bytes of snapshot in one value of at most 1 MB
-	openTries      = 8
-	backoffFirst   = 20 * time.Millisecond
-	backoffMost    = 500 * time.Millisecond
-	headerKey      = "snapshot"
-	partPrefix     = "snapshot/"
-	slotPrefix     = "journal/"
-	callTimeout    = 2 * time.Second
-	nonceAlphabet  = "abcdefghijklmnopqrstuvwxyz0123456789"
-	nonceCharacter = 16
+	ringSlots     = 256
+	snapshotAfter = 128     // entries between two snapshots
+	snapshotBytes = 8 << 20 // bytes of entries between two snapshots
+	partBytes     = 700_000 // bytes of snapshot in one value of at most 1 MB
+	openTries     = 8
+	backoffFirst  = 20 * time.Millisecond
+	backoffMost   = 500 * time.Millisecond
+	headerKey     = "snapshot"
+	partPrefix    = "snapshot/"
+	slotPrefix    = "journal/"
+	callTimeout   = 2 * time.Second
 )
 
 // ErrDeposed means that another host has written to the journal. What this host
@@ -190,7 +189,7 @@
 	if seq-j.snapSeq >= ringSlots {
 		return fmt.Errorf("journal ring is full: entry %d with the snapshot at %d", seq, j.snapSeq)
 	}
-	e := slotEntry{Seq: seq, Writer: j.writer, Nonce: newNonce(), Records: records}
+	e := slotEntry{Seq: seq, Writer: j.writer, Nonce: namer.Unique(""), Records: records}
 	value, err := json.Marshal(e)
 	if err != nil {
 		return fmt.Errorf("encode journal entry %d: %w", seq, err)
@@ -227,7 +226,7 @@
 			}
 		}
 		j.retries++
-		if err := sleep(ctx, backoff); err != nil {
+		if err := sleeper.Jitter(ctx, backoff); err != nil {
 			return 0, err
 		}
 		backoff = min(2*backoff, backoffMost)
@@ -254,18 +253,6 @@
 	return got.Revision, false, nil
 }
 
-// sleep waits for the backoff with jitter of up to half of it.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 func slotKey(seq uint64) string {
 	return fmt.Sprintf("%s%03d", slotPrefix, seq%ringSlots)
 }
@@ -273,11 +260,3 @@
 func partKey(seq uint64, part int) string {
 	return fmt.Sprintf("%s%d/%d", partPrefix, seq, part)
 }
-
-func newNonce() string {
-	b := make([]byte, nonceCharacter)
-	for i := range b {
-		b[i] = nonceAlphabet[rand.IntN(len(nonceAlphabet))]
-	}
-	return string(b)
-}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -13,6 +13,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -91,7 +92,7 @@
 			// After an outage of the service the former holder goes first: a
 			// change of the active host would cost what it has not committed.
 			l.away = false
-			pause(ctx, yieldTime)
+			_ = sleeper.Sleep(ctx, yieldTime)
 			after = l.follow(ctx, after)
 			continue
 		}
@@ -109,7 +110,7 @@
 			return rev, nil
 		}
 		l.hung = true // read next, whatever became of the write
-		pause(ctx, retryEvery)
+		_ = sleeper.Sleep(ctx, retryEvery)
 	}
 }
 
@@ -128,7 +129,7 @@
 	l.hung = err != nil && !l.hung
 	if err != nil {
 		l.away = true
-		pause(ctx, retryEvery)
+		_ = sleeper.Sleep(ctx, retryEvery)
 		return after
 	}
 	if e.Revision != after || e.Revision == 0 {
@@ -191,7 +192,7 @@
 // renew returns when the lease is lost or given up.
 func (l *Leaser) renew(ctx context.Context, rev uint64) {
 	for {
-		pause(ctx, renewEvery)
+		_ = sleeper.Sleep(ctx, renewEvery)
 		if ctx.Err() != nil || l.yielded.Load() {
 			l.release(rev)
 			return
@@ -228,12 +229,3 @@
 	}
 	l.holder.Store(nil)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -77,7 +78,7 @@
 			return nil
 		}
 		_ = p.refresh(ctx, last)
-		if err := pause(ctx, markPause); err != nil {
+		if err := sleeper.Sleep(ctx, markPause); err != nil {
 			return fmt.Errorf("mark revision %d: %w: %w", config, yuccapaddle.ErrUnknown, err)
 		}
 	}
@@ -114,14 +115,3 @@
 	p.revision, p.current = e.Revision, m
 	return fmt.Errorf("renew the permit: %w", cause)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/placer/home.go
+++ b/internal/placer/home.go
@@ -29,7 +29,7 @@
 		room := p.roomAround(members)
 		better := !found || (best.Claim && !claim)
 		if best.Claim == claim {
-			better = better || lessLost(lost, bestLost) || (lost == bestLost && room < bestRoom)
+			better = better || lost < bestLost || (lost == bestLost && room < bestRoom)
 		}
 		if !better {
 			continue
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,7 +4,6 @@
 package placer
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -272,7 +271,3 @@
 		p.held[r.Workspace+"/"+r.Team] += r.Need()
 	}
 }
-
-func lessLost(a, b float64) bool {
-	return a < b && !math.IsNaN(a)
-}
--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -118,6 +118,15 @@
 	return n
 }
 
+// evidence tells whether a task certainly ran, and whether one may have.
+func (lg *liveGang) evidence() (ran, maybe bool) {
+	for _, sh := range lg.shares {
+		ran = ran || sh.ran
+		maybe = maybe || sh.maybe
+	}
+	return ran, maybe
+}
+
 // workerOf returns the worker of a rank.
 func (lg *liveGang) workerOf(rank int) string {
 	for _, m := range lg.gang.Members {
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -52,11 +52,7 @@
 		s.complete(lg)
 		return
 	}
-	ran, maybe := false, false
-	for _, sh := range lg.shares {
-		ran = ran || sh.ran
-		maybe = maybe || sh.maybe
-	}
+	ran, maybe := lg.evidence()
 	o := s.state.Outcome(lg.gang.Key)
 	o.Verdict, o.Ran, o.EndAt = yuccapaddle.VerdictFailed, ran || maybe, s.now
 	switch {
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -133,11 +133,7 @@
 		s.complete(lg) // the last tasks finished before they could be stopped
 		return
 	}
-	ran, maybe := false, false
-	for _, sh := range lg.shares {
-		ran = ran || sh.ran
-		maybe = maybe || sh.maybe
-	}
+	ran, maybe := lg.evidence()
 	switch {
 	case lg.ending.kind == endCancel:
 		s.settle(lg, yuccapaddle.VerdictCancelled, cancelReason(ran || maybe || s.state.Ran(lg.gang.Key)), ran || maybe)
@@ -172,16 +168,13 @@
 }
 
 func (s *Scheduler) requeue(lg *liveGang, resume bool) {
-	ran := false
-	for _, sh := range lg.shares {
-		ran = ran || sh.ran || sh.maybe
-	}
+	ran, maybe := lg.evidence()
 	service := 0.0
 	if !lg.startAt.IsZero() {
 		service = s.now.Sub(lg.startAt).Seconds() * float64(lg.gang.Need())
 	}
 	s.forgetLive(lg.gang.Key)
-	s.propose(keeper.Requeue(lg.gang.Key, lg.ending.failure, ran, resume, service, s.now))
+	s.propose(keeper.Requeue(lg.gang.Key, lg.ending.failure, ran || maybe, resume, service, s.now))
 	s.dirty = true
 	s.forgetShares(lg)
 }
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -36,10 +37,5 @@
 		return
 	}
 	seconds := int(time.Until(at)/time.Second) + 1
-	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, itoa(max(seconds, 1)))
-}
-
-func itoa(n int) string {
-	data, _ := json.Marshal(n) // an int always encodes
-	return string(data)
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(max(seconds, 1)))
 }
--- a/measures/engine_test.go
+++ b/measures/engine_test.go
@@ -6,7 +6,9 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"yuccapaddle"
@@ -83,7 +85,6 @@
 	lease   string
 	members map[string][]yuccapaddle.Member // by upstream
 	began   time.Time
-	total   int
 	gen     int
 }
 
@@ -359,18 +360,7 @@
 }
 
 func sortedUpstreams(m map[string][]yuccapaddle.Member) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	for i := range out {
-		for j := i + 1; j < len(out); j++ {
-			if out[j] < out[i] {
-				out[i], out[j] = out[j], out[i]
-			}
-		}
-	}
-	return out
+	return slices.Sorted(maps.Keys(m))
 }
 
 // grid is a site of domains x racks x 8 workers of 8 accelerators, with a quarter
--- a/measures/measures_test.go
+++ b/measures/measures_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -151,7 +153,8 @@
 // worked is the accelerator-seconds done so far, running gangs included.
 func (e *engine) worked() float64 {
 	total := e.useful
-	for _, lease := range sortedLeases(e.running) {
+	// The order of the sum is fixed: the same seed gives the same last digit.
+	for _, lease := range slices.Sorted(maps.Keys(e.running)) {
 		run := e.running[lease]
 		if !run.began.IsZero() {
 			total += e.now.Sub(run.began).Seconds() * float64(e.jobs[keyOf(run.lease)].request.Need())
@@ -160,17 +163,6 @@
 	return total
 }
 
-// sortedLeases fixes the order of a sum, so that the same seed gives the same
-// figures to the last digit.
-func sortedLeases(m map[string]*running) []string {
-	out := make([]string, 0, len(m))
-	for lease := range m {
-		out = append(out, lease)
-	}
-	sort.Strings(out)
-	return out
-}
-
 func (e *engine) summary(jobs []*job) row {
 	all, quick := hdrhistogram.New(1, int64(24*time.Hour/time.Millisecond), 3), hdrhistogram.New(1, int64(24*time.Hour/time.Millisecond), 3)
 	out := row{Jobs: len(jobs), Fragmentation: e.fragmentation(), Work: e.useful / 3600}
