applier: applying files keeps exits and drains

Change: an apply carries the exits and drains in force over; only the orders to bring a place back end them.

--- a/internal/applier/edit.go
+++ b/internal/applier/edit.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/mapper"
 )
 
 // Actions that operators can ask for.
@@ -25,7 +26,7 @@
 		if c.Site == nil {
 			return nil, fmt.Errorf("action %q needs a site", c.Action)
 		}
-		return c.Site, nil
+		return Keep(&old, c.Site)
 	}
 	site, err := clone(old)
 	if err != nil {
@@ -48,6 +49,34 @@
 	return site, nil
 }
 
+// Keep returns the site that operators apply with the exits and drains that are
+// in force, which files do not know of: only the orders to bring a place back
+// end them. Drains of what the new site no longer has are dropped.
+func Keep(old, next *yuccapaddle.Site) (*yuccapaddle.Site, error) {
+	site, err := clone(*next)
+	if err != nil {
+		return nil, err
+	}
+	out := mapper.New(old)
+	for i := range site.Domains {
+		d := &site.Domains[i]
+		known := slices.ContainsFunc(old.Domains, func(o yuccapaddle.Domain) bool { return o.Name == d.Name })
+		d.Out = d.Out || (known && out.Out(d.Name))
+	}
+	now := mapper.New(site)
+	for _, name := range old.DrainedUpstreams {
+		if now.DomainOf(name) != "" {
+			site.DrainedUpstreams = with(site.DrainedUpstreams, name)
+		}
+	}
+	for _, name := range old.DrainedWorkers {
+		if now.UpstreamOf(name) != "" {
+			site.DrainedWorkers = with(site.DrainedWorkers, name)
+		}
+	}
+	return site, nil
+}
+
 func clone(old yuccapaddle.Site) (*yuccapaddle.Site, error) {
 	data, err := json.Marshal(old)
 	if err != nil {
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -92,6 +92,10 @@
 		if err != nil {
 			return err
 		}
+		site, err = applier.Keep(&cfg.Site, site)
+		if err != nil {
+			return err
+		}
 		diff, err := applier.Diff(&cfg.Site, site)
 		if err != nil {
 			return err
