scheduler: do not contradict an answer that may have been given out

Ruled out: holding answers back until they are committed. Change: a requeue of an attempt without evidence is marked; a cancellation or failure after it is told as unknown, with the reason.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,6 +30,7 @@
 	Failures []yuccapaddle.Failure `json:"fail,omitempty"`
 	Resume   bool                  `json:"resume,omitempty"`
 	Ran      bool                  `json:"ran,omitempty"` // in an earlier attempt
+	Blank    bool                  `json:"blank,omitempty"`
 	Service  float64               `json:"svc,omitempty"`
 	StartAt  time.Time             `json:"start,omitzero"`
 	Outcome  *yuccapaddle.Outcome  `json:"out,omitempty"`
@@ -149,6 +150,7 @@
 	k.queue[r.Key] = true
 	j.Resume = j.Resume || r.Resume
 	j.Ran = j.Ran || r.Ran
+	j.Blank = j.Blank || r.Blank
 	j.Service += r.Service
 	if r.Failure != nil {
 		j.Failures = append(j.Failures, *r.Failure)
@@ -284,6 +286,13 @@
 	return j != nil && j.Ran
 }
 
+// Blank reports whether an earlier attempt left no evidence, so that its answer
+// may have been given out.
+func (k *Keeper) Blank(key string) bool {
+	j := k.jobs[key]
+	return j != nil && j.Blank
+}
+
 // Failures returns the failed attempts of a request.
 func (k *Keeper) Failures(key string) []yuccapaddle.Failure {
 	if j := k.jobs[key]; j != nil {
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -37,6 +37,7 @@
 	Why     string               `json:"why,omitempty"`
 	Resume  bool                 `json:"resume,omitempty"`
 	Ran     bool                 `json:"ran,omitempty"`
+	Blank   bool                 `json:"blank,omitempty"`
 	Service float64              `json:"svc,omitempty"`
 }
 
@@ -65,6 +66,13 @@
 	return Record{Kind: kindEvict, Key: key, At: at, Until: by, Why: why}
 }
 
+// Blank marks a requeue of an attempt of which no evidence is left: its answer
+// may have been given out while the journal was out of reach.
+func Blank(r Record) Record {
+	r.Blank = true
+	return r
+}
+
 // Requeue returns a stopped gang's request to the queue. A non-nil failure
 // counts as a failed attempt; ran tells whether a task of the attempt may have
 // run, and service is what it attained.
--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -127,6 +127,13 @@
 	return ran, maybe
 }
 
+// blank reports whether a former host may have given out the answer of this
+// attempt, and nobody can tell any more.
+func (lg *liveGang) blank() bool {
+	ran, maybe := lg.evidence()
+	return lg.recovered && !lg.unfinished && (ran || maybe)
+}
+
 // workerOf returns the worker of a rank.
 func (lg *liveGang) workerOf(rank int) string {
 	for _, m := range lg.gang.Members {
@@ -343,14 +350,14 @@
 		o.Parts[rank] = lg.parts[rank]
 	}
 	s.credit(lg)
-	s.end(lg, &o)
+	s.end(lg, keeper.End(&o, s.now))
 	s.do(yuccapaddle.Announce{Outcome: o})
 }
 
 // end commits the outcome and then lets the upstreams drop the results.
-func (s *Scheduler) end(lg *liveGang, o *yuccapaddle.Outcome) {
+func (s *Scheduler) end(lg *liveGang, r keeper.Record) {
 	s.forgetLive(lg.gang.Key)
-	s.propose(keeper.End(o, s.now))
+	s.propose(r)
 	s.dirty = true
 	s.forgetShares(lg)
 }
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"yuccapaddle"
 	"yuccapaddle/internal/keeper"
 )
@@ -164,7 +166,19 @@
 	if lg.ending.failure != nil {
 		o.Failures = append(append([]yuccapaddle.Failure(nil), o.Failures...), *lg.ending.failure)
 	}
-	s.end(lg, &o)
+	if v != yuccapaddle.VerdictUnknown && (lg.blank() || s.state.Blank(lg.gang.Key)) {
+		s.end(lg, perhapsAnswered(&o, s.now))
+		return
+	}
+	s.end(lg, keeper.End(&o, s.now))
+}
+
+// perhapsAnswered keeps an outcome from contradicting an answer that may have
+// been given out while the journal was out of reach.
+func perhapsAnswered(o *yuccapaddle.Outcome, now time.Time) keeper.Record {
+	o.Verdict, o.Ran = yuccapaddle.VerdictUnknown, true
+	o.Reason += "; an upstream restarted and no longer knows whether an earlier attempt was answered"
+	return keeper.Settle(o, now)
 }
 
 func (s *Scheduler) requeue(lg *liveGang, resume bool) {
@@ -174,7 +188,11 @@
 		service = s.now.Sub(lg.startAt).Seconds() * float64(lg.gang.Need())
 	}
 	s.forgetLive(lg.gang.Key)
-	s.propose(keeper.Requeue(lg.gang.Key, lg.ending.failure, ran || maybe, resume, service, s.now))
+	r := keeper.Requeue(lg.gang.Key, lg.ending.failure, ran || maybe, resume, service, s.now)
+	if lg.blank() {
+		r = keeper.Blank(r)
+	}
+	s.propose(r)
 	s.dirty = true
 	s.forgetShares(lg)
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -125,6 +125,10 @@
 		o.Reason = "cancelled after it had started"
 	}
 	s.forgetLive(key)
+	if s.state.Blank(key) {
+		s.propose(perhapsAnswered(&o, s.now))
+		return
+	}
 	s.propose(keeper.End(&o, s.now))
 }
 
--- a/sessions/histories_test.go
+++ b/sessions/histories_test.go
@@ -20,6 +20,9 @@
 	histories = flag.Int("histories", 12, "number of random histories")
 )
 
+// broken are seeds of histories that once broke; they are always played.
+var broken = []uint64{4, 7, 10, 21, 25, 29, 10184, 11390, 20267}
+
 const (
 	historySteps = 60
 	healTime     = 150 * time.Second
@@ -30,15 +33,18 @@
 // themselves every second, those of the history at the end.
 func TestHistories(t *testing.T) {
 	steps := 0
+	seeds := append([]uint64(nil), broken...)
 	for i := range *histories {
-		n := *seed + uint64(i)
+		seeds = append(seeds, *seed+uint64(i))
+	}
+	for _, n := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				steps += playHistory(t, n)
 			})
 		})
 	}
-	t.Logf("%d histories, %d steps", *histories, steps)
+	t.Logf("%d histories, %d steps", len(seeds), steps)
 }
 
 // teller makes the commands of one history.
