--- a/sessions/harness_test.go
+++ b/sessions/harness_test.go
@@ -41,21 +41,22 @@
 // world is a whole system in one process and in virtual time: hosts of the real
 // code, with small fakes at the interfaces.
 type world struct {
-	t       *testing.T
-	store   *storer.Storer
-	list    *lister.Lister
-	worker  *worker.Worker
-	hosts   map[string]*host
-	site    yuccapaddle.Site
-	topo    *mapper.Mapper
-	mu      sync.Mutex
-	out     strings.Builder
-	lines   []string
-	history verifier.History
-	group   errgroup.Group
-	lag     time.Duration
-	begin   time.Time
-	orders  []order
+	t        *testing.T
+	store    *storer.Storer
+	list     *lister.Lister
+	worker   *worker.Worker
+	hosts    map[string]*host
+	site     yuccapaddle.Site
+	topo     *mapper.Mapper
+	mu       sync.Mutex
+	out      strings.Builder
+	lines    []string
+	history  verifier.History
+	group    errgroup.Group
+	lag      time.Duration
+	begin    time.Time
+	orders   []order
+	streamed bool
 }
 
 // host is one entry host behind a gate that can be cut or held shut.
