--- a/internal/applier/edit.go
+++ b/internal/applier/edit.go
@@ -57,11 +57,10 @@
 	if err != nil {
 		return nil, err
 	}
-	out := mapper.New(old)
 	for i := range site.Domains {
 		d := &site.Domains[i]
-		known := slices.ContainsFunc(old.Domains, func(o yuccapaddle.Domain) bool { return o.Name == d.Name })
-		d.Out = d.Out || (known && out.Out(d.Name))
+		wasOut := slices.ContainsFunc(old.Domains, func(o yuccapaddle.Domain) bool { return o.Name == d.Name && o.Out })
+		d.Out = d.Out || wasOut
 	}
 	now := mapper.New(site)
 	for _, name := range old.DrainedUpstreams {
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -3,6 +3,7 @@
 package commander
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -111,7 +112,7 @@
 func Run(args []string) int {
 	root := New()
 	root.SetArgs(args)
-	err := root.ExecuteContext(ctxBackground())
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return 0
 	}
@@ -134,7 +135,7 @@
 	var last error
 	for range triesPerServer {
 		for _, server := range c.servers {
-			err := client.Call(ctxBackground(), method, "http://"+server+path, body, reply, c.timeout)
+			err := client.Call(context.Background(), method, "http://"+server+path, body, reply, c.timeout)
 			var status *caller.StatusError
 			if err == nil || errors.As(err, &status) {
 				return err
--- a/internal/commander/print.go
+++ b/internal/commander/print.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -14,10 +13,6 @@
 
 const tabPadding = 2
 
-func ctxBackground() context.Context {
-	return context.Background()
-}
-
 func errorText(body string) string {
 	var p writer.Problem
 	if json.Unmarshal([]byte(body), &p) == nil && p.Error != "" {
--- a/internal/guarantor/guarantor.go
+++ b/internal/guarantor/guarantor.go
@@ -185,17 +185,12 @@
 func (g *Guarantor) groups(s shape) [][]int {
 	byName := map[string]int{}
 	var out [][]int
-	for i, w := range g.workers {
+	for i := range g.workers {
+		w := &g.workers[i]
 		if s.Domain != "" && w.Domain != s.Domain {
 			continue
 		}
-		name := w.Name
-		switch s.Span {
-		case yuccapaddle.SpanRack:
-			name = w.Domain + "/" + w.Rack
-		case yuccapaddle.SpanDomain:
-			name = w.Domain
-		}
+		name := w.Unit(s.Span)
 		n, ok := byName[name]
 		if !ok {
 			n = len(out)
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -87,14 +87,9 @@
 	}
 	room := map[string]int{}
 	most := 0
-	for _, w := range m.workers {
-		unit := w.Domain
-		switch span {
-		case yuccapaddle.SpanWorker:
-			unit = w.Name
-		case yuccapaddle.SpanRack:
-			unit = w.Domain + "/" + w.Rack
-		}
+	for i := range m.workers {
+		w := &m.workers[i]
+		unit := w.Unit(span)
 		room[unit] += w.Accelerators / accelerators
 		most = max(most, room[unit])
 	}
--- a/internal/placer/borrow.go
+++ b/internal/placer/borrow.go
@@ -75,7 +75,7 @@
 		if !p.v.Workers[i].Usable {
 			continue
 		}
-		name := p.unit(i, span)
+		name := p.v.Workers[i].Unit(span)
 		n, ok := byName[name]
 		if !ok {
 			n = len(out)
--- a/internal/placer/home.go
+++ b/internal/placer/home.go
@@ -62,7 +62,7 @@
 		if n <= 0 {
 			continue
 		}
-		unit := p.unit(i, r.Span)
+		unit := p.v.Workers[i].Unit(r.Span)
 		if fits[unit] == 0 {
 			units = append(units, unit)
 		}
@@ -96,18 +96,6 @@
 	return out
 }
 
-// unit names the group of workers within a span that a worker belongs to.
-func (p *pass) unit(i int, span yuccapaddle.Span) string {
-	w := &p.v.Workers[i]
-	switch span {
-	case yuccapaddle.SpanWorker:
-		return w.Name
-	case yuccapaddle.SpanRack:
-		return w.Domain + "/" + w.Rack
-	}
-	return w.Domain
-}
-
 func (p *pass) fitsNow(members []yuccapaddle.Member, accelerators int) bool {
 	for _, m := range members {
 		if p.free[p.v.Index[m.Worker]] < m.Count*accelerators {
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -92,7 +92,7 @@
 	bestLeft := 0
 	for start := 0; start < len(v.Workers); {
 		end := start + 1
-		for end < len(v.Workers) && sameUnit(&v.Workers[start], &v.Workers[end], r.Span) {
+		for end < len(v.Workers) && v.Workers[start].Unit(r.Span) == v.Workers[end].Unit(r.Span) {
 			end++
 		}
 		members, left := fill(v, free, r, start, end)
@@ -108,16 +108,6 @@
 	return best
 }
 
-func sameUnit(a, b *yuccapaddle.WorkerView, span yuccapaddle.Span) bool {
-	switch span {
-	case yuccapaddle.SpanWorker:
-		return a.Name == b.Name
-	case yuccapaddle.SpanRack:
-		return a.Domain == b.Domain && a.Rack == b.Rack
-	}
-	return a.Domain == b.Domain
-}
-
 // fill takes the workers of a unit in order; left is the room that remains.
 func fill(v *yuccapaddle.View, free []int, r *yuccapaddle.Request, start, end int) (out []yuccapaddle.Member, left int) {
 	first := 0
--- a/policy.go
+++ b/policy.go
@@ -17,6 +17,17 @@
 	Usable bool
 }
 
+// Unit names the group of workers within a span that the worker belongs to.
+func (w *WorkerView) Unit(span Span) string {
+	switch span {
+	case SpanWorker:
+		return w.Name
+	case SpanRack:
+		return w.Domain + "/" + w.Rack
+	}
+	return w.Domain
+}
+
 // Waiting is a request in the queue.
 type Waiting struct {
 	Request  *Request
