scheduler: do not run again what a saved gang has finished

Cause: a request that is not repeatable goes on from its checkpoint after an eviction, but all its tasks did: those that had finished before, and those whose upstream was never reached and came to their end, ran a second time. The check of histories let every resumed run pass, so nothing noticed. Ruled out: failing such a request outright, which loses its work; a new field in the reservation for ranks to leave out, as members can name the open ranks. Change: a requeue from a checkpoint keeps the finished parts, and the next attempt reserves only the open ranks. A request that is not repeatable goes on only if every upstream told how its tasks ended. The history check now refuses a resumed run whose former run was done or still running. Stand-in fault loseStops.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -4,6 +4,7 @@
 package keeper
 
 import (
+	"encoding/json"
 	"fmt"
 	"sort"
 	"time"
@@ -34,6 +35,9 @@
 	Service  float64               `json:"svc,omitempty"`
 	StartAt  time.Time             `json:"start,omitzero"`
 	Outcome  *yuccapaddle.Outcome  `json:"out,omitempty"`
+	// Parts are the answers of tasks that an interrupted attempt had finished,
+	// by rank; the request goes on without them.
+	Parts map[int]json.RawMessage `json:"parts,omitempty"`
 	// Last is the gang of a request whose outcome is unknown: its upstreams are
 	// asked until they tell.
 	Last *yuccapaddle.Gang `json:"last,omitempty"`
@@ -149,6 +153,9 @@
 	k.waiting[g.Workspace]++
 	k.queue[r.Key] = true
 	j.Resume = j.Resume || r.Resume
+	if r.Resume {
+		j.Parts = r.Parts
+	}
 	j.Ran = j.Ran || r.Ran
 	j.Blank = j.Blank || r.Blank
 	j.Service += r.Service
@@ -182,7 +189,7 @@
 	if wasWaiting {
 		k.waiting[j.Request.Workspace]--
 	}
-	j.Outcome = r.Outcome
+	j.Outcome, j.Parts = r.Outcome, nil
 	settled := *j.Request // the record may be shared with another state
 	settled.Payload = nil
 	j.Request = &settled
@@ -280,6 +287,15 @@
 	return j != nil && j.Resume
 }
 
+// Parts returns the answers that earlier attempts have finished, by rank. The
+// map is not to be changed.
+func (k *Keeper) Parts(key string) map[int]json.RawMessage {
+	if j := k.jobs[key]; j != nil {
+		return j.Parts
+	}
+	return nil
+}
+
 // Ran reports whether a task of an earlier attempt may have run.
 func (k *Keeper) Ran(key string) bool {
 	j := k.jobs[key]
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -42,7 +42,7 @@
 	g := &yuccapaddle.Gang{Key: "w/x", Workspace: "w"}
 	for _, rec := range []Record{
 		Accept(r, at), Place(g, at), Release("w/none", at), Evict("w/none", "", at, at),
-		Requeue("w/none", nil, false, false, 0, at), End(&yuccapaddle.Outcome{ID: "none", Workspace: "w"}, at),
+		Requeue("w/none", nil, false, 0, at), End(&yuccapaddle.Outcome{ID: "none", Workspace: "w"}, at),
 		{Kind: "odd"},
 		{Kind: kindAccept},
 	} {
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"encoding/json"
 	"time"
 
 	"yuccapaddle"
@@ -39,6 +40,8 @@
 	Ran     bool                 `json:"ran,omitempty"`
 	Blank   bool                 `json:"blank,omitempty"`
 	Service float64              `json:"svc,omitempty"`
+	// Parts are by rank.
+	Parts map[int]json.RawMessage `json:"parts,omitempty"`
 }
 
 // Accept takes a request in.
@@ -76,8 +79,15 @@
 // Requeue returns a stopped gang's request to the queue. A non-nil failure
 // counts as a failed attempt; ran tells whether a task of the attempt may have
 // run, and service is what it attained.
-func Requeue(key string, f *yuccapaddle.Failure, ran, resume bool, service float64, at time.Time) Record {
-	return Record{Kind: kindRequeue, Key: key, At: at, Failure: f, Ran: ran, Resume: resume, Service: service}
+func Requeue(key string, f *yuccapaddle.Failure, ran bool, service float64, at time.Time) Record {
+	return Record{Kind: kindRequeue, Key: key, At: at, Failure: f, Ran: ran, Service: service}
+}
+
+// Resume marks a requeue as one that goes on from a checkpoint, without the
+// tasks whose parts are there already.
+func Resume(r Record, parts map[int]json.RawMessage) Record {
+	r.Resume, r.Parts = true, parts
+	return r
 }
 
 // End settles a request.
--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"yuccapaddle"
@@ -34,6 +35,7 @@
 	ran          bool // a task certainly ran
 	maybe        bool // a task may have run
 	unsure       bool // a reservation was sent and not answered
+	told         bool // the upstream has told how its tasks ended
 	checkpointed map[int]bool
 }
 
@@ -63,11 +65,13 @@
 	return lg
 }
 
-// split divides a gang into its shares.
+// split divides a gang into its shares. Tasks that an earlier attempt has
+// finished are in none of them.
 func (s *Scheduler) split(g *yuccapaddle.Gang) *liveGang {
 	lg := &liveGang{gang: g, lease: g.Lease(), parts: map[int]json.RawMessage{}, launchBy: s.now.Add(launchTime)}
+	maps.Copy(lg.parts, s.state.Parts(g.Key))
 	byUpstream := map[string]*share{}
-	for _, m := range g.Members {
+	for _, m := range without(g.Members, lg.parts) {
 		name := s.topo.UpstreamOf(m.Worker)
 		sh := byUpstream[name]
 		if sh == nil {
@@ -80,6 +84,30 @@
 	return lg
 }
 
+// without leaves out the ranks of finished parts.
+func without(members []yuccapaddle.Member, parts map[int]json.RawMessage) []yuccapaddle.Member {
+	if len(parts) == 0 {
+		return members
+	}
+	var out []yuccapaddle.Member
+	for _, m := range members {
+		open := false // the last member of out goes on with the next rank
+		for _, rank := range m.Ranks() {
+			_, done := parts[rank]
+			switch {
+			case done:
+				open = false
+			case open:
+				out[len(out)-1].Count++
+			default:
+				out = append(out, yuccapaddle.Member{Worker: m.Worker, First: rank, Count: 1})
+				open = true
+			}
+		}
+	}
+	return out
+}
+
 func (s *Scheduler) forgetLive(key string) {
 	if lg := s.live[key]; lg != nil {
 		delete(s.leases, lg.lease)
@@ -110,6 +138,16 @@
 	return true
 }
 
+// allTold reports whether every upstream has told how its tasks ended.
+func (lg *liveGang) allTold() bool {
+	for _, sh := range lg.shares {
+		if !sh.told && (sh.ran || sh.maybe) {
+			return false
+		}
+	}
+	return true
+}
+
 func (lg *liveGang) tasks() int {
 	n := 0
 	for _, m := range lg.gang.Members {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -218,7 +218,7 @@
 	for _, m := range g.Members {
 		if !s.usable(m.Worker) {
 			s.forgetLive(g.Key)
-			s.propose(keeper.Requeue(g.Key, nil, false, false, 0, s.now))
+			s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
 			s.dirty = true
 			return
 		}
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -31,7 +31,7 @@
 	s.dirty = true
 	if g.State == yuccapaddle.GangClaimed {
 		s.forgetLive(g.Key)
-		s.propose(keeper.Requeue(g.Key, nil, false, false, 0, s.now))
+		s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
 		return
 	}
 	if !lg.released() {
@@ -105,11 +105,11 @@
 	if len(reply.Tasks) == 0 {
 		sameBoot := reply.Boot == lg.gang.Boots[sh.upstream]
 		if sameBoot && !sh.ran {
-			sh.maybe = false
+			sh.maybe, sh.told = false, true
 		}
 		return
 	}
-	sh.maybe = false
+	sh.maybe, sh.told = false, true
 	for _, t := range reply.Tasks {
 		if t.State != yuccapaddle.TaskNeverStarted {
 			sh.ran = true
@@ -143,7 +143,7 @@
 		s.requeue(lg, false)
 	case s.state.Request(lg.gang.Key).Repeatable:
 		s.retry(lg)
-	case lg.ending.kind != endFail && ran && lg.allCheckpointed():
+	case lg.ending.kind != endFail && ran && lg.allCheckpointed() && lg.allTold():
 		s.requeue(lg, true) // goes on where it was saved: still the same run
 	case ran && (lg.unfinished || !lg.recovered):
 		s.settle(lg, yuccapaddle.VerdictFailed, "it ran and is not repeatable: "+lg.ending.why, true)
@@ -188,7 +188,10 @@
 		service = s.now.Sub(lg.startAt).Seconds() * float64(lg.gang.Need())
 	}
 	s.forgetLive(lg.gang.Key)
-	r := keeper.Requeue(lg.gang.Key, lg.ending.failure, ran || maybe, resume, service, s.now)
+	r := keeper.Requeue(lg.gang.Key, lg.ending.failure, ran || maybe, service, s.now)
+	if resume {
+		r = keeper.Resume(r, lg.parts)
+	}
 	if lg.blank() {
 		r = keeper.Blank(r)
 	}
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -214,6 +214,9 @@
 		return yuccapaddle.StopReply{}, err
 	}
 	out := yuccapaddle.StopReply{Boot: u.boot}
+	if u.take(nil, func(f *Faults) *int { return &f.LoseStops }) != "" {
+		return out, yuccapaddle.ErrNoAnswer
+	}
 	if l == nil {
 		u.leases[c.Lease] = &lease{over: true, tasks: map[int]*task{}, Reservation: yuccapaddle.Reservation{Lease: c.Lease}}
 		return out, nil
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -35,6 +35,7 @@
 	RefuseStarts     int  `json:"refuseStarts"`
 	LoseStartAnswers int  `json:"loseStartAnswers"`
 	LoseStarts       int  `json:"loseStarts"`
+	LoseStops        int  `json:"loseStops"`
 	FailTasks        bool `json:"failTasks"`
 	IgnoreCheckpoint bool `json:"ignoreCheckpoint"`
 	ReportTwice      bool `json:"reportTwice"`
--- a/internal/verifier/history.go
+++ b/internal/verifier/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -50,25 +52,42 @@
 	return out
 }
 
-// atMostOnce: a request that is not repeatable runs once; going on from a
-// checkpoint is the same run.
+// atMostOnce: a request that is not repeatable runs once. Going on from a
+// checkpoint is the same run, but only after the former run of the task has
+// ended, and not if that came to its end.
 func (h *History) atMostOnce() []error {
-	var out []error
-	fresh := map[string]int{}
+	byTask := map[string][]Run{}
 	for _, r := range h.Runs {
-		req := h.Requests[r.Key]
-		if req == nil || req.Repeatable || r.Resumed {
-			continue
+		if req := h.Requests[r.Key]; req != nil && !req.Repeatable {
+			task := fmt.Sprintf("%s#%d", r.Key, r.Rank)
+			byTask[task] = append(byTask[task], r)
 		}
-		task := fmt.Sprintf("%s#%d", r.Key, r.Rank)
-		fresh[task]++
-		if fresh[task] == 2 {
-			out = append(out, fmt.Errorf("task %s is not repeatable and ran twice", task))
+	}
+	var out []error
+	for _, task := range slices.Sorted(maps.Keys(byTask)) {
+		if err := h.oneRun(task, byTask[task]); err != nil {
+			out = append(out, err)
 		}
 	}
 	return out
 }
 
+func (h *History) oneRun(task string, runs []Run) error {
+	sort.SliceStable(runs, func(a, b int) bool { return runs[a].StartAt.Before(runs[b].StartAt) })
+	for i, r := range runs[1:] {
+		former := runs[i]
+		switch {
+		case !r.Resumed:
+			return fmt.Errorf("task %s is not repeatable and ran twice", task)
+		case former.Done:
+			return fmt.Errorf("task %s is not repeatable and went on after it was done", task)
+		case h.end(former).After(r.StartAt):
+			return fmt.Errorf("task %s is not repeatable and ran at two places at once", task)
+		}
+	}
+	return nil
+}
+
 // wholeGangs: while any task of an attempt runs, the others run or are done,
 // but for a short time at its start and at its end.
 func (h *History) wholeGangs() []error {
--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -281,7 +281,7 @@
 	f := worker.Faults{
 		Dead: opts["dead"] != "", Leaving: opts["leaving"] != "", RefuseReserves: atoi(opts["refuse-reserves"], 0),
 		RefuseStarts: atoi(opts["refuse-starts"], 0), LoseStartAnswers: atoi(opts["lose-start-answers"], 0),
-		LoseStarts: atoi(opts["lose-starts"], 0), FailTasks: opts["fail"] != "", IgnoreCheckpoint: opts["ignore-checkpoint"] != "",
+		LoseStarts: atoi(opts["lose-starts"], 0), LoseStops: atoi(opts["lose-stops"], 0), FailTasks: opts["fail"] != "", IgnoreCheckpoint: opts["ignore-checkpoint"] != "",
 		ReportTwice: opts["twice"] != "", ReverseParts: opts["reverse"] != "", LateMS: atoi(opts["late"], 0),
 	}
 	qt.Assert(w.t, w.worker.SetFaults(args[0], f), qt.IsNil)
--- a/sessions/histories_test.go
+++ b/sessions/histories_test.go
@@ -23,6 +23,10 @@
 // broken are seeds of histories that once broke; they are always played.
 var broken = []uint64{4, 7, 10, 21, 25, 29, 10184, 11390, 20267}
 
+// laterFaults is the first seed whose history also meets faults that were added
+// to the stand-ins later; below it, a seed plays what it has always played.
+const laterFaults = 1_000_000
+
 const (
 	historySteps = 60
 	healTime     = 150 * time.Second
@@ -37,6 +41,9 @@
 	for i := range *histories {
 		seeds = append(seeds, *seed+uint64(i))
 	}
+	for i := range *histories / 2 {
+		seeds = append(seeds, laterFaults+*seed+uint64(i))
+	}
 	for _, n := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -50,6 +57,7 @@
 // teller makes the commands of one history.
 type teller struct {
 	r       *rand.Rand
+	seed    uint64
 	w       *world
 	keys    []string
 	alive   map[string]bool
@@ -62,7 +70,7 @@
 func playHistory(t *testing.T, seed uint64) int {
 	w := newWorld(t, smallSite())
 	h := &teller{
-		r: rand.New(rand.NewPCG(seed, 7)), w: w, alive: map[string]bool{}, paused: map[string]bool{},
+		r: rand.New(rand.NewPCG(seed, 7)), seed: seed, w: w, alive: map[string]bool{}, paused: map[string]bool{},
 		cut: map[string]bool{}, domains: map[string]bool{},
 	}
 	h.do("start h1 h2 h3")
@@ -168,6 +176,9 @@
 		"refuse-starts=1", "lose-starts=1", "lose-start-answers=2", "refuse-reserves=1", "ignore-checkpoint",
 		"dead", "leaving", "ok", "ok", "ok", "ok",
 	}
+	if h.seed >= laterFaults {
+		faults = append(faults, "lose-stops=4", "late=4000", "ok", "ok")
+	}
 	return "worker " + upstream + " " + faults[h.r.IntN(len(faults))]
 }
 
