measures: take fragmentation as it is defined

Cause: fragmentation was always that of the largest guaranteed shape, also while a smaller gang was the largest one waiting, and counted domains that were out. Change: the largest waiting gang, else the largest guarantee; the old figure stays beside it, and so does what is left if the same free accelerators lay as well as they can.

--- a/measures/engine_test.go
+++ b/measures/engine_test.go
@@ -76,9 +76,11 @@
 	commits        int
 	records        int
 	useful         float64 // accelerator-seconds of completed and saved work
-	fragSum        float64
+	frag           float64
+	fragLargest    float64
+	fragBest       float64
 	fragN          int
-	usedSum        float64
+	out            string // the failure domain that is out
 }
 
 type running struct {
@@ -320,43 +322,72 @@
 	e.feed(yuccapaddle.Stopped{Upstream: c.Upstream, Lease: c.Lease, Reply: reply})
 }
 
-// sample notes the fragmentation: the share of free accelerators that a gang of
-// the given shape cannot use.
-func (e *engine) sample(tasks, accelerators int, span yuccapaddle.Span) {
-	free, usable, used := 0, 0, 0
-	units := map[string]int{}
+// shape is a gang whose chances on the free accelerators are looked at.
+type shape struct {
+	tasks, accelerators int
+	span                yuccapaddle.Span
+}
+
+// largestGuarantee is the largest shape that the sites of the measures promise.
+var largestGuarantee = shape{8, 8, yuccapaddle.SpanRack}
+
+// sample notes the fragmentation: the share of free accelerators that the
+// largest waiting gang, or failing that the largest guaranteed shape, cannot
+// use; the same for the largest guaranteed shape always; and for the first what
+// is left if the same free accelerators lay as well as they can.
+func (e *engine) sample() {
+	want := largestGuarantee
+	for i, w := range e.core.State().Waiting() {
+		if r := w.Request; i == 0 || r.Need() > want.tasks*want.accelerators {
+			want = shape{r.Tasks, r.Accelerators, r.Span}
+		}
+	}
+	free, usable, whole := e.room(want)
+	if free > 0 {
+		size := want.tasks * want.accelerators
+		best := min(free/size*size, whole)
+		_, usableLargest, _ := e.room(largestGuarantee)
+		e.frag += 1 - float64(min(usable, free))/float64(free)
+		e.fragLargest += 1 - float64(min(usableLargest, free))/float64(free)
+		e.fragBest += 1 - float64(best)/float64(free)
+		e.fragN++
+	}
+}
+
+// room counts the free accelerators, those that gangs of the shape can use, and
+// those that they could use on an empty site.
+func (e *engine) room(want shape) (free, usable, whole int) {
+	units, empty := map[string]int{}, map[string]int{}
 	for _, d := range e.site.Domains {
+		if e.out == d.Name {
+			continue
+		}
 		for _, u := range d.Upstreams {
 			for _, r := range u.Racks {
 				for i := range r.Workers {
 					name := r.WorkerName(i)
 					f := r.Accelerators - e.core.State().Used(name)
-					used += r.Accelerators - f
+					unit := yuccapaddle.WorkerView{Name: name, Rack: r.Name, Domain: d.Name}
 					free += f
-					unit := d.Name
-					if span == yuccapaddle.SpanRack {
-						unit = r.Name
-					}
-					units[unit] += f / accelerators
+					units[unit.Unit(want.span)] += f / want.accelerators
+					empty[unit.Unit(want.span)] += r.Accelerators / want.accelerators
 				}
 			}
 		}
 	}
-	for _, n := range units {
-		usable += n / tasks * tasks * accelerators
-	}
-	if free > 0 {
-		e.fragSum += 1 - float64(min(usable, free))/float64(free)
-		e.fragN++
+	for name, n := range units {
+		usable += n / want.tasks * want.tasks * want.accelerators
+		whole += empty[name] / want.tasks * want.tasks * want.accelerators
 	}
-	e.usedSum += float64(used)
+	return free, usable, whole
 }
 
-func (e *engine) fragmentation() float64 {
+// mean is the mean of a sum over the samples.
+func (e *engine) mean(sum float64) float64 {
 	if e.fragN == 0 {
 		return math.NaN()
 	}
-	return e.fragSum / float64(e.fragN)
+	return sum / float64(e.fragN)
 }
 
 func sortedUpstreams(m map[string][]yuccapaddle.Member) []string {
--- a/measures/measures_test.go
+++ b/measures/measures_test.go
@@ -35,12 +35,11 @@
 	factor  float64 // arrivals in proportion to today's
 	window  time.Duration
 	drain   time.Duration
-	largest int
 }
 
 var sizes = []size{
-	{"today", func() *yuccapaddle.Site { return grid(3, 2, 1) }, 1, time.Hour, time.Hour, 8},
-	{"letter-1", func() *yuccapaddle.Site { return grid(7, 19, 5) }, 21.5, 15 * time.Minute, 30 * time.Minute, 8},
+	{"today", func() *yuccapaddle.Site { return grid(3, 2, 1) }, 1, time.Hour, time.Hour},
+	{"letter-1", func() *yuccapaddle.Site { return grid(7, 19, 5) }, 21.5, 15 * time.Minute, 30 * time.Minute},
 }
 
 var scenarios = []string{"calm", "burst", "lies", "exit", "outage"}
@@ -56,7 +55,9 @@
 	Mean, P50, P99                float64 // completion of all jobs
 	QuickMean, QuickP50, QuickP99 float64
 	LargeWait                     float64 // mean wait of the largest gangs
-	Fragmentation                 float64
+	Fragmentation                 float64 // for the largest waiting gang, else the largest guarantee
+	FragmentationLargest          float64 // always for the largest guarantee
+	FragmentationBest             float64 // Fragmentation if the free accelerators lay as well as they can
 	Work                          float64 // accelerator-hours completed
 	ExitWork                      float64 // accelerator-hours in the window of the exit
 	CommitsPerJob                 float64
@@ -126,8 +127,8 @@
 		out := *site
 		out.Domains = append([]yuccapaddle.Domain(nil), site.Domains...)
 		out.Domains[0].Out = true
-		e.after(part(exitFrom), func() { e.configure(&out) })
-		e.after(part(exitTo), func() { e.configure(site) })
+		e.after(part(exitFrom), func() { e.out = out.Domains[0].Name; e.configure(&out) })
+		e.after(part(exitTo), func() { e.out = ""; e.configure(site) })
 	}
 	e.after(part(exitFrom), func() { before = e.worked() })
 	e.after(part(exitTo), func() { after = e.worked() })
@@ -138,7 +139,7 @@
 	sampling := true
 	e.every(5*time.Second, func() {
 		if sampling {
-			e.sample(sz.largest, 8, yuccapaddle.SpanRack)
+			e.sample()
 		}
 	})
 	e.run(e.begin.Add(sz.window))
@@ -165,7 +166,8 @@
 
 func (e *engine) summary(jobs []*job) row {
 	all, quick := hdrhistogram.New(1, int64(24*time.Hour/time.Millisecond), 3), hdrhistogram.New(1, int64(24*time.Hour/time.Millisecond), 3)
-	out := row{Jobs: len(jobs), Fragmentation: e.fragmentation(), Work: e.useful / 3600}
+	out := row{Jobs: len(jobs), Work: e.useful / 3600}
+	out.Fragmentation, out.FragmentationLargest, out.FragmentationBest = e.mean(e.frag), e.mean(e.fragLargest), e.mean(e.fragBest)
 	var waited float64
 	large := 0
 	for _, j := range jobs {
@@ -203,7 +205,7 @@
 // twice, to see that the same seed gives the same figures.
 func TestMeasures(t *testing.T) {
 	if !*measure {
-		short := size{"today", sizes[0].site, 1, 5 * time.Minute, 10 * time.Minute, 8}
+		short := size{"today", sizes[0].site, 1, 5 * time.Minute, 10 * time.Minute}
 		a, b := play(1, short, "burst", placer.New()), play(1, short, "burst", placer.New())
 		qt.Assert(t, a, qt.Equals, b)
 		return
@@ -243,11 +245,11 @@
 
 func table(rows []row) string {
 	var b strings.Builder
-	fmt.Fprintln(&b, "| size | scenario | policy | jobs | open | mean s | p50 s | p99 s | quick mean | quick p50 | quick p99 | large wait s | fragmentation | work acc-h | window work | commits/job |")
-	fmt.Fprintln(&b, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(&b, "| size | scenario | policy | jobs | open | mean s | p50 s | p99 s | quick mean | quick p50 | quick p99 | large wait s | fragmentation | for the largest | best possible | work acc-h | window work | commits/job |")
+	fmt.Fprintln(&b, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range rows {
-		fmt.Fprintf(&b, "| %s | %s | %s | %d | %d | %.1f | %.1f | %.1f | %.2f | %.2f | %.2f | %.1f | %.3f | %.1f | %.1f | %.3f |\n",
-			r.Size, r.Scenario, r.Policy, r.Jobs, r.Open, r.Mean, r.P50, r.P99, r.QuickMean, r.QuickP50, r.QuickP99, r.LargeWait, r.Fragmentation, r.Work, r.ExitWork, r.CommitsPerJob)
+		fmt.Fprintf(&b, "| %s | %s | %s | %d | %d | %.1f | %.1f | %.1f | %.2f | %.2f | %.2f | %.1f | %.3f | %.3f | %.3f | %.1f | %.1f | %.3f |\n",
+			r.Size, r.Scenario, r.Policy, r.Jobs, r.Open, r.Mean, r.P50, r.P99, r.QuickMean, r.QuickP50, r.QuickP99, r.LargeWait, r.Fragmentation, r.FragmentationLargest, r.FragmentationBest, r.Work, r.ExitWork, r.CommitsPerJob)
 	}
 	return b.String()
 }
