sleeper: never set a timer that is already due

A timer that is due when it is set inside a synctest bubble upsets the race detector of Go 1.26; after some thousands of them it dies, of SIGSEGV or of one of its own checks. Ruled out: our own races (none reported), timers that fire in the future, stopped or reset ones, tickers, sleeps and contexts (150,000 of each, no crash), and due timers outside a bubble (300,000, no crash). Change: Ahead gives a wait of at least a nanosecond; all timers are set with it.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -188,7 +188,7 @@
 func (d *Driver) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	wake := time.NewTimer(0)
+	wake := time.NewTimer(sleeper.Ahead(0))
 	defer wake.Stop()
 	for {
 		batch := make([]yuccapaddle.Event, 0, 8)
--- a/internal/driver/serve.go
+++ b/internal/driver/serve.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 // Submit takes a request in and returns once that is committed, or refused. An
@@ -78,7 +79,7 @@
 	if now.Verdict.Final() || now.Verdict == yuccapaddle.VerdictNotFound {
 		return now, nil
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(sleeper.Ahead(time.Until(deadline)))
 	defer timer.Stop()
 	select {
 	case o := <-out:
--- a/internal/standin/storer/storer.go
+++ b/internal/standin/storer/storer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 // Storer is an in-memory key-value service with compare-and-swap, leases and
@@ -168,7 +169,7 @@
 	if err := s.admitRead(ctx); err != nil {
 		return yuccapaddle.Entry{}, err
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(sleeper.Ahead(time.Until(deadline)))
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
@@ -259,7 +260,7 @@
 	if f.SlowMS == 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(time.Duration(f.SlowMS) * time.Millisecond)
+	timer := time.NewTimer(sleeper.Ahead(time.Duration(f.SlowMS) * time.Millisecond))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 const checkpointTime = 50 * time.Millisecond
@@ -41,7 +42,7 @@
 			l.tasks[rank] = &task{report: report, change: change, run: -1}
 		}
 	}
-	l.timer = time.AfterFunc(time.Until(r.Expiry), func() { w.lapse(u, l) })
+	l.timer = time.AfterFunc(sleeper.Ahead(time.Until(r.Expiry)), func() { w.lapse(u, l) })
 	if r.Start {
 		w.startLease(u, l)
 	}
@@ -135,7 +136,7 @@
 	if f.ReverseParts {
 		late += time.Duration(len(l.tasks)-t.report.Rank) * 10 * time.Millisecond
 	}
-	t.timer = time.AfterFunc(time.Duration(t.left)*time.Millisecond+late, func() { w.finish(u, t, p) })
+	t.timer = time.AfterFunc(sleeper.Ahead(time.Duration(t.left)*time.Millisecond+late), func() { w.finish(u, t, p) })
 }
 
 func (w *Worker) finish(u *upstream, t *task, p Payload) {
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -7,6 +7,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/digester"
+	"yuccapaddle/internal/sleeper"
 )
 
 // usageLag is how old the usage in a report is.
@@ -18,7 +19,7 @@
 	if err != nil || changed == nil {
 		return report, err
 	}
-	timer := time.NewTimer(time.Until(r.WaitUntil))
+	timer := time.NewTimer(sleeper.Ahead(time.Until(r.WaitUntil)))
 	defer timer.Stop()
 	for {
 		select {
@@ -90,7 +91,7 @@
 			continue
 		}
 		l.Expiry = expiry
-		l.timer.Reset(time.Until(expiry))
+		l.timer.Reset(sleeper.Ahead(time.Until(expiry)))
 	}
 	return missing
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 const (
@@ -140,7 +141,7 @@
 }
 
 func (w *Watcher) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+	t := time.NewTimer(sleeper.Ahead(d))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
