placer, scheduler: move running gangs together for one that waits

Cause: free accelerators were scattered over racks. Ruled out: moving gangs out of their own homes (they come back at once and evict); moving what is not repeatable; evicting without a saved checkpoint. Change: room around goes before intrusion; homes are packed into the fullest racks; a reservation may be backfilled with what can be moved, and is made only where it can come true; a waiting gang has borrowers moved for it, if there is room for them elsewhere or it is aged. A gang that cannot save its work in time stays.

--- a/gang.go
+++ b/gang.go
@@ -55,6 +55,8 @@
 	// wanted; EvictFor says why it must go.
 	EvictBy  time.Time `json:"eb,omitzero"`
 	EvictFor string    `json:"ef,omitempty"`
+	// Moving: it goes only if its work is saved by EvictBy, and stays otherwise.
+	Moving bool `json:"mv,omitempty"`
 }
 
 // Lease names the lease of this attempt on its workers.
@@ -67,6 +69,11 @@
 	return !g.EvictBy.IsZero()
 }
 
+// Leaving reports whether the gang will be gone soon for certain.
+func (g *Gang) Leaving() bool {
+	return g.Evicting() && !g.Moving
+}
+
 // Need is the number of accelerators that the gang holds.
 func (g *Gang) Need() int {
 	n := 0
--- a/internal/guarantor/guarantor.go
+++ b/internal/guarantor/guarantor.go
@@ -152,12 +152,13 @@
 	return true
 }
 
-// find returns cells for a shape in the group of workers that it fills best;
-// among equal groups it takes the failure domain with the most room left.
+// find returns cells for a shape in the racks that have the least room left, so
+// that the others stay whole, and there in the group of workers that it fills
+// best.
 func (g *Guarantor) find(free []int, s shape) []yuccapaddle.Cell {
 	room := map[string]int{}
-	for i, w := range g.workers {
-		room[w.Domain] += free[i]
+	for i := range g.workers {
+		room[g.workers[i].Unit(yuccapaddle.SpanRack)] += free[i]
 	}
 	var best []int
 	bestLeft, bestRoom := 0, 0
@@ -166,9 +167,9 @@
 		if fit == nil {
 			continue
 		}
-		domainRoom := room[g.workers[fit[0]].Domain]
-		if best == nil || domainRoom > bestRoom || (domainRoom == bestRoom && left < bestLeft) {
-			best, bestLeft, bestRoom = fit, left, domainRoom
+		around := g.roomAround(room, fit)
+		if best == nil || around < bestRoom || (around == bestRoom && left < bestLeft) {
+			best, bestLeft, bestRoom = fit, left, around
 		}
 	}
 	if best == nil {
@@ -181,6 +182,20 @@
 	return cells
 }
 
+// roomAround is the room of the racks that some workers are in.
+func (g *Guarantor) roomAround(room map[string]int, workers []int) int {
+	n := 0
+	seen := map[string]bool{}
+	for _, i := range workers {
+		rack := g.workers[i].Unit(yuccapaddle.SpanRack)
+		if !seen[rack] {
+			n += room[rack]
+		}
+		seen[rack] = true
+	}
+	return n
+}
+
 // groups splits the workers into the units of the shape's span.
 func (g *Guarantor) groups(s shape) [][]int {
 	byName := map[string]int{}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -66,7 +66,7 @@
 		return k.place(r)
 	case kindRelease:
 		return k.release(r)
-	case kindEvict:
+	case kindEvict, kindMove, kindStay:
 		return k.evict(r)
 	case kindRequeue:
 		return k.requeue(r)
@@ -136,10 +136,9 @@
 func (k *Keeper) evict(r Record) error {
 	g := k.gangs[r.Key]
 	if g == nil {
-		return fmt.Errorf("evict record %q has no gang", r.Key)
+		return fmt.Errorf("%s record %q has no gang", r.Kind, r.Key)
 	}
-	g.EvictBy = r.Until
-	g.EvictFor = r.Why
+	g.EvictBy, g.EvictFor, g.Moving = r.Until, r.Why, r.Kind == kindMove
 	return nil
 }
 
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -15,6 +15,8 @@
 	kindPlace      kind = "place"
 	kindRelease    kind = "release"
 	kindEvict      kind = "evict"
+	kindMove       kind = "move"
+	kindStay       kind = "stay"
 	kindRequeue    kind = "requeue"
 	kindEnd        kind = "end"
 	kindQuarantine kind = "quarantine"
@@ -69,6 +71,16 @@
 	return Record{Kind: kindEvict, Key: key, At: at, Until: by, Why: why}
 }
 
+// Move asks a gang to save its work until the deadline and to go on elsewhere.
+func Move(key, why string, by, at time.Time) Record {
+	return Record{Kind: kindMove, Key: key, At: at, Until: by, Why: why}
+}
+
+// Stay ends the wish to move a gang.
+func Stay(key string, at time.Time) Record {
+	return Record{Kind: kindStay, Key: key, At: at}
+}
+
 // Blank marks a requeue of an attempt of which no evidence is left: its answer
 // may have been given out while the journal was out of reach.
 func Blank(r Record) Record {
--- a/internal/placer/borrow.go
+++ b/internal/placer/borrow.go
@@ -14,7 +14,7 @@
 	if p.barred[key] && len(w.Avoid) == 0 {
 		return best, 0, false
 	}
-	var score [5]int
+	var score [scoreParts]int
 	for _, group := range p.unitGroups(r.Span) {
 		members := p.fillGroup(group, w)
 		if members == nil {
@@ -30,32 +30,43 @@
 	if !ok && len(w.Avoid) == 0 {
 		p.barred[key] = true // free room only shrinks within a pass
 	}
-	return best, score[0], ok
+	if ok {
+		intrusion = score[scoreIntrusion]
+	}
+	return best, intrusion, ok
 }
 
-// score orders candidate placements, less is better: intrusion into homes, a
-// foreign region, racks used, free room around, and the room left on the
-// workers themselves.
-func (p *pass) score(group []int, members []yuccapaddle.Member, r *yuccapaddle.Request) [5]int {
-	var s [5]int
+// Parts of a score, the most important first.
+const (
+	scoreRegion    = iota // 1 for a region other than the caller's
+	scoreRacks            // racks used
+	scoreRoom             // free room of those racks: the others stay whole for large gangs
+	scoreIntrusion        // accelerators taken from homes
+	scoreLeft             // room left on the workers themselves
+	scoreParts
+)
+
+// score orders candidate placements, less is better.
+func (p *pass) score(group []int, members []yuccapaddle.Member, r *yuccapaddle.Request) [scoreParts]int {
+	var s [scoreParts]int
 	racks := map[string]bool{}
 	for _, m := range members {
 		i := p.v.Index[m.Worker]
 		racks[p.v.Workers[i].Rack] = true
 		take := m.Count * r.Accelerators
 		unowned := p.v.Workers[i].Accelerators - p.owner[i]
-		s[0] += max(take-min(unowned, p.free[i]), 0)
-		s[4] += p.free[i] - take
+		s[scoreIntrusion] += max(take-min(unowned, p.free[i]), 0)
+		s[scoreLeft] += p.free[i] - take
 	}
 	if r.Region != "" && p.v.Workers[group[0]].Region != r.Region {
-		s[1] = 1
+		s[scoreRegion] = 1
 	}
-	s[2] = len(racks)
-	s[3] = p.roomAround(members)
+	s[scoreRacks] = len(racks)
+	s[scoreRoom] = p.roomAround(members)
 	return s
 }
 
-func less(a, b [5]int) bool {
+func less(a, b [scoreParts]int) bool {
 	for i := range a {
 		if a[i] != b[i] {
 			return a[i] < b[i]
@@ -98,7 +109,7 @@
 	room := map[string]int{}
 	for _, i := range group {
 		n := p.free[i] / r.Accelerators
-		if n <= 0 || w.Avoid[p.v.Workers[i].Name] || (p.reserved[i] && !p.quick(r)) {
+		if n <= 0 || w.Avoid[p.v.Workers[i].Name] || (p.reserved[i] && !p.backfills(r)) {
 			continue
 		}
 		rack := p.v.Workers[i].Rack
@@ -181,8 +192,16 @@
 	return out
 }
 
+// backfills reports whether a request may use room that is reserved for an aged
+// gang: it is over soon, or it can be moved when the rest of the room is there.
+func (p *pass) backfills(r *yuccapaddle.Request) bool {
+	return p.quick(r) || r.Repeatable
+}
+
 // reserveFor keeps the largest unit of workers free of further borrowers for an
-// aged gang that finds no room. Only the first such gang of a pass gets one.
+// aged gang that finds no room. Only the first such gang of a pass gets one. A
+// unit does not count where owners use so much of their homes that the gang
+// would not fit without all borrowers.
 func (p *pass) reserveFor(w yuccapaddle.Waiting) {
 	if !p.aged(w) || len(p.reserved) > 0 {
 		return
@@ -192,7 +211,7 @@
 	for _, group := range p.unitGroups(w.Request.Span) {
 		whole, room := 0, 0
 		for _, i := range group {
-			whole += p.v.Workers[i].Accelerators / w.Request.Accelerators
+			whole += (p.v.Workers[i].Accelerators - p.usedAtHome(i)) / w.Request.Accelerators
 			room += p.later[i] / w.Request.Accelerators
 		}
 		if whole >= w.Request.Tasks && room > bestRoom {
@@ -203,3 +222,27 @@
 		p.reserved[i] = true
 	}
 }
+
+// usedAtHome is the number of a worker's accelerators that gangs hold which were
+// placed in their own homes.
+func (p *pass) usedAtHome(i int) int {
+	p.indexGangs()
+	name, n := p.v.Workers[i].Name, 0
+	for _, g := range p.onWorker[name] {
+		if g.Home != "" {
+			n += heldOn(g, name)
+		}
+	}
+	return n
+}
+
+// heldOn is the number of accelerators that a gang holds on a worker.
+func heldOn(g *yuccapaddle.Gang, worker string) int {
+	n := 0
+	for _, m := range g.Members {
+		if m.Worker == worker {
+			n += m.Count * g.Accelerators
+		}
+	}
+	return n
+}
--- a/internal/placer/home.go
+++ b/internal/placer/home.go
@@ -171,7 +171,7 @@
 	}
 	p.onWorker = map[string][]*yuccapaddle.Gang{}
 	for _, g := range p.v.Gangs {
-		if g.Evicting() {
+		if g.Leaving() {
 			continue
 		}
 		for _, m := range g.Members {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,22 +20,38 @@
 )
 
 // Placer implements yuccapaddle.Policy.
-type Placer struct{}
+type Placer struct {
+	name  string
+	moves bool
+}
 
 var _ yuccapaddle.Policy = (*Placer)(nil)
 
+// Option changes a Placer under construction.
+type Option func(*Placer)
+
+// WithoutMoves leaves running gangs where they are unless a guarantee is
+// reclaimed, as earlier versions did.
+func WithoutMoves() Option {
+	return func(p *Placer) { p.name, p.moves = "cells-without-moves", false }
+}
+
 // New returns the policy.
-func New() *Placer {
-	return &Placer{}
+func New(opts ...Option) *Placer {
+	p := &Placer{name: "guaranteed-cells", moves: true}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Name implements yuccapaddle.Policy.
-func (*Placer) Name() string {
-	return "guaranteed-cells"
+func (pl *Placer) Name() string {
+	return pl.name
 }
 
 // Plan implements yuccapaddle.Policy.
-func (*Placer) Plan(v *yuccapaddle.View) yuccapaddle.Plan {
+func (pl *Placer) Plan(v *yuccapaddle.View) yuccapaddle.Plan {
 	p := newPass(v)
 	var plan yuccapaddle.Plan
 	for _, w := range p.queue() {
@@ -43,6 +59,9 @@
 			continue
 		}
 		placement, ok := p.place(w)
+		if !ok && pl.moves {
+			placement, ok = p.makeRoom(w)
+		}
 		if !ok {
 			p.reserveFor(w)
 			continue
@@ -74,6 +93,9 @@
 	onWorker map[string][]*yuccapaddle.Gang
 	rackOf   []int // rack number of each worker
 	rackFree []int // free accelerators of each rack
+	// moving: gangs are being moved for a request already.
+	moving    bool
+	moveTries int
 }
 
 // borrowKey is all that decides whether a request can borrow.
@@ -160,6 +182,7 @@
 func (p *pass) countGangs() {
 	for _, g := range p.v.Gangs {
 		r := p.v.Request(g.Key)
+		p.moving = p.moving || g.Moving
 		p.held[g.Workspace] += g.Need()
 		if r.Team != "" {
 			p.held[g.Workspace+"/"+r.Team] += g.Need()
@@ -168,7 +191,7 @@
 			p.overlong[g.Workspace]++
 		}
 		used := p.homeUsed[g.Home]
-		if used == nil || g.Evicting() {
+		if used == nil || g.Leaving() {
 			continue
 		}
 		for _, m := range g.Members {
--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -49,6 +49,7 @@
 	stopping bool
 	lapseBy  time.Time
 	ending   ending
+	fixed    bool // it could not save its work when it was asked to move
 	startAt  time.Time
 	savedAt  time.Time
 	// recovered: a former host placed it, and may have given out its answer
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -40,6 +40,7 @@
 	v := &yuccapaddle.View{
 		Now: s.now, Site: &s.cfg.Site, Workers: s.topo.Workers(), Index: s.topo.Index(), Homes: s.homes,
 		Waiting: waiting, Gangs: s.state.Gangs(), Request: s.state.Request, Lost: s.lostWork,
+		Movable: s.movable,
 	}
 	for i := range v.Workers {
 		w := &v.Workers[i]
@@ -56,7 +57,7 @@
 // countGang takes claims off the free room, and counts as free later what goes.
 func (s *Scheduler) countGang(v *yuccapaddle.View, g *yuccapaddle.Gang) {
 	lg := s.live[g.Key]
-	going := g.Evicting() || (lg != nil && lg.stopping)
+	going := g.Leaving() || (lg != nil && lg.stopping)
 	claimed := g.State == yuccapaddle.GangClaimed
 	if !going && !claimed {
 		return
@@ -107,6 +108,9 @@
 	for _, key := range p.Victims {
 		s.evict(s.state.Gang(key), "workspace "+r.Workspace+" reclaims its guarantee")
 	}
+	for _, key := range p.Moves {
+		s.move(s.state.Gang(key), "room for request "+p.Key)
+	}
 	if p.Claim {
 		s.claims[p.Key] = lg
 		return
@@ -177,6 +181,8 @@
 	case lg.stopping:
 		s.tickStop(lg)
 	case lg.gang.State == yuccapaddle.GangClaimed:
+	case lg.gang.Moving && !s.now.Before(lg.gang.EvictBy):
+		s.stay(lg)
 	case lg.gang.Evicting() && !s.now.Before(lg.gang.EvictBy):
 		s.beginStop(lg, ending{kind: endRequeue, why: lg.gang.EvictFor})
 	case !lg.all(phaseStarted):
@@ -217,9 +223,7 @@
 	g := lg.gang
 	for _, m := range g.Members {
 		if !s.usable(m.Worker) {
-			s.forgetLive(g.Key)
-			s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
-			s.dirty = true
+			s.dropClaim(g.Key)
 			return
 		}
 		if s.topo.Capacity(m.Worker)-s.state.Used(m.Worker) < m.Count*g.Accelerators {
@@ -235,6 +239,13 @@
 	s.onCommit(func() { s.launch(lg) })
 }
 
+// dropClaim puts a claimed request back into the queue.
+func (s *Scheduler) dropClaim(key string) {
+	s.forgetLive(key)
+	s.propose(keeper.Requeue(key, nil, false, 0, s.now))
+	s.dirty = true
+}
+
 func (s *Scheduler) tickLaunch(lg *liveGang) {
 	if s.now.After(lg.launchBy) {
 		s.beginStop(lg, ending{kind: endRequeue, why: "its start took too long"})
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -25,13 +25,12 @@
 // evict asks a gang to save its work and to go within the grace.
 func (s *Scheduler) evict(g *yuccapaddle.Gang, why string) {
 	lg := s.live[g.Key]
-	if lg == nil || lg.stopping || g.Evicting() {
+	if lg == nil || lg.stopping || g.Leaving() {
 		return
 	}
 	s.dirty = true
 	if g.State == yuccapaddle.GangClaimed {
-		s.forgetLive(g.Key)
-		s.propose(keeper.Requeue(g.Key, nil, false, 0, s.now))
+		s.dropClaim(g.Key)
 		return
 	}
 	if !lg.released() {
@@ -39,6 +38,11 @@
 		return
 	}
 	s.propose(keeper.Evict(g.Key, why, s.now.Add(s.grace()), s.now))
+	s.askToSave(lg)
+}
+
+// askToSave asks all upstreams of a gang for checkpoints.
+func (s *Scheduler) askToSave(lg *liveGang) {
 	for _, sh := range lg.shares {
 		sh.checkpointed = map[int]bool{}
 		c := s.command(lg, sh)
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -96,7 +96,7 @@
 	held := map[string]map[string]int{}
 	for _, g := range v.Gangs {
 		own := cells[g.Home]
-		if own == nil || g.Evicting() {
+		if own == nil || g.Leaving() {
 			continue
 		}
 		if held[g.Home] == nil {
--- a/measures/measures_test.go
+++ b/measures/measures_test.go
@@ -25,16 +25,17 @@
 var (
 	measure = flag.Bool("measure", false, "run the whole table, which takes minutes")
 	only    = flag.String("size", "", "measure only this size")
+	seed    = flag.Uint64("seed", 1, "seed of the workloads")
 	asJSON  = flag.String("json", "", "file for the table in JSON")
 )
 
 // size is a deployment to measure.
 type size struct {
-	name    string
-	site    func() *yuccapaddle.Site
-	factor  float64 // arrivals in proportion to today's
-	window  time.Duration
-	drain   time.Duration
+	name   string
+	site   func() *yuccapaddle.Site
+	factor float64 // arrivals in proportion to today's
+	window time.Duration
+	drain  time.Duration
 }
 
 var sizes = []size{
@@ -45,7 +46,7 @@
 var scenarios = []string{"calm", "burst", "lies", "exit", "outage"}
 
 func policies() []yuccapaddle.Policy {
-	return []yuccapaddle.Policy{placer.New(), queuer.New(), queuer.New(queuer.WithBestFit())}
+	return []yuccapaddle.Policy{placer.New(), placer.New(placer.WithoutMoves()), queuer.New(), queuer.New(queuer.WithBestFit())}
 }
 
 // row is one line of the table. Times are in seconds.
@@ -221,7 +222,7 @@
 				for _, p := range policies() {
 					t.Run(sz.name+"/"+sc+"/"+p.Name(), func(t *testing.T) {
 						t.Parallel()
-						r := play(1, sz, sc, p)
+						r := play(*seed, sz, sc, p)
 						mu.Lock()
 						defer mu.Unlock()
 						rows = append(rows, r)
--- a/policy.go
+++ b/policy.go
@@ -69,10 +69,14 @@
 	// Lost is the work that the eviction of a gang would lose, in
 	// accelerator-seconds.
 	Lost func(g *Gang) float64
+	// Movable reports whether a gang may be asked to go on elsewhere.
+	Movable func(g *Gang) bool
 }
 
 // Placement puts a request on workers once the victims have gone. Claim is
-// true if the accelerators are not free yet.
+// true if the accelerators are not free yet. Moves are gangs that are asked to
+// save their work and to go on elsewhere; one that cannot stays, and the
+// placement is given up.
 type Placement struct {
 	Key     string
 	Domain  string
@@ -80,6 +84,7 @@
 	Home    string
 	Claim   bool
 	Victims []string
+	Moves   []string
 }
 
 // Plan is what a policy wants now.
--- a/sessions/histories_test.go
+++ b/sessions/histories_test.go
@@ -30,6 +30,7 @@
 const (
 	historySteps = 60
 	healTime     = 150 * time.Second
+	longHealTime = 600 * time.Second // with tasks of up to a minute
 )
 
 // TestHistories plays seeded random histories: requests, faults and operators'
@@ -151,7 +152,11 @@
 	}
 	h.keys = append(h.keys, key)
 	shapes := []string{"tasks=1 acc=1 class=quick", "tasks=1 acc=4 class=quick", "tasks=4 acc=2", "tasks=8 acc=4", "tasks=2 acc=8", "tasks=4 acc=8"}
-	line := fmt.Sprintf("submit %s %s %s span=domain ms=%d wait=20s", h.pick(), key, shapes[h.r.IntN(len(shapes))], 100+h.r.IntN(8000))
+	most := 8000
+	if h.seed >= laterFaults && h.r.IntN(3) == 0 {
+		most = 60_000 // long enough to be moved
+	}
+	line := fmt.Sprintf("submit %s %s %s span=domain ms=%d wait=20s", h.pick(), key, shapes[h.r.IntN(len(shapes))], 100+h.r.IntN(most))
 	if h.r.IntN(2) == 0 {
 		line += " repeatable"
 	}
@@ -244,7 +249,11 @@
 	h.do("advance 20s") // orders still on their way come first
 	h.do("change h1 domain-back d1")
 	h.do("change h1 domain-back d2")
-	h.do("advance " + healTime.String())
+	heal := healTime
+	if h.seed >= laterFaults {
+		heal = longHealTime
+	}
+	h.do("advance " + heal.String())
 	for _, key := range h.keys {
 		h.do("show h1 " + key)
 	}
