scheduler: refuse answers to another question, and late copies of a refused one

Cause: the answer to a stop was read by rank alone, so two swapped answers would have given each request the other's parts. A copy of a submission that was still on its way when a later copy was refused could be accepted after it, so that what was told as not run did run. Change: an answer to a stop that names another lease, to a sync that names another upstream, and from the active host that names another request count as no answer. The core remembers until when earlier copies of a refused submission may arrive. TestSwappedStops and TestLateCopy failed without it, and pass. Left: a host that becomes active after the refusal does not know of it, and a part reported under a wrong lease cannot be told from a right one.

--- a/internal/driver/act.go
+++ b/internal/driver/act.go
@@ -181,7 +181,11 @@
 func (d *Driver) sync(ctx context.Context, req yuccapaddle.SyncRequest) (yuccapaddle.Report, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.WaitUntil.Add(syncSlack))
 	defer cancel()
-	return d.worker.Sync(ctx, req)
+	report, err := d.worker.Sync(ctx, req)
+	if err == nil && report.Upstream != req.Upstream {
+		return report, fmt.Errorf("%w: upstream %q answered in place of %q", yuccapaddle.ErrNoAnswer, report.Upstream, req.Upstream)
+	}
+	return report, err
 }
 
 // deposed reports whether an upstream has seen the token of a later host.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -88,7 +88,8 @@
 		if local != nil {
 			return local.Submit(ctx, r)
 		}
-		return reply(remote.Submit(ctx, converter.Submit(r)))
+		m, err := remote.Submit(ctx, converter.Submit(r))
+		return reply(r.Key(), m, err)
 	})
 	if err == nil {
 		return o
@@ -110,7 +111,8 @@
 		if local != nil {
 			return local.Cancel(ctx, key)
 		}
-		return reply(remote.Cancel(ctx, &peer.KeyRequest{Key: key}))
+		m, err := remote.Cancel(ctx, &peer.KeyRequest{Key: key})
+		return reply(key, m, err)
 	})
 	return o, err
 }
@@ -139,19 +141,26 @@
 		wait := max(time.Until(slice), 0)
 		ctx, cancel := context.WithTimeout(ctx, wait+awaitSlack)
 		defer cancel()
-		return reply(remote.Await(ctx, &peer.KeyRequest{Key: key, WaitMs: (wait + time.Millisecond - 1).Milliseconds()}))
+		m, err := remote.Await(ctx, &peer.KeyRequest{Key: key, WaitMs: (wait + time.Millisecond - 1).Milliseconds()})
+		return reply(key, m, err)
 	})
 	return o, err
 }
 
-func reply(m *peer.OutcomeReply, err error) (yuccapaddle.Outcome, error) {
+// reply reads the answer to a question about a request. An answer about another
+// request is none.
+func reply(key string, m *peer.OutcomeReply, err error) (yuccapaddle.Outcome, error) {
 	if err != nil {
 		return yuccapaddle.Outcome{}, err
 	}
 	if m.GetInactive() {
 		return yuccapaddle.Outcome{}, driver.ErrInactive
 	}
-	return converter.Outcome(m), nil
+	o := converter.Outcome(m)
+	if o.Verdict != yuccapaddle.VerdictNotFound && o.Workspace+"/"+o.ID != key {
+		return yuccapaddle.Outcome{}, fmt.Errorf("the active host answered for request %s/%s in place of %s", o.Workspace, o.ID, key)
+	}
+	return o, nil
 }
 
 func (f *Forwarder) try(ctx context.Context, deadline time.Time, once attempt) (o yuccapaddle.Outcome, sent bool, err error) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -145,6 +146,7 @@
 		return
 	}
 	s.purgeAt = s.now.Add(purgeInterval)
+	maps.DeleteFunc(s.refused, func(_ string, acceptBy time.Time) bool { return acceptBy.Before(s.now) })
 	if keep := s.cfg.Site.Limits.RetentionMS; keep > 0 {
 		for _, key := range s.state.Expired(s.now.Add(-time.Duration(keep) * time.Millisecond)) {
 			s.propose(keeper.Purge(key, s.now))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,6 +61,7 @@
 	strikes    map[string]map[string]bool
 	claims     map[string]*liveGang
 	unsettled  map[string]*liveGang // by lease
+	refused    map[string]time.Time // by request: copies taken in earlier have to be accepted by then
 	probeAt    time.Time
 	planAt     time.Time
 	permit     time.Time
@@ -101,6 +102,7 @@
 		strikes:    map[string]map[string]bool{},
 		claims:     map[string]*liveGang{},
 		unsettled:  map[string]*liveGang{},
+		refused:    map[string]time.Time{},
 		purgeAt:    now.Add(purgeInterval),
 	}
 	return s
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/keeper"
+	"yuccapaddle/internal/placer"
+)
+
+var begin = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newCore returns a core with one upstream of two workers and one workspace.
+func newCore(waiting int) *Scheduler {
+	site := yuccapaddle.Site{
+		Domains: []yuccapaddle.Domain{{Name: "d", Upstreams: []yuccapaddle.Upstream{
+			{Name: "u", Racks: []yuccapaddle.Rack{{Name: "r", Workers: 2, Accelerators: 8}}},
+		}}},
+		Workspaces: []yuccapaddle.Workspace{{Name: "w"}},
+		Limits:     yuccapaddle.Limits{WaitingPerWorkspace: waiting},
+	}
+	s := New(keeper.New(), placer.New(), 1, begin)
+	s.Handle(begin, yuccapaddle.Configured{Config: &yuccapaddle.Config{Revision: 1, Site: site}},
+		yuccapaddle.Reported{Report: yuccapaddle.Report{Upstream: "u", Boot: "b", Seq: 1}, SentAt: begin},
+		yuccapaddle.Permitted{Until: begin.Add(time.Hour)})
+	return s
+}
+
+// feed hands in events and commits at once what they bring about.
+func feed(s *Scheduler, at time.Time, events ...yuccapaddle.Event) []yuccapaddle.Action {
+	out := s.Handle(at, events...)
+	for s.TakeBatch() != nil {
+		out = append(out, s.Handle(at, yuccapaddle.Committed{})...)
+	}
+	return out
+}
+
+func request(id string, acceptBy time.Time) *yuccapaddle.Request {
+	return &yuccapaddle.Request{
+		ID: id, Workspace: "w", Tasks: 1, Accelerators: 8, Span: yuccapaddle.SpanWorker,
+		Class: yuccapaddle.ClassBatch, AcceptBy: acceptBy,
+	}
+}
+
+// verdicts are those that callers are told by the actions.
+func verdicts(actions []yuccapaddle.Action) []yuccapaddle.Verdict {
+	var out []yuccapaddle.Verdict
+	for _, a := range actions {
+		if r, ok := a.(yuccapaddle.Reply); ok {
+			out = append(out, r.Outcome.Verdict)
+		}
+	}
+	return out
+}
+
+// TestSwappedStops: an answer to a stop that speaks of another lease is no
+// answer; its parts reach nobody.
+func TestSwappedStops(t *testing.T) {
+	s := newCore(10)
+	feed(s, begin, yuccapaddle.Submitted{Ticket: 1, Request: request("x", begin.Add(time.Hour))},
+		yuccapaddle.Submitted{Ticket: 2, Request: request("y", begin.Add(time.Hour))})
+	done := func(lease string) yuccapaddle.StopReply {
+		part := json.RawMessage(fmt.Sprintf("%q", lease))
+		return yuccapaddle.StopReply{Boot: "b", Tasks: []yuccapaddle.TaskReport{{Lease: lease, State: yuccapaddle.TaskDone, Part: part}}}
+	}
+	for _, id := range []string{"x", "y"} {
+		feed(s, begin, yuccapaddle.Reserved{Upstream: "u", Lease: "w/" + id + "/1"}, yuccapaddle.Cancelled{Key: "w/" + id})
+	}
+	feed(s, begin, yuccapaddle.Stopped{Upstream: "u", Lease: "w/x/1", Reply: done("w/y/1")},
+		yuccapaddle.Stopped{Upstream: "u", Lease: "w/y/1", Reply: done("w/x/1")})
+	qt.Assert(t, s.State().Outcome("w/x").Verdict.Final(), qt.IsFalse)
+	feed(s, begin, yuccapaddle.Stopped{Upstream: "u", Lease: "w/x/1", Reply: done("w/x/1")},
+		yuccapaddle.Stopped{Upstream: "u", Lease: "w/y/1", Reply: done("w/y/1")})
+	for _, id := range []string{"x", "y"} {
+		o := s.State().Outcome("w/" + id)
+		qt.Assert(t, o.Verdict, qt.Equals, yuccapaddle.VerdictDone)
+		qt.Assert(t, string(o.Parts[0]), qt.Equals, fmt.Sprintf("%q", "w/"+id+"/1"))
+	}
+}
+
+// TestLateCopy: a copy of a submission that was under way when a later copy was
+// refused is refused too, so that "not run" stays true; sent again, it is taken.
+func TestLateCopy(t *testing.T) {
+	s := newCore(1)
+	early, later := begin.Add(5*time.Second), begin.Add(6*time.Second)
+	for _, id := range []string{"a", "b", "full"} {
+		feed(s, begin, yuccapaddle.Submitted{Request: request(id, later)})
+	}
+	submit := func(at, acceptBy time.Time) []yuccapaddle.Verdict {
+		return verdicts(feed(s, at, yuccapaddle.Submitted{Request: request("c", acceptBy)}))
+	}
+	qt.Assert(t, submit(begin.Add(time.Second), later), qt.DeepEquals, []yuccapaddle.Verdict{yuccapaddle.VerdictRefused})
+	feed(s, begin.Add(2*time.Second), yuccapaddle.Cancelled{Key: "w/full"})
+	qt.Assert(t, submit(begin.Add(3*time.Second), early), qt.DeepEquals, []yuccapaddle.Verdict{yuccapaddle.VerdictRefused})
+	again := submit(begin.Add(4*time.Second), begin.Add(9*time.Second))
+	qt.Assert(t, again, qt.DeepEquals, []yuccapaddle.Verdict{yuccapaddle.VerdictWaiting})
+}
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -83,6 +83,9 @@
 }
 
 func (s *Scheduler) stopped(e yuccapaddle.Stopped) {
+	if e.Err == nil && !e.Reply.Of(e.Lease) {
+		e.Err = yuccapaddle.ErrNoAnswer // it answers another stop
+	}
 	lg := s.leases[e.Lease]
 	if lg == nil {
 		s.probed(e)
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -22,6 +22,7 @@
 		return
 	}
 	if reason, retryAfter := s.refusal(r); reason != "" {
+		s.turnAway(r)
 		s.do(yuccapaddle.Reply{Ticket: e.Ticket, Outcome: refused(r, reason, retryAfter)})
 		return
 	}
@@ -61,6 +62,8 @@
 		return "the platform's key-value service does not answer", s.now.Add(retryAfterOutage)
 	case s.now.After(r.AcceptBy):
 		return "the submission came too late to this host", s.now
+	case !r.AcceptBy.After(s.refused[r.Key()]):
+		return "a later copy of the submission was refused before", s.now
 	}
 	ws := findWorkspace(&s.cfg.Site, r.Workspace)
 	if ws == nil {
@@ -79,6 +82,14 @@
 	return "", time.Time{}
 }
 
+// turnAway remembers a refusal as long as copies of the submission that were
+// taken in before it may still arrive.
+func (s *Scheduler) turnAway(r *yuccapaddle.Request) {
+	if r.AcceptBy.After(s.now) && r.AcceptBy.After(s.refused[r.Key()]) {
+		s.refused[r.Key()] = r.AcceptBy
+	}
+}
+
 // impossible says why a request can never run on the declared capacity.
 func (s *Scheduler) impossible(r *yuccapaddle.Request, ws *yuccapaddle.Workspace) string {
 	need := r.Need()
--- a/worker.go
+++ b/worker.go
@@ -40,6 +40,16 @@
 	Tasks []TaskReport `json:"tasks,omitempty"`
 }
 
+// Of reports whether the reply speaks of the lease and of no other.
+func (r *StopReply) Of(lease string) bool {
+	for i := range r.Tasks {
+		if r.Tasks[i].Lease != lease {
+			return false
+		}
+	}
+	return true
+}
+
 // TaskState is what an upstream says of one task.
 type TaskState string
 
