--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -42,7 +42,7 @@
 			l.tasks[rank] = &task{report: report, change: change, run: -1}
 		}
 	}
-	l.timer = time.AfterFunc(sleeper.Ahead(time.Until(r.Expiry)), func() { w.lapse(u, l) })
+	l.timer = time.AfterFunc(u.until(r.Expiry), func() { w.lapse(u, l) })
 	if r.Start {
 		w.startLease(u, l)
 	}
@@ -245,7 +245,7 @@
 func (w *Worker) lapse(u *upstream, l *lease) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if l.over || time.Now().Before(l.Expiry) {
+	if l.over || u.now().Before(l.Expiry) {
 		return
 	}
 	w.endLease(u, l, "the lease lapsed")
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		l.Expiry = expiry
-		l.timer.Reset(sleeper.Ahead(time.Until(expiry)))
+		l.timer.Reset(u.until(expiry))
 	}
 	return missing
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/sleeper"
 )
 
 // Worker pretends to be any number of upstreams with their workers. It
@@ -41,6 +42,8 @@
 	ReportTwice      bool `json:"reportTwice"`
 	ReverseParts     bool `json:"reverseParts"`
 	LateMS           int  `json:"lateMs"`
+	// ClockMS is how far an upstream's clock is ahead, or behind if negative.
+	ClockMS int `json:"clockMs"`
 }
 
 // Run is one period in which a task ran, for checks of the history.
@@ -195,6 +198,16 @@
 	}
 }
 
+// now is the time that the upstream's clock shows.
+func (u *upstream) now() time.Time {
+	return time.Now().Add(time.Duration(u.fault(u.name).ClockMS) * time.Millisecond)
+}
+
+// until is how long it takes by the upstream's clock until a time.
+func (u *upstream) until(t time.Time) time.Duration {
+	return sleeper.Ahead(t.Sub(u.now()))
+}
+
 func (u *upstream) bump() uint64 {
 	u.seq++
 	u.wake()
@@ -247,7 +260,7 @@
 		return &yuccapaddle.WorkerError{Outdated: true, Reason: fmt.Sprintf("token %d is older than %d", token, u.token)}
 	}
 	u.token = token
-	if !notAfter.IsZero() && time.Now().After(notAfter) {
+	if !notAfter.IsZero() && u.now().After(notAfter) {
 		return &yuccapaddle.WorkerError{Reason: "the message came after its deadline"}
 	}
 	return nil
--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -283,6 +283,7 @@
 		RefuseStarts: atoi(opts["refuse-starts"], 0), LoseStartAnswers: atoi(opts["lose-start-answers"], 0),
 		LoseStarts: atoi(opts["lose-starts"], 0), LoseStops: atoi(opts["lose-stops"], 0), FailTasks: opts["fail"] != "", IgnoreCheckpoint: opts["ignore-checkpoint"] != "",
 		ReportTwice: opts["twice"] != "", ReverseParts: opts["reverse"] != "", LateMS: atoi(opts["late"], 0),
+		ClockMS: atoi(opts["clock"], 0),
 	}
 	qt.Assert(w.t, w.worker.SetFaults(args[0], f), qt.IsNil)
 }
