introducer: ask the other hosts for a token

Cause: whoever reached the peers' listener could submit and cancel for every workspace and push a configuration to a host. Change: calls between hosts carry host.tokens.peers, and one without it is refused before it is read. Empty lets everybody in, as before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/converter"
 	"yuccapaddle/internal/driver"
+	"yuccapaddle/internal/introducer"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/sleeper"
 )
@@ -48,6 +49,7 @@
 	budget *rate.Limiter
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
+	intro  *introducer.Introducer
 	dial   func(address string) (peer.PeerClient, error)
 }
 
@@ -63,10 +65,15 @@
 	}
 }
 
+// WithToken sends a token with each call to another host.
+func WithToken(token string) Option {
+	return func(f *Forwarder) { f.intro = introducer.New(token) }
+}
+
 // New returns a Forwarder for the host with the name self. holder returns the
 // active host and local the engine of this one, nil while it is not active.
 func New(self string, holder func() (string, string, bool), local func() Local, budget *rate.Limiter, opts ...Option) *Forwarder {
-	f := &Forwarder{self: self, holder: holder, local: local, budget: budget, conns: map[string]*grpc.ClientConn{}}
+	f := &Forwarder{self: self, holder: holder, local: local, budget: budget, conns: map[string]*grpc.ClientConn{}, intro: introducer.New("")}
 	f.dial = f.connect
 	for _, o := range opts {
 		o(f)
@@ -214,7 +221,7 @@
 	if c := f.conns[address]; c != nil {
 		return peer.NewPeerClient(c), nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address,
+	c, err := grpc.NewClient("passthrough:///"+address, f.intro.Send(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostMessage)))
 	if err != nil {
--- a/internal/loader/host.go
+++ b/internal/loader/host.go
@@ -7,6 +7,10 @@
 	"yuccapaddle/internal/checker"
 )
 
+// leastToken is the number of characters of the shortest token that hosts may
+// share.
+const leastToken = 16
+
 // Host is the section of settings that each host has of its own.
 type Host struct {
 	Name     string   `json:"name"`
@@ -58,8 +62,11 @@
 	HostListEveryMS int     `json:"hostListEveryMs"`
 }
 
-// Tokens are the SHA-256 hashes, in hex, of the bearer tokens.
+// Tokens are the SHA-256 hashes, in hex, of the bearer tokens. Peers is the
+// token itself that all hosts share, as each of them has to send it; empty lets
+// every caller of the peers' listener in.
 type Tokens struct {
+	Peers     string          `json:"peers,omitempty"`
 	Callers   []CallerToken   `json:"callers"`
 	Operators []OperatorToken `json:"operators"`
 }
@@ -126,6 +133,9 @@
 		}
 		address(fmt.Sprintf("host.peers[%d].address", i), p.Address)
 	}
+	if n := len(h.Tokens.Peers); n > 0 && n < leastToken {
+		out = append(out, checker.Problem{Path: "host.tokens.peers", Text: fmt.Sprintf("it has %d characters, at least %d are needed", n, leastToken)})
+	}
 	tokens := map[string]bool{}
 	for i, t := range h.Tokens.Callers {
 		if tokens[t.Hash] {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -35,6 +35,7 @@
 	{"unknown keys", `{"host":{"surprise":1},"site":{"limits":{"attemps":3}},"extra":{}}`},
 	{"wrong types", `{"host":{"name":7,"limits":{"inFlight":"many"}},"site":{"domains":{}}}`},
 	{"ranges", `{"host":{"limits":{"bodyBytes":1,"callerRate":-1}},"site":{"limits":{"quarantineStrikes":9}}}`},
+	{"peers token", `{"host":{"tokens":{"peers":"short"}}}`},
 	{"addresses", `{"host":{"listen":{"callers":"localhost:80","operators":"127.0.0.1:7203"},"platform":{"store":"127.0.0.1:99999"}}}`},
 	{"duplicates", `{"site":{"domains":[
 		{"name":"x","region":"r","upstreams":[{"name":"u","address":"127.0.0.1:1","racks":[{"name":"k","workers":1,"accelerators":8}]}]},
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"yuccapaddle/internal/driver"
 	"yuccapaddle/internal/forwarder"
 	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/introducer"
 	"yuccapaddle/internal/leaser"
 	"yuccapaddle/internal/limiter"
 	"yuccapaddle/internal/loader"
@@ -109,7 +110,7 @@
 	s.permit = permitter.New(store, nonce)
 	s.lease = leaser.New(store, host.Name, host.Listen.Peers, nonce, log)
 	budget := rate.NewLimiter(rate.Limit(host.Limits.RetriesASecond), host.Limits.RetriesAtOnce)
-	s.forward = forwarder.New(host.Name, s.lease.Holder, s.local, budget, forwarder.WithDial(s.dial))
+	s.forward = forwarder.New(host.Name, s.lease.Holder, s.local, budget, forwarder.WithDial(s.dial), forwarder.WithToken(host.Tokens.Peers))
 	auth := authenticator.New(host.Tokens)
 	s.monitor = monitor.New(host.Name, s.ready)
 	s.limit = limiter.New(host.Limits.CallerRate, host.Limits.CallerBurst, host.Limits.InFlight)
@@ -359,7 +360,7 @@
 	if err != nil {
 		return err
 	}
-	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
+	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage), introducer.New(s.host.Tokens.Peers).Ask())
 	peer.RegisterPeerServer(s.grpc, s.Peers())
 	g.Go("grpc", func() error { return s.grpc.Serve(l) })
 	return nil
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -102,6 +102,7 @@
 		h.Name, h.Domain, h.Region, h.Peers = peers[i].Name, "d1", "r", peers
 		h.Listen = loader.Listen{Callers: b.address(), Operators: b.address(), Peers: peers[i].Address, Metrics: b.address()}
 		h.Platform = loader.Platform{Store: b.platform, HostList: b.platform}
+		h.Tokens.Peers = "the hosts of the process tests"
 		h.Tokens.Callers = []loader.CallerToken{{Workspace: "w", Caller: "c", Hash: authenticator.Hash("team")}}
 		h.Tokens.Operators = []loader.OperatorToken{{Name: "op", Hash: authenticator.Hash("team")}}
 		b.hosts = append(b.hosts, h)
