processes: cut a host off from the service; measure a fleet with one command

Cause: that regions lose each other was shown for one host in virtual time only, and the figures of docs/CAPACITY.md came from a script outside the repository. Change: TestCutHost cuts the active host's connections to the platform's service through a relay while a gang runs and both failure domains are taken out; BenchmarkFleet starts the processes of both sizes and reports what each role spends.

--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -39,23 +39,35 @@
 
 // bed is a whole deployment of processes.
 type bed struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	bin       string
 	platform  string
+	log       string // level
 	settings  loader.Settings
 	hosts     []loader.Host
 	processes map[string]*exec.Cmd
+	given     map[string]bool // addresses
 	calls     *caller.Caller
 }
 
 func newBed(t *testing.T) *bed {
-	b := &bed{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}, calls: caller.New(caller.WithToken("team"), caller.WithFreshConnections())}
+	return startBed(t, hostCount, (*bed).smallSite)
+}
+
+// startBed starts the platform, its upstreams and the hosts, and waits until
+// they serve. The last functions may change the hosts' settings first.
+func startBed(t testing.TB, hosts int, site func(b *bed) yuccapaddle.Site, settings ...func(b *bed)) *bed {
+	b := &bed{t: t, log: "debug", dir: t.TempDir(), processes: map[string]*exec.Cmd{}, given: map[string]bool{}, calls: caller.New(caller.WithToken("team"), caller.WithFreshConnections())}
 	b.bin = filepath.Join(b.dir, "bin") + "/"
 	out, err := exec.Command("go", "build", "-o", b.bin, "../cmd/...").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	t.Cleanup(b.close)
-	b.configure()
+	b.configure(site(b), hosts)
+	for _, change := range settings {
+		change(b)
+	}
+	b.writeHosts()
 	b.run("platform", "standin", "platform", "--address", b.platform)
 	b.run("upstreams", append([]string{"standin", "upstreams"}, b.files(0)...)...)
 	b.until("the platform answers", func() bool {
@@ -74,16 +86,22 @@
 	return b
 }
 
-// address returns a free port on loopback.
+// address returns a free port on loopback that nobody else has been given.
 func (b *bed) address() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(b.t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(b.t, err, qt.IsNil)
+		address := l.Addr().String()
+		qt.Assert(b.t, l.Close(), qt.IsNil)
+		if !b.given[address] {
+			b.given[address] = true
+			return address
+		}
+	}
 }
 
-func (b *bed) configure() {
-	b.platform = b.address()
+// smallSite has two failure domains of two racks of two workers.
+func (b *bed) smallSite() yuccapaddle.Site {
 	site := yuccapaddle.Site{Name: "test", Limits: yuccapaddle.Limits{EvictionGraceMS: 500, Attempts: 3}}
 	for _, d := range []string{"d1", "d2"} {
 		site.Domains = append(site.Domains, yuccapaddle.Domain{Name: d, Region: "r", Upstreams: []yuccapaddle.Upstream{
@@ -92,12 +110,17 @@
 		}})
 	}
 	site.Workspaces = []yuccapaddle.Workspace{{Name: "w", Guarantees: []yuccapaddle.Guarantee{{Count: 1, Workers: 2, Accelerators: 8, Span: yuccapaddle.SpanRack}}}}
+	return site
+}
+
+func (b *bed) configure(site yuccapaddle.Site, hosts int) {
+	b.platform = b.address()
 	b.settings = loader.Settings{Host: loader.Defaults(), Site: site}
 	var peers []loader.Peer
-	for i := range hostCount {
+	for i := range hosts {
 		peers = append(peers, loader.Peer{Name: fmt.Sprintf("h%d", i), Address: b.address()})
 	}
-	for i := range hostCount {
+	for i := range hosts {
 		h := loader.Defaults()
 		h.Name, h.Domain, h.Region, h.Peers = peers[i].Name, "d1", "r", peers
 		h.Listen = loader.Listen{Callers: b.address(), Operators: b.address(), Peers: peers[i].Address, Metrics: b.address()}
@@ -106,9 +129,14 @@
 		h.Tokens.Callers = []loader.CallerToken{{Workspace: "w", Caller: "c", Hash: authenticator.Hash("team")}}
 		h.Tokens.Operators = []loader.OperatorToken{{Name: "op", Hash: authenticator.Hash("team")}}
 		b.hosts = append(b.hosts, h)
+	}
+}
+
+func (b *bed) writeHosts() {
+	for i, h := range b.hosts {
 		b.write(fmt.Sprintf("host%d.json", i), map[string]any{"host": h})
 	}
-	b.write("base.json", map[string]any{"site": site})
+	b.write("base.json", map[string]any{"site": b.settings.Site})
 }
 
 func (b *bed) write(name string, v any) {
@@ -131,7 +159,7 @@
 }
 
 func (b *bed) startHost(i int) {
-	b.run(b.hosts[i].Name, append([]string{"yuccapaddled", "--log", "debug"}, b.files(i)...)...)
+	b.run(b.hosts[i].Name, append([]string{"yuccapaddled", "--log", b.log}, b.files(i)...)...)
 }
 
 func (b *bed) close() {
