scheduler: place by what workers report as busy

Cause: usage reports were taken in and not looked at, so work went to workers that others used, was refused there and tried again. Change: a worker's free room is less by what it reports as busy beyond what is held there, unless the report is from before the last change here, or over a minute old. TestUsage shows the four cases; two of them go to the busy worker without the change.

--- a/internal/scheduler/live.go
+++ b/internal/scheduler/live.go
@@ -63,6 +63,7 @@
 	lg := s.split(g)
 	s.live[g.Key] = lg
 	s.leases[lg.lease] = lg
+	s.touch(g)
 	return lg
 }
 
@@ -111,6 +112,7 @@
 
 func (s *Scheduler) forgetLive(key string) {
 	if lg := s.live[key]; lg != nil {
+		s.touch(lg.gang)
 		delete(s.leases, lg.lease)
 		delete(s.claims, key)
 		delete(s.live, key)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -46,7 +46,7 @@
 	for i := range v.Workers {
 		w := &v.Workers[i]
 		w.Usable = s.usable(w.Name)
-		w.Free = w.Accelerators - s.state.Used(w.Name)
+		w.Free = w.Accelerators - s.state.Used(w.Name) - s.foreign(w.Name)
 		w.Later = w.Free
 	}
 	for _, g := range v.Gangs {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	leases     map[string]*liveGang
 	upstreams  map[string]*upstreamLive
 	conditions map[string]yuccapaddle.WorkerCondition
+	touched    map[string]time.Time // by worker: when a gang was last put on it or taken off
 	cooling    map[string]time.Time
 	strikes    map[string]map[string]bool
 	claims     map[string]*liveGang
@@ -98,6 +99,7 @@
 		leases:     map[string]*liveGang{},
 		upstreams:  map[string]*upstreamLive{},
 		conditions: map[string]yuccapaddle.WorkerCondition{},
+		touched:    map[string]time.Time{},
 		cooling:    map[string]time.Time{},
 		strikes:    map[string]map[string]bool{},
 		claims:     map[string]*liveGang{},
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -100,3 +100,33 @@
 	again := submit(begin.Add(4*time.Second), begin.Add(9*time.Second))
 	qt.Assert(t, again, qt.DeepEquals, []yuccapaddle.Verdict{yuccapaddle.VerdictWaiting})
 }
+
+// TestUsage: work goes where a worker reports room, unless the report is older
+// than what was placed here, or too old altogether.
+func TestUsage(t *testing.T) {
+	full := func(at time.Time) yuccapaddle.Event {
+		return yuccapaddle.Reported{SentAt: at, Report: yuccapaddle.Report{Upstream: "u", Boot: "b", Seq: 2, Workers: []yuccapaddle.WorkerCondition{
+			{Worker: "r-00", Used: 8, UsageAt: at},
+		}}}
+	}
+	for _, c := range []struct {
+		reported, submitted time.Duration
+		want                string
+	}{
+		{10 * time.Second, 10 * time.Second, "r-01"},
+		{10 * time.Second, 2 * time.Minute, "r-00"},
+		{0, 10 * time.Second, "r-01"},
+	} {
+		s := newCore(10)
+		at := begin.Add(c.submitted)
+		feed(s, at, full(begin.Add(c.reported)), yuccapaddle.Submitted{Request: request("x", at.Add(time.Second))})
+		qt.Check(t, s.State().Gang("w/x").Members[0].Worker, qt.Equals, c.want)
+	}
+	s := newCore(10)
+	feed(s, begin, yuccapaddle.Submitted{Request: request("x", begin.Add(time.Second))})
+	first := s.State().Gang("w/x").Members[0].Worker
+	feed(s, begin, yuccapaddle.Reserved{Upstream: "u", Lease: "w/x/1"}, yuccapaddle.Cancelled{Key: "w/x"},
+		yuccapaddle.Stopped{Upstream: "u", Lease: "w/x/1", Reply: yuccapaddle.StopReply{Boot: "b"}})
+	feed(s, begin, full(begin), yuccapaddle.Submitted{Request: request("y", begin.Add(time.Second))})
+	qt.Check(t, s.State().Gang("w/y").Members[0].Worker, qt.Equals, first, qt.Commentf("the report is of the gang that has gone"))
+}
