server: count the bytes that cross regions

Cause: traffic between regions is paid by volume and was not counted. Change: the metrics upstream_bytes and region_bytes count the bodies of the calls to upstreams, the second only those to other regions. TestKilledHost looks for it. Left: calls between hosts and to the key-value service are not in it.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,6 +47,8 @@
 	client *fasthttp.Client
 	token  string
 	fresh  bool
+
+	observe func(url string, sent, received int)
 }
 
 // Option changes a Caller under construction.
@@ -63,6 +65,11 @@
 	return func(c *Caller) { c.fresh = true }
 }
 
+// WithObserver is told the sizes of the bodies of each answered call.
+func WithObserver(observe func(url string, sent, received int)) Option {
+	return func(c *Caller) { c.observe = observe }
+}
+
 // New returns a Caller.
 func New(opts ...Option) *Caller {
 	c := &Caller{client: &fasthttp.Client{
@@ -121,6 +128,9 @@
 		}
 		return fmt.Errorf("%s %s: %w: %w", method, url, ErrNoReply, err)
 	}
+	if c.observe != nil {
+		c.observe(url, len(req.Body()), len(res.Body()))
+	}
 	if res.StatusCode() != fasthttp.StatusOK {
 		return &StatusError{code: res.StatusCode(), text: string(res.Body())}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,6 +19,7 @@
 const (
 	callTimeout = 2 * time.Second
 	syncSlack   = time.Second
+	scheme      = "http://"
 )
 
 // Dispatcher implements yuccapaddle.Worker.
@@ -29,9 +31,13 @@
 var _ yuccapaddle.Worker = (*Dispatcher)(nil)
 
 // New returns a Dispatcher; addressOf returns the host:port of an upstream, ""
-// if it is not declared.
-func New(addressOf func(upstream string) string) *Dispatcher {
-	return &Dispatcher{caller: caller.New(), addressOf: addressOf}
+// if it is not declared. observe is told the bytes of each call's bodies.
+func New(addressOf func(upstream string) string, observe func(address string, sent, received int)) *Dispatcher {
+	count := func(url string, sent, received int) {
+		address, _, _ := strings.Cut(strings.TrimPrefix(url, scheme), "/")
+		observe(address, sent, received)
+	}
+	return &Dispatcher{caller: caller.New(caller.WithObserver(count)), addressOf: addressOf}
 }
 
 // Reserve implements yuccapaddle.Worker.
@@ -73,7 +79,7 @@
 	if address == "" {
 		return &yuccapaddle.WorkerError{Reason: fmt.Sprintf("upstream %q is not declared", upstream)}
 	}
-	err := d.caller.Call(ctx, fasthttp.MethodPost, "http://"+address+"/v1/"+what, body, reply, wait)
+	err := d.caller.Call(ctx, fasthttp.MethodPost, scheme+address+"/v1/"+what, body, reply, wait)
 	if err == nil {
 		return nil
 	}
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -11,6 +11,7 @@
 	index     map[string]int
 	upstream  []string
 	domainOf  map[string]string
+	regionOf  map[string]string // by address
 	addresses map[string]string
 	out       map[string]bool
 	drained   map[string]bool
@@ -29,6 +30,7 @@
 	m := &Mapper{
 		index:     map[string]int{},
 		domainOf:  map[string]string{},
+		regionOf:  map[string]string{},
 		addresses: map[string]string{},
 		out:       map[string]bool{},
 		drained:   map[string]bool{},
@@ -51,6 +53,7 @@
 
 func (m *Mapper) addUpstream(d yuccapaddle.Domain, u yuccapaddle.Upstream) {
 	m.domainOf[u.Name] = d.Name
+	m.regionOf[u.Address] = d.Region
 	m.addresses[u.Name] = u.Address
 	m.order = append(m.order, u.Name)
 	for _, r := range u.Racks {
@@ -120,6 +123,12 @@
 	return m.domainOf[upstream]
 }
 
+// RegionAt returns the region of the upstream at an address, "" if none is
+// declared there.
+func (m *Mapper) RegionAt(address string) string {
+	return m.regionOf[address]
+}
+
 // AddressOf returns the address of an upstream.
 func (m *Mapper) AddressOf(upstream string) string {
 	return m.addresses[upstream]
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -96,16 +96,19 @@
 	return func(s *Server) { s.hosts = h }
 }
 
-// New returns a Server. nonce differs for every process. worker receives a
-// function that finds an upstream's address.
+// WorkerFunc makes the way to the workers. addressOf finds an upstream's address,
+// and observe is told the bytes that go to an address and come from it.
+type WorkerFunc func(addressOf func(upstream string) string, observe func(address string, sent, received int)) yuccapaddle.Worker
+
+// New returns a Server. nonce differs for every process.
 func New(host *loader.Host, nonce string, store yuccapaddle.Store,
-	worker func(addressOf func(upstream string) string) yuccapaddle.Worker, log *zap.Logger, opts ...Option,
+	worker WorkerFunc, log *zap.Logger, opts ...Option,
 ) *Server {
 	s := &Server{host: host, store: store, log: log, nonce: nonce, startedAt: time.Now()}
 	for _, o := range opts {
 		o(s)
 	}
-	s.worker = worker(s.addressOf)
+	s.worker = worker(s.addressOf, s.countTraffic)
 	s.watch = watcher.New(store, log, s.configured)
 	s.permit = permitter.New(store, nonce)
 	s.lease = leaser.New(store, host.Name, host.Listen.Peers, nonce, log)
@@ -127,6 +130,16 @@
 	return ""
 }
 
+// countTraffic counts the bytes that cross from this host's region to another,
+// which the platform charges for by volume, and all bytes beside them.
+func (s *Server) countTraffic(address string, sent, received int) {
+	s.monitor.Count("upstream_bytes", int64(sent+received))
+	m := s.topology.Load()
+	if m != nil && m.RegionAt(address) != s.host.Region {
+		s.monitor.Count("region_bytes", int64(sent+received))
+	}
+}
+
 // local returns the engine while this host is active.
 func (s *Server) local() forwarder.Local {
 	if d := s.engine.Load(); d != nil {
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -103,8 +103,9 @@
 // smallSite has two failure domains of two racks of two workers.
 func (b *bed) smallSite() yuccapaddle.Site {
 	site := yuccapaddle.Site{Name: "test", Limits: yuccapaddle.Limits{EvictionGraceMS: 500, Attempts: 3}}
-	for _, d := range []string{"d1", "d2"} {
-		site.Domains = append(site.Domains, yuccapaddle.Domain{Name: d, Region: "r", Upstreams: []yuccapaddle.Upstream{
+	for i, d := range []string{"d1", "d2"} {
+		region := []string{"r", "far"}[i]
+		site.Domains = append(site.Domains, yuccapaddle.Domain{Name: d, Region: region, Upstreams: []yuccapaddle.Upstream{
 			{Name: d + "-u1", Address: b.address(), Racks: []yuccapaddle.Rack{{Name: d + "-ra", Workers: 2, Accelerators: 8}}},
 			{Name: d + "-u2", Address: b.address(), Racks: []yuccapaddle.Rack{{Name: d + "-rb", Workers: 2, Accelerators: 8}}},
 		}})
@@ -282,6 +283,12 @@
 	return out
 }
 
+// metrics returns what a host's metrics listener serves.
+func (b *bed) metrics(host int) (string, error) {
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+b.hosts[host].Listen.Metrics+"/metrics", callTime)
+	return string(body), err
+}
+
 // others returns the hosts but one.
 func others(host int) []int {
 	var out []int
@@ -320,6 +327,11 @@
 		qt.Assert(t, len(o.Parts), qt.Equals, 8)
 		qt.Assert(t, len(b.runs(id)), qt.Equals, 8, qt.Commentf("every task ran once"))
 	}
+	next := b.active(active)
+	b.until("bytes between regions are counted", func() bool {
+		text, err := b.metrics(next)
+		return err == nil && strings.Contains(text, "yuccapaddle_region_bytes")
+	})
 }
 
 func TestFrozenHost(t *testing.T) {
--- a/sessions/harness_test.go
+++ b/sessions/harness_test.go
@@ -103,7 +103,9 @@
 
 func (w *world) start(name string) {
 	h := &host{name: name, gate: newGate(), stop: make(chan struct{}), done: make(chan struct{})}
-	wrap := func(func(string) string) yuccapaddle.Worker { return gatedWorker{h.gate, w.worker} }
+	wrap := func(func(string) string, func(string, int, int)) yuccapaddle.Worker {
+		return gatedWorker{h.gate, w.worker}
+	}
 	w.mu.Lock()
 	boot := len(w.hosts)
 	w.mu.Unlock()
