--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test race lint format generate soak measure bench demo
+.PHONY: build test race lint format generate soak measure measure-at fleet bench demo
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -33,5 +33,13 @@
 measure:
 	$(GO) test ./measures -run TestMeasures -count=1 -timeout 0 -measure -v
 
+# Plays the table on an earlier version, to compare with: make measure-at REV=HEAD~10
+measure-at:
+	rm -rf bin/before && mkdir -p bin/before && git archive $(REV) | tar x -C bin/before
+	cd bin/before && $(GO) test ./measures -run TestMeasures -count=1 -timeout 0 -measure -v
+
+fleet:
+	$(GO) test ./processes -run '^$$' -bench Fleet -benchtime 1x -timeout 30m
+
 bench:
-	$(GO) test ./... -run '^$$' -bench . -benchmem
+	$(GO) test ./measures -run '^$$' -bench . -benchmem
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -4,8 +4,7 @@
 
 import "yuccapaddle"
 
-// Mapper is the declared topology. It does not change once built, but for the
-// answers that MostTasks remembers: only one goroutine may call that.
+// Mapper is the declared topology. It does not change once built.
 type Mapper struct {
 	workers   []yuccapaddle.WorkerView
 	index     map[string]int
@@ -48,6 +47,7 @@
 			m.addUpstream(d, u)
 		}
 	}
+	m.countRoom()
 	return m
 }
 
@@ -84,20 +84,26 @@
 // MostTasks is the largest number of tasks with so many accelerators each that
 // any unit of the span takes when it is empty.
 func (m *Mapper) MostTasks(span yuccapaddle.Span, accelerators int) int {
-	key := roomKey{span, accelerators}
-	if n, ok := m.most[key]; ok {
-		return n
-	}
-	room := map[string]int{}
-	most := 0
-	for i := range m.workers {
-		w := &m.workers[i]
-		unit := w.Unit(span)
-		room[unit] += w.Accelerators / accelerators
-		most = max(most, room[unit])
+	return m.most[roomKey{span, accelerators}]
+}
+
+// countRoom finds the largest gang of each size of task.
+func (m *Mapper) countRoom() {
+	for _, span := range []yuccapaddle.Span{yuccapaddle.SpanWorker, yuccapaddle.SpanRack, yuccapaddle.SpanDomain} {
+		room := map[roomKey]map[string]int{}
+		for i := range m.workers {
+			w := &m.workers[i]
+			unit := w.Unit(span)
+			for n := 1; n <= w.Accelerators; n++ {
+				key := roomKey{span, n}
+				if room[key] == nil {
+					room[key] = map[string]int{}
+				}
+				room[key][unit] += w.Accelerators / n
+				m.most[key] = max(m.most[key], room[key][unit])
+			}
+		}
 	}
-	m.most[key] = most
-	return most
 }
 
 // Index maps worker names to positions. It is not to be changed.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -130,3 +130,35 @@
 	feed(s, begin, full(begin), yuccapaddle.Submitted{Request: request("y", begin.Add(time.Second))})
 	qt.Check(t, s.State().Gang("w/y").Members[0].Worker, qt.Equals, first, qt.Commentf("the report is of the gang that has gone"))
 }
+
+// FuzzReport: whatever an upstream says, the core stays whole and breaks no
+// invariant.
+func FuzzReport(f *testing.F) {
+	for _, text := range []string{
+		`{"upstream":"u","boot":"b","seq":2,"tasks":[{"lease":"w/x/1","rank":0,"worker":"r-00","state":"done","part":1}]}`,
+		`{"upstream":"u","boot":"c","seq":1,"full":true,"workers":[{"worker":"r-00","down":true,"used":-5}]}`,
+		`{"upstream":"u","missing":["w/x/1",""],"leaving":true,"tasks":[{"lease":"w/y/1","rank":-1,"state":"failed"}]}`,
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r yuccapaddle.Report
+		if json.Unmarshal(data, &r) != nil {
+			return
+		}
+		s := newCore(10)
+		feed(s, begin, yuccapaddle.Submitted{Request: request("x", begin.Add(time.Hour))},
+			yuccapaddle.Submitted{Request: request("y", begin.Add(time.Hour))}, yuccapaddle.Reserved{Upstream: "u", Lease: "w/x/1"})
+		for n, e := range []yuccapaddle.Event{
+			yuccapaddle.Reported{Report: r, SentAt: begin.Add(time.Second)},
+			yuccapaddle.Stopped{Upstream: r.Upstream, Lease: "w/x/1", Reply: yuccapaddle.StopReply{Boot: r.Boot, Tasks: r.Tasks}},
+			yuccapaddle.Ticked{},
+		} {
+			for _, a := range feed(s, begin.Add(time.Duration(n+2)*time.Second), e) {
+				_, broken := a.(yuccapaddle.Broken)
+				qt.Assert(t, broken, qt.IsFalse, qt.Commentf("%+v", a))
+			}
+			qt.Assert(t, s.Verify(), qt.IsNil)
+		}
+	})
+}
