--- a/internal/placer/borrow.go
+++ b/internal/placer/borrow.go
@@ -201,7 +201,7 @@
 // reserveFor keeps the largest unit of workers free of further borrowers for an
 // aged gang that finds no room. Only the first such gang of a pass gets one. A
 // unit does not count where owners use so much of their homes that the gang
-// would not fit without all borrowers.
+// would not fit even if all borrowers left.
 func (p *pass) reserveFor(w yuccapaddle.Waiting) {
 	if !p.aged(w) || len(p.reserved) > 0 {
 		return
