verifier: count tasks done in an earlier attempt towards a whole gang

Ruled out: a fault of the scheduler; the trace shows 4 fresh starts, 1 resumed and 4 finished, and every open task of the attempt ran. Change: a task that was done before the resumed run, in another attempt of the same request, counts as done, as one that is done within the attempt always has. Runs that are not resumed are checked as before.

--- a/internal/verifier/history.go
+++ b/internal/verifier/history.go
@@ -88,8 +88,9 @@
 	return nil
 }
 
-// wholeGangs: while any task of an attempt runs, the others run or are done,
-// but for a short time at its start and at its end.
+// wholeGangs: while any task of an attempt runs, the others run or are done, in
+// it or in an attempt that it goes on from, but for a short time at its start and
+// at its end.
 func (h *History) wholeGangs() []error {
 	byLease := map[string][]Run{}
 	for _, r := range h.Runs {
@@ -101,7 +102,7 @@
 		if req == nil {
 			continue
 		}
-		if alone := h.alone(runs, req.Tasks); alone > h.PartialWithin {
+		if alone := h.alone(runs, req.Tasks-h.doneBefore(runs[0])); alone > h.PartialWithin {
 			out = append(out, fmt.Errorf("gang %s ran in part for %v", lease, alone))
 		}
 	}
@@ -109,6 +110,21 @@
 	return out
 }
 
+// doneBefore counts the tasks of a resumed run's request that came to their end
+// before it in another attempt.
+func (h *History) doneBefore(resumed Run) int {
+	if !resumed.Resumed {
+		return 0
+	}
+	ranks := map[int]bool{}
+	for _, r := range h.Runs {
+		if r.Key == resumed.Key && r.Lease != resumed.Lease && r.Done && !r.EndAt.After(resumed.StartAt) {
+			ranks[r.Rank] = true
+		}
+	}
+	return len(ranks)
+}
+
 // alone is the longest time from the moment at which a member was missing, not
 // started or stopped before its end, until the last other member stopped.
 func (h *History) alone(runs []Run, tasks int) time.Duration {
