--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -162,3 +162,52 @@
 		}
 	})
 }
+
+// TestReclaimMoving: a guarantee reclaims at once from a gang that is asked to
+// move, as that gang may stay.
+func TestReclaimMoving(t *testing.T) {
+	site := yuccapaddle.Site{
+		Domains: []yuccapaddle.Domain{{Name: "d", Upstreams: []yuccapaddle.Upstream{
+			{Name: "u", Racks: []yuccapaddle.Rack{{Name: "r", Workers: 2, Accelerators: 8}, {Name: "q", Workers: 2, Accelerators: 8}}},
+		}}},
+		Workspaces: []yuccapaddle.Workspace{{Name: "w"}, {Name: "own", Guarantees: []yuccapaddle.Guarantee{
+			{Count: 4, Workers: 1, Accelerators: 8, Span: yuccapaddle.SpanWorker},
+		}}},
+	}
+	s := newCore(10)
+	s.Handle(begin, yuccapaddle.Configured{Config: &yuccapaddle.Config{Revision: 2, Site: site}})
+	for i := range 4 {
+		r := request(fmt.Sprintf("x%d", i), begin.Add(time.Hour))
+		r.Repeatable = true
+		lease := r.Key() + "/1"
+		feed(s, begin, yuccapaddle.Submitted{Request: r}, yuccapaddle.Reserved{Upstream: "u", Lease: lease})
+		feed(s, begin, yuccapaddle.Reserved{Upstream: "u", Lease: lease})
+	}
+	for _, id := range []string{"x0", "x2"} { // one worker of each rack is free again
+		feed(s, begin, yuccapaddle.Cancelled{Key: "w/" + id})
+		feed(s, begin, yuccapaddle.Stopped{Upstream: "u", Lease: "w/" + id + "/1", Reply: yuccapaddle.StopReply{Boot: "b"}})
+	}
+	big := request("big", begin.Add(time.Hour))
+	big.Tasks, big.Span = 2, yuccapaddle.SpanRack
+	later := begin.Add(time.Minute)
+	feed(s, later, yuccapaddle.Submitted{Request: big})
+	later = later.Add(3 * time.Second)
+	feed(s, later, yuccapaddle.Ticked{})
+	moving := 0
+	for _, g := range s.State().Gangs() {
+		if g.Moving {
+			moving++
+		}
+	}
+	qt.Assert(t, moving, qt.Equals, 1)
+	for i := range 4 {
+		r := request(fmt.Sprintf("y%d", i), later.Add(time.Hour))
+		r.Workspace = "own"
+		feed(s, later, yuccapaddle.Submitted{Request: r})
+	}
+	for key, g := range s.State().Gangs() {
+		qt.Check(t, g.Workspace == "own" || (g.Evicting() && !g.Moving), qt.IsTrue, qt.Commentf("%s holds what is guaranteed", key))
+	}
+	_, gangs := s.State().Len()
+	qt.Assert(t, gangs, qt.Equals, 6)
+}
