processes: count fresh starts in one place

Cause: TestCutHost counted the runs that did not resume with the loop that TestFrozenHost already had. Change: bed.freshStarts serves both; the assertions are the same.

--- a/processes/bed_test.go
+++ b/processes/bed_test.go
@@ -272,6 +272,18 @@
 	return out
 }
 
+// freshStarts counts the runs of a request's tasks that did not go on from a
+// checkpoint.
+func (b *bed) freshStarts(id string) int {
+	n := 0
+	for _, r := range b.runs(id) {
+		if !r.Resumed {
+			n++
+		}
+	}
+	return n
+}
+
 // metrics returns what a host's metrics listener serves.
 func (b *bed) metrics(host int) (string, error) {
 	_, body, err := fasthttp.GetTimeout(nil, "http://"+b.hosts[host].Listen.Metrics+"/metrics", callTime)
--- a/processes/cut_test.go
+++ b/processes/cut_test.go
@@ -122,11 +122,5 @@
 		qt.Assert(t, b.change(active, c).Status, qt.Equals, applier.Accepted)
 	}
 	b.settled("once", 0, 1, 2)
-	fresh := 0
-	for _, r := range b.runs("once") {
-		if !r.Resumed {
-			fresh++
-		}
-	}
-	qt.Assert(t, fresh, qt.Equals, 8, qt.Commentf("not repeatable: started once"))
+	qt.Assert(t, b.freshStarts("once"), qt.Equals, 8, qt.Commentf("not repeatable: started once"))
 }
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -86,13 +86,7 @@
 	qt.Assert(t, b.change(active, applier.Change{ID: "back", Action: applier.ActionDomainBack, Target: "d1", Reason: "test"}).Status, qt.Equals, applier.Accepted)
 	qt.Assert(t, b.settled("late", 0, 1, 2).Verdict, qt.Equals, yuccapaddle.VerdictDone)
 	b.settled("frozen", 0, 1, 2)
-	fresh := 0
-	for _, r := range b.runs("frozen") {
-		if !r.Resumed {
-			fresh++
-		}
-	}
-	qt.Assert(t, fresh, qt.Equals, 8, qt.Commentf("not repeatable: started once"))
+	qt.Assert(t, b.freshStarts("frozen"), qt.Equals, 8, qt.Commentf("not repeatable: started once"))
 }
 
 func TestRollingStop(t *testing.T) {
