--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 generate:
 	$(GO) build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=module=yuccapaddle --go-grpc_out=. --go-grpc_opt=module=yuccapaddle internal/peer/peer.proto
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=module=yuccapaddle --go-grpc_out=. --go-grpc_opt=module=yuccapaddle internal/peer/peer.proto internal/peer/jobs.proto
 
 SEED ?= 1
 N ?= 200
--- a/cmd/yuccapaddled/main.go
+++ b/cmd/yuccapaddled/main.go
@@ -35,6 +35,7 @@
 	level := cmd.Flags().String("log", "info", "log level: debug, info, warn, error")
 	_ = cmd.MarkFlagRequired("base")
 	cmd.RunE = func(*cobra.Command, []string) error { return run(*base, *overlays, *level) }
+	cmd.AddCommand(platformCommand())
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "yuccapaddled:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/assembler/assembler.go
@@ -0,0 +1,188 @@
+// Package assembler puts the parts of one host together and runs them until a
+// planned stop.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/claimer"
+	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/jobserver"
+	"yuccapaddle/internal/linker"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/router"
+	"yuccapaddle/internal/ruler"
+	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/writer"
+)
+
+const (
+	mostMessage = 8 << 20
+	mostBody    = 1 << 20
+	idleTime    = 60 * time.Second
+)
+
+// Place says where a host listens. Addresses are host:port.
+type Place struct {
+	Host, Callers, Ready, Peers string
+}
+
+// Outside is what a host meets outside of the system.
+type Outside struct {
+	Ledger   yuccapaddle.Ledger
+	Registry yuccapaddle.Registry
+	Runner   yuccapaddle.Runner
+	Rulebook yuccapaddle.Rulebook
+	// Front makes the handler for callers.
+	Front func(yuccapaddle.Desk) fasthttp.RequestHandler
+}
+
+// Assembler is one host.
+type Assembler struct {
+	place    Place
+	outside  Outside
+	bounds   executor.Bounds
+	drain    time.Duration
+	lease    time.Duration
+	nonce    string
+	log      *zap.Logger
+	rules    *ruler.Ruler
+	links    *linker.Linker
+	claimer  *claimer.Claimer
+	front    *fasthttp.Server
+	stopping atomic.Bool
+	serving  atomic.Int64
+}
+
+// Option changes an Assembler under construction.
+type Option func(*Assembler)
+
+// WithDrain sets how long a planned stop waits for callers.
+func WithDrain(d time.Duration) Option {
+	return func(a *Assembler) { a.drain = d }
+}
+
+// WithLease sets the shortest lease of the ledger.
+func WithLease(d time.Duration) Option {
+	return func(a *Assembler) { a.lease = d }
+}
+
+// New returns a host. nonce differs for every process.
+func New(place Place, outside Outside, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
+	a := &Assembler{place: place, outside: outside, bounds: bounds, nonce: nonce, log: log}
+	for _, o := range opts {
+		o(a)
+	}
+	a.rules = ruler.New(outside.Rulebook, log)
+	a.links = linker.New()
+	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, log)
+	return a
+}
+
+func (a *Assembler) build(rec *recorder.Recorder) *executor.Executor {
+	o := a.outside
+	return executor.New(o.Ledger, o.Registry, o.Runner, a.rules, rec, a.bounds, a.log)
+}
+
+// Run serves until stop is closed, then drains and returns nil.
+func (a *Assembler) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := guarder.New(ctx, a.log)
+	handle := a.outside.Front(router.New(a.rules, a.claimer, a.links))
+	a.front = server(a.counted(handle))
+	ready := server(a.ready)
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
+	peer.RegisterJobsServer(peers, jobserver.New(a.claimer))
+	serve := []struct {
+		address string
+		serve   func(net.Listener) error
+	}{{a.place.Peers, peers.Serve}, {a.place.Ready, ready.Serve}, {a.place.Callers, a.front.Serve}}
+	for _, s := range serve {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("address %s cannot be served: %w", s.address, err)
+		}
+		g.Go("listener "+s.address, func() error { return s.serve(l) })
+	}
+	g.Go("rules", func() error { return a.rules.Run(ctx, a.claimer.Alone) })
+	g.Go("role", func() error { return a.claimer.Run(ctx) })
+	g.Go("stop", func() error {
+		select {
+		case <-ctx.Done():
+		case <-stop:
+			a.drainCallers(ctx)
+		}
+		cancel()
+		peers.Stop()
+		return errors.Join(a.front.Shutdown(), ready.Shutdown())
+	})
+	a.log.Info("started", zap.String("callers", a.place.Callers), zap.String("peers", a.place.Peers))
+	err := g.Wait()
+	a.links.Close()
+	a.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func server(handle fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handle, Name: "yuccapaddle", MaxRequestBodySize: mostBody, IdleTimeout: idleTime,
+		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
+	}
+}
+
+// counted counts the requests in work, so that a planned stop waits for them.
+func (a *Assembler) counted(handle fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		a.serving.Add(1)
+		defer a.serving.Add(-1)
+		handle(ctx)
+		if a.stopping.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+func (a *Assembler) ready(ctx *fasthttp.RequestCtx) {
+	switch {
+	case a.stopping.Load():
+		writer.Error(ctx, fasthttp.StatusServiceUnavailable, "this host is stopping")
+	case a.rules.Current() == nil:
+		writer.Error(ctx, fasthttp.StatusServiceUnavailable, "the rules are not known yet")
+	default:
+		writer.JSON(ctx, fasthttp.StatusOK, struct{}{})
+	}
+}
+
+// drainCallers gives the role up and serves on while callers still come.
+func (a *Assembler) drainCallers(ctx context.Context) {
+	a.log.Info("stopping", zap.Int64("requests", a.serving.Load()))
+	a.stopping.Store(true)
+	a.claimer.Yield()
+	if sleeper.Sleep(ctx, a.drain) != nil {
+		return
+	}
+	for range drainSteps {
+		if a.serving.Load() == 0 {
+			return
+		}
+		_ = sleeper.Sleep(ctx, drainStep) // counted, and ends with the context
+	}
+}
+
+const (
+	drainSteps = 20
+	drainStep  = 50 * time.Millisecond
+)
--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,340 @@
+// Package claimer finds out which host is active, and makes this one active when
+// none is. The lease on the lock key only avoids conflicts: safety rests on the
+// chain of commits and on fencing tokens.
+package claimer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/linker"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/ruler"
+	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/timekeeper"
+)
+
+const lockKey = "yp/lock"
+
+// Times of the lease and of the search.
+const (
+	// leaseTime is short, so that a lost host is replaced well before the servers'
+	// leases end; a renewal costs a tenth of a read.
+	leaseTime  = 1200 * time.Millisecond
+	renewEvery = 350 * time.Millisecond
+	callTime   = 500 * time.Millisecond
+	seekEvery  = 150 * time.Millisecond
+	// silentFor is how long the active host may send no heartbeat.
+	silentFor = 900 * time.Millisecond
+	dialTime  = 300 * time.Millisecond
+)
+
+// Build makes the executor of this host when it becomes active.
+type Build func(rec *recorder.Recorder) *executor.Executor
+
+// Claimer is safe for concurrent use but for Run.
+type Claimer struct {
+	ledger  yuccapaddle.Ledger
+	rules   *ruler.Ruler
+	links   *linker.Linker
+	build   Build
+	log     *zap.Logger
+	clock   timekeeper.Timekeeper
+	host    string
+	address string
+	nonce   string
+	lease   time.Duration
+
+	local    atomic.Pointer[executor.Executor]
+	leader   atomic.Pointer[leader]
+	yielding atomic.Bool
+
+	mu      sync.Mutex
+	known   map[string]time.Time // addresses of other hosts, and when last heard of
+	stop    context.CancelFunc   // ends the active part
+	pending map[string]int64
+}
+
+// leader is the host that is active as far as this one knows.
+type leader struct {
+	address string
+	epoch   uint64
+	heardAt time.Time
+}
+
+// New returns a Claimer for a host that others reach at address. nonce differs
+// for every process; least is the shortest lease that the ledger gives.
+func New(ledger yuccapaddle.Ledger, rules *ruler.Ruler, links *linker.Linker, host, address, nonce string,
+	least time.Duration, build Build, log *zap.Logger,
+) *Claimer {
+	return &Claimer{
+		ledger: ledger, rules: rules, links: links, build: build, log: log, host: host, address: address, nonce: nonce,
+		lease: max(leaseTime, least), known: map[string]time.Time{},
+	}
+}
+
+// Local returns the executor while this host is active, else nil.
+func (c *Claimer) Local() *executor.Executor {
+	return c.local.Load()
+}
+
+// Leader returns the address of the active host, if another one is.
+func (c *Claimer) Leader() (string, bool) {
+	l := c.leader.Load()
+	if l == nil || c.clock.Now().Sub(l.heardAt) > silentFor {
+		return "", false
+	}
+	return l.address, true
+}
+
+// Alone reports whether this host has to read the rules itself: it is active, or
+// hears nothing of a host that does.
+func (c *Claimer) Alone() bool {
+	if c.local.Load() != nil {
+		return true
+	}
+	return c.clock.Now().Sub(c.rules.FreshAt()) > silentFor
+}
+
+// Pending returns the number of jobs of a queue that have not begun.
+func (c *Claimer) Pending(queue string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending[queue]
+}
+
+// Yield gives the role up, if this host has it, and does not seek it again.
+func (c *Claimer) Yield() {
+	c.yielding.Store(true)
+	c.mu.Lock()
+	stop := c.stop
+	c.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// Run follows the active host, or is it, until the context ends.
+func (c *Claimer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		address, ok := c.seek(ctx)
+		if ok && address != "" {
+			c.follow(ctx, address)
+		}
+		_ = sleeper.Jitter(ctx, seekEvery) // the loop ends with the context
+	}
+	return nil
+}
+
+// seek returns the address of the active host, or claims the role.
+func (c *Claimer) seek(ctx context.Context) (string, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	lock, err := c.ledger.Get(callCtx, lockKey)
+	if err != nil {
+		return c.ask(ctx)
+	}
+	holder := string(lock.Value)
+	if lock.Revision != 0 && holder != c.address {
+		if !c.refused(holder) {
+			return holder, true
+		}
+		c.log.Info("the active host's process is gone", zap.String("address", holder))
+	}
+	if c.yielding.Load() {
+		return "", false
+	}
+	c.claim(ctx, lock.Revision)
+	return "", false
+}
+
+// refused reports whether nothing listens at an address, so that the process
+// there has certainly ended.
+func (c *Claimer) refused(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, dialTime)
+	if err == nil {
+		_ = conn.Close() // it was opened only to see whether it can be
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// ask asks the other hosts which one is active, when the ledger does not answer.
+func (c *Claimer) ask(ctx context.Context) (string, bool) {
+	var best *peer.WhoReply
+	for _, a := range c.others() {
+		jobs, err := c.links.Jobs(a)
+		if err != nil {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
+		cancel()
+		if err != nil {
+			continue
+		}
+		if err := c.learn(reply.GetRules()); err != nil {
+			c.log.Warn("the rules of another host cannot be read", zap.String("address", a), zap.Error(err))
+		}
+		if reply.GetAddress() != "" && (best == nil || reply.GetEpoch() > best.GetEpoch()) {
+			best = reply
+		}
+	}
+	if best == nil || best.GetAddress() == c.address {
+		return "", false
+	}
+	return best.GetAddress(), true
+}
+
+func (c *Claimer) learn(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	return c.rules.Offer(data, "host")
+}
+
+// Who is this host's answer to the question which host is active.
+func (c *Claimer) Who() *peer.WhoReply {
+	data, revision := c.rules.Data()
+	reply := &peer.WhoReply{Rules: data, RulesRevision: revision}
+	if e := c.local.Load(); e != nil {
+		reply.Address, reply.Epoch = c.address, e.Epoch()
+		return reply
+	}
+	if l := c.leader.Load(); l != nil && c.clock.Now().Sub(l.heardAt) < silentFor {
+		reply.Address, reply.Epoch = l.address, l.epoch
+	}
+	return reply
+}
+
+func (c *Claimer) others() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]string, 0, len(c.known))
+	for a := range c.known {
+		if a != c.address {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// Meet notes the address of another host.
+func (c *Claimer) Meet(address string) {
+	if address == "" || address == c.address {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known[address] = c.clock.Now()
+}
+
+// claim tries to make this host active. seen is the revision of the lock.
+func (c *Claimer) claim(ctx context.Context, seen uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, 3*callTime)
+	defer cancel()
+	lease, err := c.ledger.Grant(callCtx, c.lease)
+	if err != nil {
+		c.log.Info("no lease to be had", zap.Error(err))
+		return
+	}
+	rec, err := recorder.Claim(callCtx, c.ledger, c.host, c.address, c.nonce, recorder.Lock{
+		Key: lockKey, Revision: seen, Lease: lease, Address: c.address,
+	})
+	if err != nil {
+		c.log.Info("the claim did not succeed", zap.Error(err))
+		c.release(ctx, lease)
+		return
+	}
+	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
+	c.lead(ctx, rec, lease)
+	c.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
+	c.release(ctx, lease)
+}
+
+func (c *Claimer) release(ctx context.Context, lease uint64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
+	defer cancel()
+	if err := c.ledger.Release(ctx, lease); err != nil && !errors.Is(err, yuccapaddle.ErrLeaseOver) {
+		c.log.Info("a lease was not given back and will run out", zap.Uint64("lease", lease), zap.Error(err))
+	}
+}
+
+// lead runs the executor until the role is lost or given up.
+func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.stop = cancel
+	c.mu.Unlock()
+	if c.yielding.Load() {
+		return
+	}
+	e := c.build(rec)
+	c.leader.Store(nil)
+	c.local.Store(e)
+	defer c.local.CompareAndSwap(e, nil)
+	g, ctx := guarder.New(ctx, c.log)
+	g.Go("executor", func() error {
+		defer cancel()
+		return e.Run(ctx)
+	})
+	g.Go("renewal", func() error {
+		defer cancel()
+		return c.renew(ctx, lease, rec.Epoch())
+	})
+	g.Go("counts", func() error { return c.count(ctx, e) })
+	if err := g.Wait(); err != nil {
+		c.log.Info("the role ends", zap.Error(err))
+	}
+}
+
+// renew keeps the lease. While the ledger does not answer, the role is kept
+// unless another host knows of a later writer.
+func (c *Claimer) renew(ctx context.Context, lease, epoch uint64) error {
+	renewed := c.clock.Now()
+	for {
+		if sleeper.Sleep(ctx, renewEvery) != nil {
+			return nil
+		}
+		at := c.clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		err := c.ledger.Renew(callCtx, lease)
+		cancel()
+		switch {
+		case err == nil:
+			renewed = at
+		case errors.Is(err, yuccapaddle.ErrLeaseOver):
+			return err
+		case at.Sub(renewed) > c.lease && c.superseded(ctx, epoch):
+			return recorder.ErrReplaced
+		}
+	}
+}
+
+func (c *Claimer) superseded(ctx context.Context, epoch uint64) bool {
+	for _, a := range c.others() {
+		jobs, err := c.links.Jobs(a)
+		if err != nil {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, dialTime)
+		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
+		cancel()
+		if err == nil && reply.GetEpoch() > epoch {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,293 @@
+// Package executor runs the planner on the active host: it commits what the
+// planner decides, then sends the orders, and tells the planner what came of
+// them.
+package executor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/planner"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/ruler"
+	"yuccapaddle/internal/timekeeper"
+)
+
+const (
+	// inboxLength is how many events may wait for the loop.
+	inboxLength = 4096
+	// listEvery is how often the servers' registrations are read: a draining one
+	// must be noticed well within the time that operators allow.
+	listEvery = 700 * time.Millisecond
+	listTime  = 600 * time.Millisecond
+	// knownFor is how old the registrations and rules may be when tasks are placed.
+	knownFor = 1800 * time.Millisecond
+	idleTick = 200 * time.Millisecond
+)
+
+// ErrStopped reports that the executor has ended before it could answer.
+var ErrStopped = errors.New("this host is not active any more")
+
+// Bounds are figures of the settings.
+type Bounds struct {
+	// HoldMax is the longest lease that a server gives, in milliseconds.
+	HoldMax int64
+	Planner planner.Limits
+}
+
+// Executor runs on the host that writes the records.
+type Executor struct {
+	ledger   yuccapaddle.Ledger
+	registry yuccapaddle.Registry
+	runner   yuccapaddle.Runner
+	rules    *ruler.Ruler
+	rec      *recorder.Recorder
+	log      *zap.Logger
+	bounds   Bounds
+	clock    timekeeper.Timekeeper
+
+	inbox chan func()
+	done  chan struct{}
+	plan  *planner.Planner
+	group *guarder.Guarder
+	ctx   context.Context
+	fail  error
+
+	committing  bool
+	committedAt time.Time
+	waiters     []chan struct{}
+	links       map[string]*link
+	shown       map[string]shownJob
+	digest      uint64
+	listedAt    time.Time
+	startedAt   time.Time
+	now         time.Time
+}
+
+// shownJob is the committed state of a job, as callers see it.
+type shownJob struct {
+	state yuccapaddle.JobState
+	queue string
+}
+
+// New returns an executor for the writer of the records.
+func New(ledger yuccapaddle.Ledger, registry yuccapaddle.Registry, runner yuccapaddle.Runner,
+	rules *ruler.Ruler, rec *recorder.Recorder, bounds Bounds, log *zap.Logger,
+) *Executor {
+	return &Executor{
+		ledger: ledger, registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, log: log,
+		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
+		links: map[string]*link{}, shown: map[string]shownJob{},
+	}
+}
+
+// Run loads the records and decides until the context ends or another host has
+// taken over.
+func (e *Executor) Run(ctx context.Context) error {
+	defer close(e.done)
+	e.group, e.ctx = guarder.New(ctx, e.log)
+	e.startedAt = e.clock.Now()
+	e.stamp()
+	if err := e.load(); err != nil {
+		return err
+	}
+	e.group.Go("registrations", e.followRegistry)
+	e.group.Go("decisions", e.loop)
+	err := e.group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (e *Executor) stamp() {
+	e.now = e.clock.Now()
+	e.plan.At(e.now, time.Now().Round(0))
+}
+
+func (e *Executor) load() error {
+	n := 0
+	err := e.rec.Load(e.ctx, func(job, state []byte) {
+		if err := e.plan.Restore(job, state); err != nil {
+			e.log.Error("a record is passed over", zap.Error(err))
+			return
+		}
+		n++
+	})
+	if err != nil {
+		return fmt.Errorf("take over the jobs: %w", err)
+	}
+	for _, s := range e.plan.Shown() {
+		e.shown[s.ID] = shownJob{s.Shown, s.Queue}
+	}
+	e.log.Info("jobs loaded", zap.Int("jobs", n), zap.Uint64("epoch", e.rec.Epoch()),
+		zap.Int64("took_ms", e.clock.Now().Sub(e.startedAt).Milliseconds()))
+	return nil
+}
+
+// loop handles events one after the other; nothing else touches the planner.
+func (e *Executor) loop() error {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for e.fail == nil {
+		select {
+		case <-e.ctx.Done():
+			return e.ctx.Err()
+		case f := <-e.inbox:
+			e.stamp()
+			f()
+			e.drainInbox()
+		case <-timer.C:
+			e.stamp()
+		}
+		e.advance()
+		timer.Reset(e.untilNext())
+	}
+	return e.fail
+}
+
+func (e *Executor) drainInbox() {
+	for range len(e.inbox) {
+		f := <-e.inbox
+		f()
+	}
+}
+
+// untilNext is the time until the loop has to act without an event.
+func (e *Executor) untilNext() time.Duration {
+	wait := min(idleTick, e.plan.WakeAt().Sub(e.now))
+	return max(wait, 5*time.Millisecond)
+}
+
+// advance plans, commits and keeps the servers' leases.
+func (e *Executor) advance() {
+	if r := e.rules.Current(); r != nil && r.Digest != e.digest {
+		e.digest = r.Digest
+		e.plan.Configure(r)
+	}
+	if !e.committing {
+		if e.informed() {
+			e.plan.Plan()
+		}
+		e.flush()
+	}
+	e.keepLinks()
+}
+
+// informed reports whether the registrations and the rules are fresh enough to
+// place tasks by them.
+func (e *Executor) informed() bool {
+	return e.now.Sub(e.listedAt) < knownFor && e.now.Sub(e.rules.FreshAt()) < knownFor
+}
+
+// post hands an event to the loop, unless the executor has ended.
+func (e *Executor) post(f func()) bool {
+	select {
+	case e.inbox <- f:
+		return true
+	case <-e.done:
+		return false
+	}
+}
+
+// flush commits what the planner has decided, and then performs it.
+func (e *Executor) flush() {
+	b := e.plan.Take()
+	waiters := e.waiters
+	if b.Empty() && len(waiters) == 0 && !e.owed() {
+		return
+	}
+	e.waiters = nil
+	seen := e.seen()
+	if len(b.Records) == 0 && len(b.Removed) == 0 {
+		e.perform(&b, waiters, seen)
+		return
+	}
+	e.committing, e.committedAt = true, e.now
+	e.group.Go("commit", func() error {
+		err := e.rec.Save(e.ctx, b.Records, b.Removed)
+		if err != nil {
+			return fmt.Errorf("commit: %w", err)
+		}
+		e.post(func() {
+			e.committing = false
+			e.perform(&b, waiters, seen)
+		})
+		return nil
+	})
+}
+
+// perform carries out a committed batch.
+func (e *Executor) perform(b *planner.Batch, waiters []chan struct{}, seen map[string]int64) {
+	for _, r := range b.Records {
+		e.shown[r.ID] = shownJob{r.Shown, r.Queue}
+	}
+	for _, id := range b.Removed {
+		delete(e.shown, id)
+	}
+	for _, w := range waiters {
+		close(w)
+	}
+	for id, n := range seen {
+		e.link(id).committed = n
+	}
+	e.logNotes(b)
+	for i := range b.Stops {
+		e.sendStop(b.Stops[i])
+	}
+	for i := range b.Starts {
+		e.sendStart(b.Starts[i])
+	}
+}
+
+func (e *Executor) logNotes(b *planner.Batch) {
+	for i := range b.Notes {
+		n := &b.Notes[i]
+		e.log.Info(n.Event, zap.String("job", n.Job), zap.String("task", n.Task), zap.String("server", n.Server),
+			zap.Int("run", n.Run), zap.String("detail", n.Detail), zap.Int64("rules", e.plan.Rules().Version),
+			zap.Int64("listed_ms_ago", e.now.Sub(e.listedAt).Milliseconds()))
+	}
+}
+
+// wait registers a channel that is closed with the next commit. It is called by
+// the loop.
+func (e *Executor) wait() chan struct{} {
+	w := make(chan struct{})
+	e.waiters = append(e.waiters, w)
+	return w
+}
+
+// followRegistry reads the servers' registrations.
+func (e *Executor) followRegistry() error {
+	away := false
+	for {
+		at := e.clock.Now()
+		callCtx, cancel := context.WithTimeout(e.ctx, listTime)
+		list, err := e.registry.Servers(callCtx)
+		cancel()
+		if (err != nil) != away {
+			away = err != nil
+			e.log.Info("registrations", zap.Bool("readable", !away), zap.Error(err))
+		}
+		if err == nil {
+			e.post(func() {
+				e.listedAt = at
+				e.plan.List(list)
+				e.noteClocks(list, at)
+			})
+		}
+		timer := time.NewTimer(listEvery)
+		select {
+		case <-e.ctx.Done():
+			timer.Stop()
+			return e.ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/executor/link.go
@@ -0,0 +1,283 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/planner"
+)
+
+// Figures of the calls to servers.
+const (
+	// orderTime is how long a start or stop may go unanswered.
+	orderTime = 500 * time.Millisecond
+	// waitMS is how long a server may wait with its list for another end.
+	waitMS = 1900
+	// holdSlack is what a call may take beyond its wait.
+	holdSlack = 700 * time.Millisecond
+	holdRetry = 200 * time.Millisecond
+	// slowest is the rate at which a server's clock certainly runs.
+	slowest = 0.98
+	// bumpBits leave room in a token for the restarts of one server.
+	bumpBits = 16
+)
+
+// link is what this host knows of its way to a server.
+type link struct {
+	clock     int64 // of the server, in milliseconds
+	clockAt   time.Time
+	born      int64
+	bump      uint64
+	holding   bool
+	holdAt    time.Time // when the last hold was sent
+	retryAt   time.Time
+	committed int64 // ends whose effects are committed
+	told      int64 // ends that the server has been told to forget
+	lapsesBy  time.Time
+	silent    bool
+	backoff   time.Time
+}
+
+func (e *Executor) link(id string) *link {
+	l := e.links[id]
+	if l == nil {
+		l = &link{lapsesBy: e.leaseEnd(e.startedAt)}
+		e.links[id] = l
+	}
+	return l
+}
+
+// leaseEnd is when a lease given at that time has certainly ended.
+func (e *Executor) leaseEnd(at time.Time) time.Time {
+	ms := float64(e.bounds.HoldMax) / slowest
+	return at.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// clockNow is the least that the server's clock can show now.
+func (l *link) clockNow(now time.Time) int64 {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*slowest)
+}
+
+// setClock takes a reading of the server's clock that was asked for at sentAt.
+func (l *link) setClock(clock int64, sentAt time.Time) {
+	if clock <= 0 || clock < l.clockNow(sentAt) {
+		return
+	}
+	l.clock, l.clockAt = clock, sentAt
+}
+
+func (l *link) restart(born, clock int64, at time.Time) {
+	l.born, l.clock, l.clockAt = born, clock, at
+	l.committed, l.told = 0, 0
+	l.bump++
+}
+
+func (e *Executor) token(l *link) uint64 {
+	return e.rec.Epoch()<<bumpBits | l.bump
+}
+
+// deadline gives the lease that an order sent now brings, and notes its end.
+func (e *Executor) deadline(l *link) int64 {
+	if end := e.leaseEnd(e.now); end.After(l.lapsesBy) {
+		l.lapsesBy = end
+	}
+	return l.clockNow(e.now) + e.bounds.HoldMax
+}
+
+// noteClocks takes the clocks of new registrations.
+func (e *Executor) noteClocks(list []yuccapaddle.Server, at time.Time) {
+	for i := range list {
+		s := &list[i]
+		l := e.link(s.ID)
+		switch {
+		case l.born == 0:
+			l.born = s.Born
+		case l.born < s.Born:
+			l.restart(s.Born, s.Clock, at)
+			continue
+		}
+		if l.born == s.Born {
+			l.setClock(s.Clock, at)
+		}
+	}
+}
+
+// seen lists the ends whose effects the next commit contains.
+func (e *Executor) seen() map[string]int64 {
+	var seen map[string]int64
+	for id, l := range e.links {
+		if n := e.plan.Seen(id); n > l.committed {
+			if seen == nil {
+				seen = map[string]int64{}
+			}
+			seen[id] = n
+		}
+	}
+	return seen
+}
+
+// owed reports whether ends have been applied that no commit has covered yet.
+func (e *Executor) owed() bool {
+	for id, l := range e.links {
+		if e.plan.Seen(id) > l.committed {
+			return true
+		}
+	}
+	return false
+}
+
+// keepLinks renews leases and asks for ends where something may run.
+func (e *Executor) keepLinks() {
+	for id, l := range e.links {
+		if l.holding || e.now.Before(l.retryAt) {
+			continue
+		}
+		busy := e.plan.Busy(id)
+		if !busy && l.told >= e.plan.Seen(id) {
+			continue
+		}
+		if l.silent && e.now.After(l.lapsesBy) {
+			e.plan.Lapsed(id)
+			l.silent = false
+			l.told = e.plan.Seen(id)
+			continue
+		}
+		e.hold(id, l, busy)
+	}
+}
+
+func (e *Executor) hold(id string, l *link, busy bool) {
+	s, ok := e.plan.Server(id)
+	if !ok || s.Address == "" {
+		l.silent = true
+		l.retryAt = e.now.Add(holdRetry)
+		return
+	}
+	o := yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed}
+	if busy {
+		o.WaitMS = waitMS
+		o.Deadline = e.deadline(l)
+	}
+	if e.plan.Seen(id) > l.committed {
+		// The server would answer at once with ends that are not committed yet.
+		if e.now.Sub(l.holdAt) < waitMS*time.Millisecond/2 {
+			return
+		}
+		o.WaitMS = 0
+	}
+	l.holding, l.holdAt = true, e.now
+	sentAt := e.now
+	e.group.Go("hold", func() error {
+		ctx, cancel := context.WithTimeout(e.ctx, time.Duration(o.WaitMS)*time.Millisecond+holdSlack)
+		defer cancel()
+		reply, err := e.runner.Hold(ctx, &s, o)
+		e.post(func() { e.held(id, l, o, sentAt, reply, err) })
+		return nil
+	})
+}
+
+func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, reply yuccapaddle.HoldReply, err error) {
+	l.holding = false
+	if err != nil {
+		e.noteSilence(id, l, err)
+		return
+	}
+	if l.silent {
+		l.silent = false
+		e.log.Info("server answers again", zap.String("server", id))
+	}
+	if reply.Born != l.born {
+		fresh := l.born != 0
+		l.restart(reply.Born, reply.Clock, sentAt)
+		if fresh {
+			return // ask again under a token that shuts out orders from before the restart
+		}
+	}
+	l.setClock(reply.Clock, sentAt)
+	l.told = max(l.told, o.Seen)
+	e.plan.Report(id, &reply, sentAt)
+}
+
+func (e *Executor) noteSilence(id string, l *link, err error) {
+	l.retryAt = e.now.Add(holdRetry)
+	var refusal *yuccapaddle.RefusalError
+	if errors.As(err, &refusal) && refusal.Reason == yuccapaddle.RefusedOutdated {
+		e.deposed(id)
+		return
+	}
+	if !l.silent {
+		l.silent = true
+		e.log.Info("server does not answer", zap.String("server", id), zap.Error(err),
+			zap.Int64("leases_end_ms", l.lapsesBy.Sub(e.now).Milliseconds()))
+	}
+}
+
+// deposed ends this executor: a server has had orders from a later writer.
+func (e *Executor) deposed(id string) {
+	if e.fail == nil {
+		e.log.Warn("a server obeys a later host", zap.String("server", id))
+		e.fail = ErrStopped
+	}
+}
+
+func (e *Executor) sendStart(st planner.Start) {
+	l := e.link(st.Server)
+	s, ok := e.plan.Server(st.Server)
+	if !ok || !e.plan.Startable(st.Server) || !e.informed() {
+		e.plan.Answered(st.Server, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedReplaced})
+		return
+	}
+	sentAt := e.now
+	o := yuccapaddle.StartOrder{
+		Task: st.Task, Run: st.Run, Payload: st.Payload, Saved: st.Saved, Ticket: st.Ticket,
+		Deadline: e.deadline(l), Token: e.token(l),
+	}
+	e.group.Go("start", func() error {
+		ctx, cancel := context.WithTimeout(e.ctx, orderTime)
+		defer cancel()
+		clock, err := e.runner.Start(ctx, &s, o)
+		e.post(func() { e.answered(l, st, clock, sentAt, err) })
+		return nil
+	})
+}
+
+func (e *Executor) answered(l *link, st planner.Start, clock int64, sentAt time.Time, err error) {
+	l.setClock(clock, sentAt)
+	var refusal *yuccapaddle.RefusalError
+	if errors.As(err, &refusal) {
+		l.setClock(refusal.Clock, sentAt)
+		if refusal.Reason == yuccapaddle.RefusedOutdated {
+			e.deposed(st.Server)
+			return
+		}
+	}
+	e.plan.Answered(st.Server, st.Task, st.Run, err)
+}
+
+func (e *Executor) sendStop(st planner.Stop) {
+	l := e.link(st.Server)
+	s, ok := e.plan.Server(st.Server)
+	if !ok || s.Address == "" {
+		return
+	}
+	o := yuccapaddle.StopOrder{Task: st.Task, Run: st.Run, Token: e.token(l)}
+	e.group.Go("stop", func() error {
+		ctx, cancel := context.WithTimeout(e.ctx, orderTime)
+		defer cancel()
+		clock, err := e.runner.Stop(ctx, &s, o)
+		e.post(func() {
+			l.setClock(clock, e.now)
+			if err == nil {
+				e.plan.Stopped(st.Server, st.Task, st.Run)
+			}
+		})
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/jobserver/jobserver.go
@@ -0,0 +1,85 @@
+// Package jobserver answers the other hosts of the system.
+package jobserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/claimer"
+	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/peer"
+)
+
+// Jobserver implements peer.JobsServer.
+type Jobserver struct {
+	peer.UnimplementedJobsServer
+	claimer *claimer.Claimer
+}
+
+// New returns a Jobserver.
+func New(c *claimer.Claimer) *Jobserver {
+	return &Jobserver{claimer: c}
+}
+
+// Submit implements peer.JobsServer.
+func (s *Jobserver) Submit(ctx context.Context, req *peer.JobSubmit) (*peer.JobAnswer, error) {
+	j := &yuccapaddle.Job{}
+	if err := json.Unmarshal(req.GetJob(), j); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "the job cannot be read: %v", err)
+	}
+	if err := j.Check(); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return s.with(func(e *executor.Executor) (*peer.JobAnswer, error) {
+		return &peer.JobAnswer{Found: true}, e.Submit(ctx, j)
+	})
+}
+
+// Cancel implements peer.JobsServer.
+func (s *Jobserver) Cancel(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
+	return s.with(func(e *executor.Executor) (*peer.JobAnswer, error) {
+		found, err := e.Cancel(ctx, req.GetId(), req.GetQueue())
+		return &peer.JobAnswer{Found: found}, err
+	})
+}
+
+// Show implements peer.JobsServer.
+func (s *Jobserver) Show(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
+	return s.with(func(e *executor.Executor) (*peer.JobAnswer, error) {
+		state, found, err := e.Show(ctx, req.GetId(), req.GetQueue())
+		return &peer.JobAnswer{Found: found, State: string(state)}, err
+	})
+}
+
+// Follow implements peer.JobsServer.
+func (s *Jobserver) Follow(req *peer.FollowRequest, stream grpc.ServerStreamingServer[peer.Beat]) error {
+	return s.claimer.Follow(req, stream)
+}
+
+// Who implements peer.JobsServer.
+func (s *Jobserver) Who(context.Context, *peer.WhoRequest) (*peer.WhoReply, error) {
+	return s.claimer.Who(), nil
+}
+
+// with runs f on the executor, if this host is active. An answer is inactive
+// only if nothing was done.
+func (s *Jobserver) with(f func(*executor.Executor) (*peer.JobAnswer, error)) (*peer.JobAnswer, error) {
+	e := s.claimer.Local()
+	if e == nil {
+		return &peer.JobAnswer{Inactive: true}, nil
+	}
+	answer, err := f(e)
+	switch {
+	case errors.Is(err, yuccapaddle.ErrNotTaken):
+		return &peer.JobAnswer{Inactive: true}, nil
+	case err != nil:
+		return nil, status.Error(codes.Unknown, err.Error())
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/planner/job.go
@@ -0,0 +1,223 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"yuccapaddle"
+)
+
+// job is the state of one job.
+type job struct {
+	in      *yuccapaddle.Job
+	state   yuccapaddle.JobState
+	units   []*unit
+	opened  int // occurrences whose units exist
+	endedAt time.Time
+	taken   time.Time
+	why     string
+	fresh   bool // not committed yet: the record needs the job itself
+	queue   struct {
+		priority int
+	}
+}
+
+type unitState int
+
+const (
+	unitWaiting unitState = iota
+	unitPlaced
+	unitDone
+)
+
+// unit is what is placed whole or not at all: a gang, or a single task.
+type unit struct {
+	job        *job
+	occurrence int
+	step       int
+	index      int // of the task, 0 for a gang
+	state      unitState
+	run        int
+	fails      int
+	saved      string
+	members    []member
+	done       bool // a run has ended as done
+	stopping   bool
+	stopAt     time.Time
+	waitsFrom  time.Time
+	placedAt   time.Time
+	avoid      map[string]time.Time
+	claim      []string // servers on which room is being freed for it
+	claimedAt  time.Time
+	failed     bool // the current run has counted as a failure
+}
+
+// member is one task of the current run on its server.
+type member struct {
+	server  string
+	born    int64
+	sent    bool // the server has confirmed the start
+	over    bool // it has ended, or certainly will not begin
+	percent int
+	movedAt time.Time // the last progress
+	tries   int
+	seen    bool // listed as running
+}
+
+func newJob(in *yuccapaddle.Job, now time.Time) *job {
+	return &job{in: in, state: yuccapaddle.JobQueued, taken: now}
+}
+
+func (u *unit) spec() *yuccapaddle.Step {
+	return &u.job.in.Steps[u.step]
+}
+
+func (u *unit) width() int {
+	if u.spec().Gang {
+		return u.spec().Count
+	}
+	return 1
+}
+
+func (u *unit) taskID(i int) yuccapaddle.TaskID {
+	index := u.index
+	if u.spec().Gang {
+		index = i
+	}
+	return yuccapaddle.TaskID{Job: u.job.in.ID, Occurrence: u.occurrence, Step: u.step, Index: index}
+}
+
+// live reports whether a member may still run.
+func (u *unit) live() bool {
+	for i := range u.members {
+		if !u.members[i].over {
+			return true
+		}
+	}
+	return false
+}
+
+// held is the room that the unit's live members hold.
+func (u *unit) held() int {
+	n := 0
+	for i := range u.members {
+		if !u.members[i].over {
+			n++
+		}
+	}
+	return n
+}
+
+// working reports whether all members are known to be in work.
+func (u *unit) working() bool {
+	for i := range u.members {
+		if u.members[i].over || !u.members[i].sent {
+			return false
+		}
+	}
+	return true
+}
+
+// progress is the smallest progress of the members, 0 to 100.
+func (u *unit) progress() int {
+	least := math.MaxInt
+	for i := range u.members {
+		least = min(least, u.members[i].percent)
+	}
+	if least == math.MaxInt {
+		return 0
+	}
+	return least
+}
+
+func (j *job) busy() bool {
+	for _, u := range j.units {
+		if u.state == unitPlaced || u.live() {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the unit of a task.
+func (j *job) find(t yuccapaddle.TaskID) (*unit, int) {
+	for _, u := range j.units {
+		if u.occurrence != t.Occurrence || u.step != t.Step {
+			continue
+		}
+		if u.spec().Gang && t.Index < len(u.members) {
+			return u, t.Index
+		}
+		if !u.spec().Gang && u.index == t.Index {
+			return u, 0
+		}
+	}
+	return nil, 0
+}
+
+// stepDone reports whether all tasks of a step have ended as done.
+func (j *job) stepDone(occurrence, step int) bool {
+	for _, u := range j.units {
+		if u.occurrence == occurrence && u.step == step && !u.done {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether the steps before the unit's are done.
+func (u *unit) ready() bool {
+	for _, a := range u.spec().After {
+		if !u.job.stepDone(u.occurrence, a) {
+			return false
+		}
+	}
+	return true
+}
+
+// open creates the units of all occurrences that are due, and returns the time
+// of the next one.
+func (p *Planner) open(j *job) {
+	for j.opened < j.in.Occurrences() {
+		due := j.in.Due(j.opened)
+		if due.After(p.wall) {
+			p.wakeBy(p.now.Add(due.Sub(p.wall)))
+			return
+		}
+		j.add(j.opened, p.now)
+		j.opened++
+		p.changed = true
+	}
+}
+
+func (j *job) add(occurrence int, now time.Time) {
+	for s := range j.in.Steps {
+		step := &j.in.Steps[s]
+		n := step.Count
+		if step.Gang {
+			n = 1
+		}
+		for i := range n {
+			j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: s, index: i, waitsFrom: now})
+		}
+	}
+}
+
+// settle completes a job whose tasks are all done.
+func (p *Planner) settle(j *job) {
+	if j.state.Final() || j.opened < j.in.Occurrences() {
+		return
+	}
+	for _, u := range j.units {
+		if !u.done {
+			return
+		}
+	}
+	p.finish(j, yuccapaddle.JobCompleted)
+}
+
+func (p *Planner) wakeBy(t time.Time) {
+	if p.wakeAt.IsZero() || t.Before(p.wakeAt) {
+		p.wakeAt = t
+	}
+}
--- /dev/null
+++ b/internal/planner/pick.go
@@ -0,0 +1,219 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccapaddle"
+)
+
+// room is what a server offers to one unit.
+type room struct {
+	s     *server
+	free  yuccapaddle.Need
+	tasks int // that fit
+}
+
+// pick chooses a server for each task of a unit, nil if there is no room.
+// reserved is room that is kept for others.
+func (p *Planner) pick(u *unit, reserved map[string]yuccapaddle.Need) []string {
+	rooms := p.rooms(u, reserved)
+	step := u.spec()
+	n := u.width()
+	if step.DataRack != "" {
+		if list := fill(inRack(rooms, step.DataRack), n); list != nil || p.patient(u, step.DataRack) {
+			return list
+		}
+	}
+	if step.Gang && n > 1 {
+		if list := oneRack(rooms, n); list != nil {
+			return list
+		}
+		if step.OneRack && p.patient(u, "") {
+			return nil
+		}
+		return fewestRacks(rooms, n)
+	}
+	return fill(rooms, n)
+}
+
+// patient reports whether a unit should go on waiting for a rack of its own
+// rather than run slowly now.
+func (p *Planner) patient(u *unit, rack string) bool {
+	if !p.rackCouldHold(u, rack) {
+		return false
+	}
+	wait := time.Duration(u.spec().Estimate) * time.Millisecond * time.Duration(p.limits.Remote-1)
+	until := u.waitsFrom.Add(wait)
+	if p.now.Before(until) {
+		p.wakeBy(until)
+		return true
+	}
+	return false
+}
+
+// rackCouldHold reports whether a rack (any, if none is named) is large enough
+// for the unit when it is empty.
+func (p *Planner) rackCouldHold(u *unit, rack string) bool {
+	count := map[string]int{}
+	for _, s := range p.servers {
+		if (rack == "" || s.Rack == rack) && p.usable(s) && p.suits(u, s) {
+			count[s.Rack] += tasksIn(u, s.Capacity, u.spec().PerServer)
+		}
+	}
+	for _, n := range count {
+		if n >= u.width() {
+			return true
+		}
+	}
+	return false
+}
+
+// suits reports whether a server may run the unit at all.
+func (p *Planner) suits(u *unit, s *server) bool {
+	return s.Service == p.service(u.job) && (u.spec().Label == "" || s.label(u.spec().Label))
+}
+
+// rooms lists the servers with room for a task, those with the least room left
+// first; servers that have failed of late come last.
+func (p *Planner) rooms(u *unit, reserved map[string]yuccapaddle.Need) []room {
+	var list []room
+	for id, s := range p.servers {
+		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) {
+			continue
+		}
+		free := s.free().Sub(reserved[id])
+		n := tasksIn(u, free, p.perServer(u, s))
+		if n > 0 {
+			list = append(list, room{s: s, free: free, tasks: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b room) int {
+		return cmp.Or(
+			compareBool(p.rests(a.s), p.rests(b.s)),
+			cmp.Compare(a.free.GPU, b.free.GPU),
+			cmp.Compare(a.free.CPU, b.free.CPU),
+			cmp.Compare(a.s.ID, b.s.ID),
+		)
+	})
+	return list
+}
+
+// perServer is how many tasks of the unit's step may still go to a server, 0 for
+// no limit, less than 0 for none.
+func (p *Planner) perServer(u *unit, s *server) int {
+	most := u.spec().PerServer
+	if most == 0 {
+		return 0
+	}
+	for _, x := range s.runs {
+		if x.u.job == u.job && x.u.occurrence == u.occurrence && x.u.step == u.step {
+			most--
+		}
+	}
+	if most <= 0 {
+		return -1
+	}
+	return most
+}
+
+func tasksIn(u *unit, free yuccapaddle.Need, most int) int {
+	need := u.spec().Need
+	n := u.width()
+	if most != 0 {
+		n = min(n, max(most, 0))
+	}
+	if need.CPU > 0 && !u.spec().Spare {
+		n = min(n, free.CPU/need.CPU)
+	}
+	if need.Memory > 0 {
+		n = min(n, free.Memory/need.Memory)
+	}
+	if need.GPU > 0 {
+		n = min(n, free.GPU/need.GPU)
+	}
+	return max(n, 0)
+}
+
+// fill takes the first rooms, nil if they do not hold n tasks.
+func fill(rooms []room, n int) []string {
+	list := make([]string, 0, n)
+	for _, r := range rooms {
+		for range min(r.tasks, n-len(list)) {
+			list = append(list, r.s.ID)
+		}
+		if len(list) == n {
+			return list
+		}
+	}
+	return nil
+}
+
+func inRack(rooms []room, rack string) []room {
+	var list []room
+	for _, r := range rooms {
+		if r.s.Rack == rack {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// rack is a rack with the rooms in it.
+type rack struct {
+	name  string
+	rooms []room
+	tasks int
+	free  int
+}
+
+func racks(rooms []room) []rack {
+	index := map[string]int{}
+	var list []rack
+	for _, r := range rooms {
+		i, ok := index[r.s.Rack]
+		if !ok {
+			i = len(list)
+			index[r.s.Rack] = i
+			list = append(list, rack{name: r.s.Rack})
+		}
+		list[i].rooms = append(list[i].rooms, r)
+		list[i].tasks += r.tasks
+		list[i].free += r.free.GPU
+	}
+	return list
+}
+
+// oneRack fills the rack that is left with the least room.
+func oneRack(rooms []room, n int) []string {
+	list := racks(rooms)
+	slices.SortStableFunc(list, func(a, b rack) int { return cmp.Compare(a.free, b.free) })
+	for _, k := range list {
+		if k.tasks >= n {
+			return fill(k.rooms, n)
+		}
+	}
+	return nil
+}
+
+// fewestRacks fills the racks with the most room first.
+func fewestRacks(rooms []room, n int) []string {
+	list := racks(rooms)
+	slices.SortStableFunc(list, func(a, b rack) int { return cmp.Compare(b.tasks, a.tasks) })
+	var ordered []room
+	for _, k := range list {
+		ordered = append(ordered, k.rooms...)
+	}
+	return fill(ordered, n)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,201 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"yuccapaddle"
+)
+
+// Times of the plan.
+const (
+	// stillTime is how long a run may show no progress before it is moved.
+	stillTime = 3500 * time.Millisecond
+	// tickEvery is the longest time between two looks at what time alone changes.
+	tickEvery = 500 * time.Millisecond
+)
+
+// Plan lets time pass and places what can be placed.
+func (p *Planner) Plan() {
+	if !p.wakeAt.IsZero() && !p.now.Before(p.wakeAt) {
+		p.wakeAt = time.Time{}
+		p.changed = true
+	}
+	for _, j := range p.jobs {
+		if !j.state.Final() && j.opened < j.in.Occurrences() {
+			p.open(j)
+		}
+		p.watch(j)
+	}
+	p.forget()
+	p.wakeBy(p.now.Add(tickEvery))
+	if !p.changed {
+		return
+	}
+	p.changed = false
+	p.place()
+}
+
+// watch moves runs that stand still.
+func (p *Planner) watch(j *job) {
+	if j.state.Final() {
+		return
+	}
+	for _, u := range j.units {
+		if u.state != unitPlaced || u.stopping || u.spec().Endless {
+			continue
+		}
+		for i := range u.members {
+			m := &u.members[i]
+			if m.over || !m.seen || m.percent >= 100 || p.now.Sub(m.movedAt) < stillTime {
+				continue
+			}
+			p.strike(p.server(m.server))
+			p.shun(u, m.server)
+			p.stop(u, "task "+u.taskID(i).String()+" stands still")
+			break
+		}
+	}
+}
+
+// place goes through the waiting units in order.
+func (p *Planner) place() {
+	stuck := map[stepKey]bool{}
+	for _, u := range p.waiting() {
+		key := stepKey{u.job.in.ID, u.occurrence, u.step}
+		if stuck[key] && len(u.avoid) == 0 {
+			continue
+		}
+		if !p.tryPlace(u) {
+			stuck[key] = true
+		}
+	}
+}
+
+type stepKey struct {
+	job        string
+	occurrence int
+	step       int
+}
+
+// waiting lists the units whose turn has come: by priority, urgent first within
+// the share of their workspace, then by the age of the job.
+func (p *Planner) waiting() []*unit {
+	var list []*unit
+	for _, j := range p.jobs {
+		if j.state.Final() {
+			continue
+		}
+		j.queue.priority = p.priority(j)
+		for _, u := range j.units {
+			if u.state == unitWaiting && u.ready() {
+				list = append(list, u)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *unit) int {
+		return cmp.Or(
+			cmp.Compare(a.job.queue.priority, b.job.queue.priority),
+			a.job.taken.Compare(b.job.taken),
+			cmp.Compare(a.job.in.ID, b.job.in.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.step, b.step),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+	return list
+}
+
+// lowest is the priority of jobs whose queue is not known any more.
+const lowest = 100
+
+func (p *Planner) priority(j *job) int {
+	if q := p.rules.Queue(j.in.Queue); q != nil {
+		return q.Priority
+	}
+	return lowest
+}
+
+// service names the servers that run a job, and whether that is known.
+func (p *Planner) service(j *job) string {
+	if q := p.rules.Queue(j.in.Queue); q != nil {
+		j.in.Service = q.Service
+	}
+	return j.in.Service
+}
+
+// tryPlace places a unit if there is room, and frees room for it if it may.
+func (p *Planner) tryPlace(u *unit) bool {
+	if u.claim != nil {
+		return p.tryClaimed(u)
+	}
+	servers := p.pick(u, p.reserved())
+	if servers == nil {
+		return p.preempt(u)
+	}
+	p.assign(u, servers)
+	return true
+}
+
+// tryClaimed places a unit on the servers on which room was freed for it.
+func (p *Planner) tryClaimed(u *unit) bool {
+	taken := map[string]yuccapaddle.Need{}
+	for _, id := range u.claim {
+		s := p.servers[id]
+		if s == nil || !p.usable(s) {
+			u.claim = nil
+			return p.tryPlace(u)
+		}
+		taken[id] = taken[id].Add(u.spec().Need)
+		if !taken[id].Fits(s.free()) {
+			if p.now.Sub(u.claimedAt) > claimTime {
+				u.claim = nil
+				return p.tryPlace(u)
+			}
+			return false
+		}
+	}
+	servers := u.claim
+	u.claim = nil
+	p.assign(u, servers)
+	return true
+}
+
+// reserved is the room on each server that waits for claims.
+func (p *Planner) reserved() map[string]yuccapaddle.Need {
+	held := map[string]yuccapaddle.Need{}
+	for _, j := range p.jobs {
+		if j.state.Final() {
+			continue
+		}
+		for _, u := range j.units {
+			for _, id := range u.claim {
+				held[id] = held[id].Add(u.spec().Need)
+			}
+		}
+	}
+	return held
+}
+
+// assign starts a new run of a unit.
+func (p *Planner) assign(u *unit, servers []string) {
+	u.run++
+	u.state, u.stopping, u.failed = unitPlaced, false, false
+	u.placedAt = p.now
+	u.members = make([]member, len(servers))
+	for i, id := range servers {
+		s := p.servers[id]
+		u.members[i] = member{server: id, born: s.Born, movedAt: p.now}
+		s.add(u, i)
+		p.batch.Starts = append(p.batch.Starts, u.start(id, i))
+		p.note(Note{
+			Event: "placed", Job: u.job.in.ID, Task: u.taskID(i).String(), Server: id, Run: u.run,
+			Detail: "waited " + strconv.FormatInt(p.now.Sub(u.waitsFrom).Milliseconds(), 10) + " ms",
+		})
+	}
+	p.touch(u.job)
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,229 @@
+// Package planner decides about jobs: what is accepted, what waits, where tasks
+// are placed and which give way. It is pure: it is told events with their time
+// and returns records to commit and orders to send after the commit.
+package planner
+
+import (
+	"time"
+
+	"yuccapaddle"
+)
+
+// Planner holds the state of all jobs. It is not safe for concurrent use.
+type Planner struct {
+	rules   *yuccapaddle.Rules
+	jobs    map[string]*job
+	servers map[string]*server
+	limits  Limits
+	now     time.Time
+	wall    time.Time
+	batch   Batch
+	dirty   map[string]*job
+	removed []string
+	changed bool // something that placing depends on has changed
+	wakeAt  time.Time
+}
+
+// Limits are bounds that the settings give.
+type Limits struct {
+	// Remote is how many times longer a task takes away from its data.
+	Remote float64
+	// StopWithin is the longest time that a stop takes.
+	StopWithin time.Duration
+	// Retention is how long a finished job can be asked for.
+	Retention time.Duration
+}
+
+// New returns a Planner without jobs.
+func New(limits Limits) *Planner {
+	return &Planner{
+		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, servers: map[string]*server{},
+		limits: limits, dirty: map[string]*job{},
+	}
+}
+
+// Batch is what is to be done: the records first, the orders once these are
+// committed.
+type Batch struct {
+	Records  []Record
+	Removed  []string
+	Starts   []Start
+	Stops    []Stop
+	Notes    []Note
+	Finished []string
+}
+
+// Start is an order to start a run on a server.
+type Start struct {
+	Server  string
+	Task    yuccapaddle.TaskID
+	Run     int
+	Payload string
+	Saved   string
+	Ticket  string
+}
+
+// Stop is an order to end a run on a server.
+type Stop struct {
+	Server string
+	Task   yuccapaddle.TaskID
+	Run    int
+}
+
+// Note is a decision for the log.
+type Note struct {
+	Event  string
+	Job    string
+	Task   string
+	Server string
+	Run    int
+	Detail string
+}
+
+// Empty reports whether there is nothing to do.
+func (b *Batch) Empty() bool {
+	return len(b.Records) == 0 && len(b.Removed) == 0 && len(b.Starts) == 0 && len(b.Stops) == 0 && len(b.Notes) == 0
+}
+
+// At sets the time of the events that follow. now is steady, wall is the time of
+// day, which only timetables read.
+func (p *Planner) At(now, wall time.Time) {
+	p.now, p.wall = now, wall
+}
+
+// Configure takes new rules, unless they are older than those in force.
+func (p *Planner) Configure(r *yuccapaddle.Rules) {
+	p.rules = r
+	p.changed = true
+}
+
+// Rules returns the rules in force.
+func (p *Planner) Rules() *yuccapaddle.Rules {
+	return p.rules
+}
+
+// Submit takes a job in. known is true if its ID is known already, whatever the
+// rest of the job.
+func (p *Planner) Submit(in *yuccapaddle.Job) (known bool) {
+	if p.jobs[in.ID] != nil {
+		return true
+	}
+	in.Accepted = p.wall.UnixMilli()
+	j := newJob(in, p.now)
+	p.jobs[in.ID] = j
+	p.touch(j)
+	j.fresh = true
+	p.changed = true
+	p.note(Note{Event: "accepted", Job: in.ID, Detail: in.Queue})
+	p.open(j)
+	return false
+}
+
+// Cancel cancels a job and reports whether there is one.
+func (p *Planner) Cancel(id string) bool {
+	j := p.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.state.Final() {
+		return true
+	}
+	p.finish(j, yuccapaddle.JobCanceled)
+	return true
+}
+
+// State returns the state of a job.
+func (p *Planner) State(id string) (yuccapaddle.JobState, string, bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	return j.state, j.in.Queue, true
+}
+
+// Pending returns for each queue the number of jobs of which no task has
+// started.
+func (p *Planner) Pending() map[string]int64 {
+	counts := map[string]int64{}
+	for _, j := range p.jobs {
+		if j.state == yuccapaddle.JobQueued {
+			counts[j.in.Queue]++
+		}
+	}
+	return counts
+}
+
+// Shown returns the states of all jobs as records without content.
+func (p *Planner) Shown() []Record {
+	list := make([]Record, 0, len(p.jobs))
+	for id, j := range p.jobs {
+		list = append(list, Record{ID: id, Queue: j.in.Queue, Shown: j.state})
+	}
+	return list
+}
+
+// WakeAt is when Plan should be called next, even if nothing happens.
+func (p *Planner) WakeAt() time.Time {
+	return p.wakeAt
+}
+
+// Take returns what has to be done since the last call.
+func (p *Planner) Take() Batch {
+	b := p.batch
+	for _, j := range p.dirty {
+		b.Records = append(b.Records, j.record())
+		j.fresh = false
+	}
+	b.Removed = p.removed
+	p.batch, p.removed = Batch{}, nil
+	clear(p.dirty)
+	return b
+}
+
+func (p *Planner) note(n Note) {
+	p.batch.Notes = append(p.batch.Notes, n)
+}
+
+func (p *Planner) touch(j *job) {
+	p.dirty[j.in.ID] = j
+}
+
+// finish settles a job and stops what it has in work.
+func (p *Planner) finish(j *job, state yuccapaddle.JobState) {
+	j.state = state
+	j.endedAt = p.now
+	p.touch(j)
+	p.changed = true
+	p.note(Note{Event: string(state), Job: j.in.ID, Detail: j.why})
+	p.batch.Finished = append(p.batch.Finished, j.in.ID)
+	for _, u := range j.units {
+		if u.state == unitPlaced {
+			p.stop(u, "the job is "+string(state))
+		}
+	}
+}
+
+// stop asks for the end of all runs of a unit that are not over.
+func (p *Planner) stop(u *unit, why string) {
+	u.stopping = true
+	u.stopAt = p.now
+	for i := range u.members {
+		m := &u.members[i]
+		if m.over {
+			continue
+		}
+		p.batch.Stops = append(p.batch.Stops, Stop{Server: m.server, Task: u.taskID(i), Run: u.run})
+		p.note(Note{Event: "stop", Job: u.job.in.ID, Task: u.taskID(i).String(), Server: m.server, Run: u.run, Detail: why})
+	}
+}
+
+// forget drops jobs whose time to be asked for is over.
+func (p *Planner) forget() {
+	for id, j := range p.jobs {
+		if j.state.Final() && !j.busy() && p.now.Sub(j.endedAt) > p.limits.Retention {
+			delete(p.jobs, id)
+			delete(p.dirty, id)
+			p.removed = append(p.removed, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/record.go
@@ -0,0 +1,147 @@
+package planner
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"yuccapaddle"
+)
+
+// Record is the committed form of a job. Job is empty if it has not changed
+// since an earlier commit.
+type Record struct {
+	ID    string
+	Job   []byte
+	State []byte
+	// Queue and Shown are what callers see of it.
+	Queue string
+	Shown yuccapaddle.JobState
+}
+
+// stateRecord is the part of a job that changes.
+type stateRecord struct {
+	State  yuccapaddle.JobState `json:"s"`
+	Opened int                  `json:"o,omitempty"`
+	Units  []unitRecord         `json:"u,omitempty"`
+	Why    string               `json:"y,omitempty"`
+}
+
+// unitRecord is a unit that has been placed at least once.
+type unitRecord struct {
+	Occurrence int            `json:"k,omitempty"`
+	Step       int            `json:"t,omitempty"`
+	Index      int            `json:"i,omitempty"`
+	State      unitState      `json:"s,omitempty"`
+	Run        int            `json:"r"`
+	Fails      int            `json:"f,omitempty"`
+	Saved      string         `json:"c,omitempty"`
+	Done       bool           `json:"d,omitempty"`
+	Stopping   bool           `json:"x,omitempty"`
+	Members    []memberRecord `json:"m,omitempty"`
+}
+
+type memberRecord struct {
+	Server string `json:"w"`
+	Born   int64  `json:"b,omitempty"`
+	Over   bool   `json:"o,omitempty"`
+}
+
+func (j *job) record() Record {
+	r := Record{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state}
+	if j.fresh {
+		r.Job = encode(j.in)
+	}
+	s := stateRecord{State: j.state, Opened: j.opened, Why: j.why}
+	for _, u := range j.units {
+		if u.run > 0 {
+			s.Units = append(s.Units, u.record())
+		}
+	}
+	r.State = encode(&s)
+	return r
+}
+
+func (u *unit) record() unitRecord {
+	r := unitRecord{
+		Occurrence: u.occurrence, Step: u.step, Index: u.index, State: u.state,
+		Run: u.run, Fails: u.fails, Saved: u.saved, Done: u.done, Stopping: u.stopping,
+	}
+	if !u.live() {
+		return r
+	}
+	for i := range u.members {
+		m := &u.members[i]
+		r.Members = append(r.Members, memberRecord{Server: m.server, Born: m.born, Over: m.over})
+	}
+	return r
+}
+
+// encode cannot fail: the records hold only strings, numbers and lists.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("a record cannot be encoded: %v", err))
+	}
+	return data
+}
+
+// Restore takes a committed job in.
+func (p *Planner) Restore(jobData, stateData []byte) error {
+	in := &yuccapaddle.Job{}
+	if err := json.Unmarshal(jobData, in); err != nil {
+		return fmt.Errorf("decode a job: %w", err)
+	}
+	if err := in.Check(); err != nil {
+		return fmt.Errorf("job %q: %w", in.ID, err)
+	}
+	var s stateRecord
+	if err := json.Unmarshal(stateData, &s); err != nil {
+		return fmt.Errorf("decode the state of job %q: %w", in.ID, err)
+	}
+	j := newJob(in, p.now)
+	j.state, j.why = s.State, s.Why
+	if j.state.Final() {
+		j.endedAt = p.now
+	}
+	for range min(s.Opened, in.Occurrences()) {
+		j.add(j.opened, p.now)
+		j.opened++
+	}
+	for i := range s.Units {
+		if err := p.restoreUnit(j, &s.Units[i]); err != nil {
+			return fmt.Errorf("job %q: %w", in.ID, err)
+		}
+	}
+	p.jobs[in.ID] = j
+	p.changed = true
+	p.open(j)
+	return nil
+}
+
+func (p *Planner) restoreUnit(j *job, r *unitRecord) error {
+	u := j.unit(r)
+	if u == nil {
+		return fmt.Errorf("a unit of step %d is unknown", r.Step)
+	}
+	u.state, u.run, u.fails, u.saved, u.done, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Done, r.Stopping
+	u.placedAt = p.now
+	for _, m := range r.Members {
+		u.members = append(u.members, member{server: m.Server, born: m.Born, over: m.Over, movedAt: p.now})
+		if !m.Over {
+			p.server(m.Server).add(u, len(u.members)-1)
+		}
+	}
+	if u.state == unitPlaced && !u.live() {
+		u.state, u.members = unitWaiting, nil
+	}
+	return nil
+}
+
+func (j *job) unit(r *unitRecord) *unit {
+	for _, u := range j.units {
+		if u.occurrence == r.Occurrence && u.step == r.Step && u.index == r.Index {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/planner/report.go
@@ -0,0 +1,300 @@
+package planner
+
+import (
+	"errors"
+	"time"
+
+	"yuccapaddle"
+)
+
+// Times in which a server proves itself.
+const (
+	// restAfterFailure is how long a server is avoided after it failed a task.
+	restAfterFailure = 6 * time.Second
+	// restMost bounds the time that a server is avoided.
+	restMost = 24 * time.Second
+	// unfitTime is how long a server that refuses starts gets none.
+	unfitTime = 2 * time.Second
+	// startTries is how often an unanswered start is sent before the run is given up.
+	startTries = 3
+	// stopAgain is when an unfinished stop is sent again.
+	stopAgain = 700 * time.Millisecond
+)
+
+// Report takes in what a server has in work and what has ended there. The call
+// was sent at sentAt.
+func (p *Planner) Report(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
+	s := p.server(id)
+	if s.lives != r.Born {
+		p.reborn(s, r.Born)
+	}
+	for i := range r.Ended {
+		if r.Ended[i].Number <= s.seen {
+			continue
+		}
+		p.ended(s, &r.Ended[i])
+		s.seen = r.Ended[i].Number
+	}
+	running := make(map[yuccapaddle.TaskID]bool, len(r.Running))
+	for i := range r.Running {
+		running[r.Running[i].Task] = true
+		p.running(s, &r.Running[i])
+	}
+	for t := range s.strays {
+		if !running[t] {
+			delete(s.strays, t)
+		}
+	}
+	p.missing(s, running, sentAt)
+}
+
+// reborn notes that a server has started anew: what ran there before is gone.
+func (p *Planner) reborn(s *server, born int64) {
+	if s.lives != 0 {
+		p.note(Note{Event: "server restarted", Server: s.ID})
+	}
+	for _, x := range s.seats() {
+		if m := &x.u.members[x.i]; m.born != 0 && m.born != born {
+			p.over(s, x.u, x.i, "the server restarted")
+		}
+	}
+	s.lives, s.seen = born, 0
+}
+
+func (s *server) seats() []seat {
+	list := make([]seat, 0, len(s.runs))
+	for _, x := range s.runs {
+		list = append(list, x)
+	}
+	return list
+}
+
+// running takes in a run that a server has in work.
+func (p *Planner) running(s *server, r *yuccapaddle.Run) {
+	x, ok := s.runs[r.Task]
+	if !ok || x.u.run != r.Run {
+		if _, known := s.strays[r.Task]; !known {
+			p.note(Note{Event: "stray run", Task: r.Task.String(), Server: s.ID, Run: r.Run})
+		}
+		s.strays[r.Task] = *r
+		p.batch.Stops = append(p.batch.Stops, Stop{Server: s.ID, Task: r.Task, Run: r.Run})
+		return
+	}
+	m := &x.u.members[x.i]
+	m.seen = true
+	if !m.sent {
+		m.sent = true
+	}
+	if r.Percent != m.percent {
+		m.percent, m.movedAt = r.Percent, p.now
+	}
+	if r.Saved != "" {
+		x.u.saved = r.Saved
+	}
+	if x.u.stopping && p.now.Sub(x.u.stopAt) > stopAgain {
+		p.stop(x.u, "the stop has had no effect yet")
+	}
+	p.begun(x.u)
+}
+
+// begun marks a job as running.
+func (p *Planner) begun(u *unit) {
+	if u.job.state == yuccapaddle.JobQueued {
+		u.job.state = yuccapaddle.JobRunning
+		p.touch(u.job)
+	}
+}
+
+// missing settles runs that a server confirmed before and does not list.
+func (p *Planner) missing(s *server, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
+	for t, x := range s.runs {
+		m := &x.u.members[x.i]
+		if running[t] || !m.sent || !m.movedAt.Before(sentAt) {
+			continue
+		}
+		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Server: s.ID, Run: x.u.run})
+		p.over(s, x.u, x.i, "the server does not list it")
+	}
+}
+
+// ended takes in the end of a run.
+func (p *Planner) ended(s *server, e *yuccapaddle.End) {
+	j := p.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	x, ok := s.runs[e.Task]
+	if !ok || x.u.run != e.Run {
+		p.note(Note{Event: "old run ended", Job: e.Task.Job, Task: e.Task.String(), Server: s.ID, Run: e.Run, Detail: string(e.Cause)})
+		return
+	}
+	u := x.u
+	p.note(Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Server: s.ID, Run: e.Run, Detail: string(e.Cause)})
+	if e.Saved != "" {
+		u.saved = e.Saved
+	}
+	p.begun(u)
+	switch e.Cause {
+	case yuccapaddle.EndDone:
+		u.done = !u.spec().Endless
+		s.strikes = 0
+		s.restedAt = time.Time{}
+	case yuccapaddle.EndFailed:
+		p.failed(s, u)
+	}
+	p.over(s, u, x.i, string(e.Cause))
+}
+
+// failed counts a failure against the task, and rests the server.
+func (p *Planner) failed(s *server, u *unit) {
+	if !u.failed {
+		u.failed = true
+		u.fails++
+	}
+	p.strike(s)
+	p.shun(u, s.ID)
+}
+
+func (p *Planner) strike(s *server) {
+	s.strikes++
+	s.restedAt = p.now.Add(min(restAfterFailure*time.Duration(s.strikes), restMost))
+}
+
+func (p *Planner) shun(u *unit, id string) {
+	if u.avoid == nil {
+		u.avoid = map[string]time.Time{}
+	}
+	u.avoid[id] = p.now.Add(restMost)
+}
+
+// over settles a member, and the unit once all members are.
+func (p *Planner) over(s *server, u *unit, i int, why string) {
+	m := &u.members[i]
+	if m.over {
+		return
+	}
+	m.over = true
+	s.drop(u, i)
+	p.changed = true
+	p.touch(u.job)
+	if u.live() {
+		if !u.done && !u.stopping && u.spec().Gang {
+			p.stop(u, "a member has ended: "+why)
+		}
+		p.settleDone(u)
+		return
+	}
+	p.settleDone(u)
+	if u.done {
+		return
+	}
+	u.state, u.stopping, u.failed, u.members = unitWaiting, false, false, nil
+	u.waitsFrom = p.now
+	if u.job.state.Final() {
+		return
+	}
+	q := p.rules.Queue(u.job.in.Queue)
+	if q != nil && u.fails >= q.Attempts && q.Attempts > 0 && !u.spec().Endless {
+		u.job.why = "task " + u.taskID(0).String() + " has failed " + itoa(u.fails) + " times"
+		p.finish(u.job, yuccapaddle.JobFailed)
+	}
+}
+
+func (p *Planner) settleDone(u *unit) {
+	if u.done && u.state != unitDone {
+		u.state = unitDone
+		p.settle(u.job)
+	}
+}
+
+// Answered takes in a server's answer to a start: err is nil if the run is
+// there, a refusal, or ErrNoAnswer.
+func (p *Planner) Answered(id string, t yuccapaddle.TaskID, run int, err error) {
+	s := p.server(id)
+	x, ok := s.runs[t]
+	if !ok || x.u.run != run || x.u.members[x.i].over {
+		return
+	}
+	m := &x.u.members[x.i]
+	if err == nil {
+		m.sent, m.movedAt = true, p.now
+		p.begun(x.u)
+		return
+	}
+	var refusal *yuccapaddle.RefusalError
+	if errors.As(err, &refusal) {
+		p.refused(s, x, refusal.Reason)
+		return
+	}
+	p.unanswered(s, x)
+}
+
+func (p *Planner) refused(s *server, x seat, why yuccapaddle.Refusal) {
+	u := x.u
+	p.note(Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Server: s.ID, Run: u.run, Detail: string(why)})
+	switch why {
+	case yuccapaddle.RefusedLate:
+		if u.members[x.i].tries < startTries {
+			p.again(s, x)
+			return
+		}
+	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedRoom, yuccapaddle.RefusedReplaced, yuccapaddle.RefusedOutdated:
+		s.unfit = p.now.Add(unfitTime)
+		p.wakeBy(s.unfit)
+	case yuccapaddle.RefusedInvalid:
+		p.failed(s, u)
+	}
+	p.over(s, u, x.i, "the start was refused: "+string(why))
+}
+
+// again sends a start once more: the run's number makes it idempotent.
+func (p *Planner) again(s *server, x seat) {
+	x.u.members[x.i].tries++
+	p.batch.Starts = append(p.batch.Starts, x.u.start(s.ID, x.i))
+}
+
+func (p *Planner) unanswered(s *server, x seat) {
+	u := x.u
+	p.note(Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Server: s.ID, Run: u.run})
+	if u.stopping {
+		return
+	}
+	if u.members[x.i].tries < startTries {
+		p.again(s, x)
+		return
+	}
+	s.unfit = p.now.Add(unfitTime)
+	p.wakeBy(s.unfit)
+	p.stop(u, "a server does not answer the start")
+}
+
+// Stopped takes in that a server has confirmed a stop: a start of the run that
+// has not been confirmed will not be carried out any more, unless it runs.
+func (p *Planner) Stopped(id string, t yuccapaddle.TaskID, run int) {
+	s := p.server(id)
+	x, ok := s.runs[t]
+	if !ok || x.u.run != run {
+		return
+	}
+	m := &x.u.members[x.i]
+	if !m.sent {
+		// The next list tells whether it runs.
+		m.sent, m.movedAt = true, p.now
+	}
+}
+
+// Lapsed takes in that every lease that a server can have has run out.
+func (p *Planner) Lapsed(id string) {
+	s := p.server(id)
+	if len(s.runs) > 0 {
+		p.note(Note{Event: "leases over", Server: id})
+	}
+	for _, x := range s.seats() {
+		p.over(s, x.u, x.i, "the lease is over")
+	}
+	clear(s.strays)
+}
+
+func (u *unit) start(server string, i int) Start {
+	return Start{Server: server, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved}
+}
--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,205 @@
+// Package recorder keeps the records of jobs in the ledger. Each commit changes
+// the head key under its last revision, so that commits form one chain: a writer
+// that has been replaced, or a late copy of an earlier commit, changes nothing.
+package recorder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/planner"
+	"yuccapaddle/internal/sleeper"
+)
+
+// Keys of the ledger.
+const (
+	headKey   = "yp/head"
+	jobPrefix = "yp/job/"
+	stateMark = "yp/run/"
+	// mostChanges is how many records one commit changes; the ledger takes 32
+	// entries, of which one is the head.
+	mostChanges = 30
+)
+
+// Times of calls to the ledger.
+const (
+	callTime   = 700 * time.Millisecond
+	retryFirst = 20 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// Head says who writes the records. Epoch rises with each writer and is the
+// fencing token of its orders.
+type head struct {
+	Epoch   uint64 `json:"e"`
+	Host    string `json:"h"`
+	Address string `json:"a"`
+	Nonce   string `json:"n"`
+	Count   uint64 `json:"c"`
+}
+
+// ErrReplaced reports that another host writes the records now.
+var ErrReplaced = errors.New("another host writes the records now")
+
+// Recorder is the one writer of the records.
+type Recorder struct {
+	ledger   yuccapaddle.Ledger
+	head     head
+	revision uint64
+}
+
+// Lock is a key that a lease binds to the writer. Revision is the one that the
+// claimer has seen, 0 for none.
+type Lock struct {
+	Key      string
+	Revision uint64
+	Lease    uint64
+	Address  string
+}
+
+// Claim makes this host the writer.
+func Claim(ctx context.Context, ledger yuccapaddle.Ledger, host, address, nonce string, lock Lock) (*Recorder, error) {
+	e, err := ledger.Get(ctx, headKey)
+	if err != nil {
+		return nil, fmt.Errorf("read the head of the records: %w", err)
+	}
+	r := &Recorder{ledger: ledger, revision: e.Revision}
+	if e.Revision != 0 {
+		if err := json.Unmarshal(e.Value, &r.head); err != nil {
+			return nil, fmt.Errorf("decode the head of the records: %w", err)
+		}
+	}
+	r.head = head{Epoch: r.head.Epoch + 1, Host: host, Address: address, Nonce: nonce}
+	t := yuccapaddle.Transaction{
+		If:  []yuccapaddle.Condition{{Key: lock.Key, Revision: lock.Revision}},
+		Set: []yuccapaddle.Change{{Key: lock.Key, Value: []byte(lock.Address), Lease: lock.Lease}},
+	}
+	if err := r.commit(ctx, t); err != nil {
+		return nil, fmt.Errorf("claim the records: %w", err)
+	}
+	return r, nil
+}
+
+// Epoch is the number of this writer.
+func (r *Recorder) Epoch() uint64 {
+	return r.head.Epoch
+}
+
+// Load reads all records.
+func (r *Recorder) Load(ctx context.Context, each func(job, state []byte)) error {
+	jobs, _, err := r.ledger.List(ctx, jobPrefix)
+	if err != nil {
+		return fmt.Errorf("read the jobs: %w", err)
+	}
+	states, _, err := r.ledger.List(ctx, stateMark)
+	if err != nil {
+		return fmt.Errorf("read the states of the jobs: %w", err)
+	}
+	byID := make(map[string][]byte, len(states))
+	for _, s := range states {
+		byID[strings.TrimPrefix(s.Key, stateMark)] = s.Value
+	}
+	for _, j := range jobs {
+		if state := byID[strings.TrimPrefix(j.Key, jobPrefix)]; state != nil {
+			each(j.Value, state)
+		}
+	}
+	return nil
+}
+
+// Save commits records, in several transactions if they are many. It goes on
+// until they are committed, the context ends or another host has taken over.
+func (r *Recorder) Save(ctx context.Context, records []planner.Record, removed []string) error {
+	for len(records) > 0 || len(removed) > 0 {
+		var t yuccapaddle.Transaction
+		records = fillSet(&t, records)
+		removed = fillRemove(&t, removed)
+		if err := r.persist(ctx, t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fillSet(t *yuccapaddle.Transaction, records []planner.Record) []planner.Record {
+	for len(records) > 0 && len(t.Set) < mostChanges-1 {
+		x := records[0]
+		records = records[1:]
+		if x.Job != nil {
+			t.Set = append(t.Set, yuccapaddle.Change{Key: jobPrefix + x.ID, Value: x.Job})
+		}
+		t.Set = append(t.Set, yuccapaddle.Change{Key: stateMark + x.ID, Value: x.State})
+	}
+	return records
+}
+
+func fillRemove(t *yuccapaddle.Transaction, removed []string) []string {
+	for len(removed) > 0 && len(t.Set)+len(t.Remove) < mostChanges-1 {
+		t.Remove = append(t.Remove, jobPrefix+removed[0], stateMark+removed[0])
+		removed = removed[1:]
+	}
+	return removed
+}
+
+// persist repeats a commit until its fate is known.
+func (r *Recorder) persist(ctx context.Context, t yuccapaddle.Transaction) error {
+	backoff := retryFirst
+	for {
+		err := r.commit(ctx, t)
+		if err == nil || errors.Is(err, ErrReplaced) {
+			return err
+		}
+		if sleeper.Jitter(ctx, backoff) != nil {
+			return err
+		}
+		backoff = min(2*backoff, retryMost)
+	}
+}
+
+// commit tries once. A conflict with the head that this commit itself has set
+// means that an earlier try, whose answer was lost, was applied.
+func (r *Recorder) commit(ctx context.Context, t yuccapaddle.Transaction) error {
+	next := r.head
+	next.Count++
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode the head: %w", err)
+	}
+	t.If = append([]yuccapaddle.Condition{{Key: headKey, Revision: r.revision}}, t.If...)
+	t.Set = append([]yuccapaddle.Change{{Key: headKey, Value: value}}, t.Set...)
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	rev, err := r.ledger.Commit(callCtx, t)
+	if err == nil {
+		r.head, r.revision = next, rev
+		return nil
+	}
+	if !errors.Is(err, yuccapaddle.ErrConflict) {
+		return err
+	}
+	return r.compare(ctx, next)
+}
+
+// compare finds out after a conflict whose commit the head is from.
+func (r *Recorder) compare(ctx context.Context, next head) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	e, err := r.ledger.Get(callCtx, headKey)
+	if err != nil {
+		return fmt.Errorf("read the head after a conflict: %w", err)
+	}
+	var now head
+	if err := json.Unmarshal(e.Value, &now); err != nil {
+		return fmt.Errorf("decode the head after a conflict: %w", err)
+	}
+	if now == next {
+		r.head, r.revision = next, e.Revision
+		return nil
+	}
+	return fmt.Errorf("%w: %s, epoch %d", ErrReplaced, now.Host, now.Epoch)
+}
--- /dev/null
+++ b/server.go
@@ -0,0 +1,179 @@
+package yuccapaddle
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Server is one worker as it registers itself. Born tells two lives under one
+// ID apart; it is the Unix millisecond of the start.
+type Server struct {
+	ID       string
+	Address  string
+	Service  string
+	Zone     string
+	Labels   []string
+	Rack     string
+	Born     int64
+	Draining bool
+	Capacity Need
+	// Clock is the server's steady clock in milliseconds when it registered.
+	Clock int64
+}
+
+// StartOrder asks a server to start a run of a task. The server refuses it
+// after Deadline, which is in milliseconds of its own clock.
+type StartOrder struct {
+	Task     TaskID
+	Run      int
+	Payload  string
+	Saved    string
+	Ticket   string
+	Deadline int64
+	Token    uint64
+}
+
+// StopOrder asks a server to end a run.
+type StopOrder struct {
+	Task  TaskID
+	Run   int
+	Token uint64
+}
+
+// HoldOrder renews the lease of all that runs on a server until Deadline, in
+// milliseconds of its clock (0: no renewal), drops the ends up to Seen, and
+// waits up to WaitMS milliseconds for another end.
+type HoldOrder struct {
+	Token    uint64
+	Seen     int64
+	Deadline int64
+	WaitMS   int64
+}
+
+// Run is a run that a server has in work. Percent is its progress, 0 to 100.
+type Run struct {
+	Task    TaskID
+	Run     int
+	Saved   string
+	Percent int
+}
+
+// EndCause says how a run ended.
+type EndCause string
+
+// Causes of an end.
+const (
+	EndDone    EndCause = "done"
+	EndFailed  EndCause = "failed"
+	EndStopped EndCause = "stopped"
+	EndLapsed  EndCause = "lapsed"
+	EndBroken  EndCause = "broken"
+	EndAlone   EndCause = "alone"
+)
+
+// End is the end of a run; Number rises by one with each end in a server's life.
+type End struct {
+	Number int64
+	Task   TaskID
+	Run    int
+	Cause  EndCause
+	Saved  string
+}
+
+// HoldReply is what a server has in work and what has ended there.
+type HoldReply struct {
+	Born    int64
+	Clock   int64
+	Running []Run
+	Ended   []End
+}
+
+// Runner gives orders to servers. Errors match ErrNoAnswer, or are a
+// *RefusalError; both say what is known of the order.
+type Runner interface {
+	// Start returns the server's clock.
+	Start(ctx context.Context, s *Server, o StartOrder) (clock int64, err error)
+	Stop(ctx context.Context, s *Server, o StopOrder) (clock int64, err error)
+	Hold(ctx context.Context, s *Server, o HoldOrder) (HoldReply, error)
+}
+
+// Refusal is a server's reason for not carrying out an order.
+type Refusal string
+
+// Refusals.
+const (
+	// RefusedOutdated: the server has seen a higher fencing token.
+	RefusedOutdated Refusal = "outdated"
+	// RefusedOld: a run as high has been stopped or has ended there.
+	RefusedOld Refusal = "old"
+	// RefusedLate: the deadline of the order is over.
+	RefusedLate Refusal = "late"
+	// RefusedRoom: the server has no room for the task.
+	RefusedRoom Refusal = "room"
+	// RefusedTicket: the server wants another ticket.
+	RefusedTicket Refusal = "ticket"
+	// RefusedUnhealthy: the server does nothing at the moment.
+	RefusedUnhealthy Refusal = "unhealthy"
+	// RefusedReplaced: another server lives at the address.
+	RefusedReplaced Refusal = "replaced"
+	// RefusedInvalid: the server does not understand the order.
+	RefusedInvalid Refusal = "invalid"
+)
+
+// RefusalError reports an order that was not carried out and will not be.
+type RefusalError struct {
+	Reason Refusal
+	Clock  int64
+}
+
+// Error returns the reason.
+func (e *RefusalError) Error() string {
+	return "the server refused the order: " + string(e.Reason)
+}
+
+// Registry lists the servers that are alive, as of a call's answer.
+type Registry interface {
+	Servers(ctx context.Context) ([]Server, error)
+}
+
+// Ledger is a store with transactions over several keys. Errors of Commit match
+// exactly one of ErrConflict, ErrNotApplied and ErrUnknown.
+type Ledger interface {
+	// Get reads a key; an absent key is an Entry with Revision 0.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List reads all keys with the prefix. The revision is one of the store at or
+	// before the first key was read.
+	List(ctx context.Context, prefix string) (entries []Entry, revision uint64, err error)
+	// Commit applies all of a transaction or nothing, and returns its revision.
+	Commit(ctx context.Context, t Transaction) (uint64, error)
+	// Grant returns a new lease that ends after ttl unless renewed.
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Renew keeps a lease alive; ErrLeaseOver means that it has ended.
+	Renew(ctx context.Context, lease uint64) error
+	// Release ends a lease and removes its keys.
+	Release(ctx context.Context, lease uint64) error
+}
+
+// Transaction is a set of changes that apply while all conditions hold.
+type Transaction struct {
+	If     []Condition
+	Set    []Change
+	Remove []string
+}
+
+// Condition holds while the key has the revision (0: it does not exist).
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Change sets a key, bound to a lease unless Lease is 0.
+type Change struct {
+	Key   string
+	Value []byte
+	Lease uint64
+}
+
+// ErrLeaseOver reports a lease that has ended.
+var ErrLeaseOver = errors.New("the lease has ended")
