executor: look at silent servers without renewing their leases

Each unanswered renewal put off the time after which its leases are certainly over, so that time never came. Ruled out: the registration (it was noted as gone at once). Change: a server that does not answer is only looked at; it gets no starts until it answers, and is looked at while it is registered.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -20,6 +20,8 @@
 	// holdSlack is what a call may take beyond its wait.
 	holdSlack = 700 * time.Millisecond
 	holdRetry = 200 * time.Millisecond
+	// probeEvery is how often a silent server that runs nothing is looked at.
+	probeEvery = 600 * time.Millisecond
 	// slowest is the rate at which a server's clock certainly runs.
 	slowest = 0.98
 	// bumpBits leave room in a token for the restarts of one server.
@@ -39,7 +41,6 @@
 	told      int64 // ends that the server has been told to forget
 	lapsesBy  time.Time
 	silent    bool
-	backoff   time.Time
 }
 
 func (e *Executor) link(id string) *link {
@@ -140,14 +141,16 @@
 			continue
 		}
 		busy := e.plan.Busy(id)
-		if !busy && l.told >= e.plan.Seen(id) {
+		probe := l.silent && e.plan.Listed(id)
+		if !busy && !probe && l.told >= e.plan.Seen(id) {
 			continue
 		}
 		if l.silent && e.now.After(l.lapsesBy) {
 			e.plan.Lapsed(id)
-			l.silent = false
 			l.told = e.plan.Seen(id)
-			continue
+			if !probe {
+				continue
+			}
 		}
 		e.hold(id, l, busy)
 	}
@@ -161,7 +164,9 @@
 		return
 	}
 	o := yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed}
-	if busy {
+	if busy && !l.silent {
+		// A silent server is only looked at: an order to it may arrive although its
+		// answer does not, and each renewal would put off the end of its leases.
 		o.WaitMS = waitMS
 		o.Deadline = e.deadline(l)
 	}
@@ -191,6 +196,7 @@
 	}
 	if l.silent {
 		l.silent = false
+		e.plan.Hear(id, true)
 		e.log.Info("server answers again", zap.String("server", id))
 	}
 	if reply.Born != l.born {
@@ -207,6 +213,9 @@
 
 func (e *Executor) noteSilence(id string, l *link, err error) {
 	l.retryAt = e.now.Add(holdRetry)
+	if !e.plan.Busy(id) {
+		l.retryAt = e.now.Add(probeEvery)
+	}
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) && refusal.Reason == yuccapaddle.RefusedOutdated {
 		e.deposed(id)
@@ -214,6 +223,7 @@
 	}
 	if !l.silent {
 		l.silent = true
+		e.plan.Hear(id, false)
 		e.log.Info("server does not answer", zap.String("server", id), zap.Error(err),
 			zap.Int64("leases_end_ms", l.lapsesBy.Sub(e.now).Milliseconds()))
 	}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -19,6 +19,7 @@
 	restedAt time.Time // it is avoided until then
 	gone     time.Time // since when it has not been listed
 	unfit    time.Time // orders to it failed until then
+	silent   bool      // it does not answer
 }
 
 // seat is a member's place.
@@ -117,7 +118,20 @@
 
 // usable reports whether new runs may be placed on the server.
 func (p *Planner) usable(s *server) bool {
-	return s.listed && !s.Draining && !p.rules.Closed[s.Zone] && !p.now.Before(s.unfit)
+	return s.listed && !s.silent && !s.Draining && !p.rules.Closed[s.Zone] && !p.now.Before(s.unfit)
+}
+
+// Listed reports whether the server is registered.
+func (p *Planner) Listed(id string) bool {
+	s := p.servers[id]
+	return s != nil && s.listed
+}
+
+// Hear notes whether a server answers.
+func (p *Planner) Hear(id string, answers bool) {
+	s := p.server(id)
+	s.silent = !answers
+	p.changed = true
 }
 
 // Startable reports whether a start may be sent to the server now.
