planner: repeat stops, and starts that a former host may not have sent

A host that takes over had the same gap. Change: a stop is repeated until it has had effect; a run that a former host placed and no list shows is started again under its number.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -62,6 +62,7 @@
 	movedAt time.Time // the last progress
 	tries   int
 	seen    bool // listed as running
+	adopted bool // placed by a former host, and not seen yet
 }
 
 func newJob(in *yuccapaddle.Job, now time.Time) *job {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -38,25 +38,36 @@
 	p.place()
 }
 
-// watch moves runs that stand still.
+// watch repeats stops that have had no effect, and moves runs that stand still.
 func (p *Planner) watch(j *job) {
-	if j.state.Final() {
-		return
-	}
 	for _, u := range j.units {
-		if u.state != unitPlaced || u.stopping || u.spec().Endless {
+		switch {
+		case !u.live():
+		case u.stopping:
+			if p.now.Sub(u.stopAt) > stopAgain {
+				p.stop(u, "the stop has had no effect yet")
+			}
+		case u.state == unitPlaced && !u.spec().Endless:
+			p.moveStill(u)
+		}
+	}
+}
+
+// moveStill stops a unit of which a task shows no progress.
+func (p *Planner) moveStill(u *unit) {
+	for i := range u.members {
+		m := &u.members[i]
+		if m.over || !m.seen || m.percent >= 100 || p.now.Sub(m.movedAt) < stillTime {
 			continue
 		}
-		for i := range u.members {
-			m := &u.members[i]
-			if m.over || !m.seen || m.percent >= 100 || p.now.Sub(m.movedAt) < stillTime {
-				continue
-			}
-			p.strike(p.server(m.server))
-			p.shun(u, m.server)
-			p.stop(u, "task "+u.taskID(i).String()+" stands still")
-			break
+		s := p.server(m.server)
+		if s.silent {
+			continue
 		}
+		p.strike(s)
+		p.shun(u, m.server)
+		p.stop(u, "task "+u.taskID(i).String()+" stands still")
+		return
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -209,7 +209,7 @@
 	u.stopAt = p.now
 	for i := range u.members {
 		m := &u.members[i]
-		if m.over {
+		if m.over || p.server(m.server).silent {
 			continue
 		}
 		p.batch.Stops = append(p.batch.Stops, Stop{Server: m.server, Task: u.taskID(i), Run: u.run})
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -81,7 +81,7 @@
 		return
 	}
 	m := &x.u.members[x.i]
-	m.seen = true
+	m.seen, m.adopted = true, false
 	if !m.sent {
 		m.sent = true
 	}
@@ -91,9 +91,6 @@
 	if r.Saved != "" {
 		x.u.saved = r.Saved
 	}
-	if x.u.stopping && p.now.Sub(x.u.stopAt) > stopAgain {
-		p.stop(x.u, "the stop has had no effect yet")
-	}
 	p.begun(x.u)
 }
 
@@ -105,11 +102,19 @@
 	}
 }
 
-// missing settles runs that a server confirmed before and does not list.
+// missing settles runs that a server confirmed before and does not list, and
+// starts those that a former host may not have sent.
 func (p *Planner) missing(s *server, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
 	for t, x := range s.runs {
 		m := &x.u.members[x.i]
-		if running[t] || !m.sent || !m.movedAt.Before(sentAt) {
+		if running[t] || !m.movedAt.Before(sentAt) {
+			continue
+		}
+		if m.adopted && !x.u.stopping {
+			m.adopted = false
+			p.again(s, x)
+		}
+		if !m.sent {
 			continue
 		}
 		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Server: s.ID, Run: x.u.run})
