claimer: replace an active host that has lost its lease

Ruled out: a slow claim (it took 60 ms once tried). Change: a heartbeat says whether the lease was renewed; without it the followers look for a free role. Servers named by records are watched even if they never register again.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -59,6 +59,7 @@
 	local    atomic.Pointer[executor.Executor]
 	leader   atomic.Pointer[leader]
 	yielding atomic.Bool
+	renewed  atomic.Int64 // Unix nanoseconds of the steady clock, of the last renewal
 
 	mu      sync.Mutex
 	known   map[string]time.Time // addresses of other hosts, and when last heard of
@@ -305,6 +306,7 @@
 func (c *Claimer) renew(ctx context.Context, lease, epoch uint64) error {
 	renewed := c.clock.Now()
 	for {
+		c.renewed.Store(renewed.UnixNano())
 		if sleeper.Sleep(ctx, renewEvery) != nil {
 			return nil
 		}
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -58,7 +58,12 @@
 }
 
 func (c *Claimer) beat(e *executor.Executor, sent *uint64) *peer.Beat {
-	beat := &peer.Beat{Epoch: e.Epoch(), Fresh: c.clock.Now().Sub(c.rules.FreshAt()) < silentFor, Hosts: c.recent()}
+	now := c.clock.Now()
+	beat := &peer.Beat{
+		Epoch: e.Epoch(), Hosts: c.recent(),
+		Fresh:  now.Sub(c.rules.FreshAt()) < silentFor,
+		Leased: now.Sub(time.Unix(0, c.renewed.Load())) < c.lease,
+	}
 	if data, revision := c.rules.Data(); revision != *sent {
 		beat.Rules = data
 		*sent = revision
@@ -116,9 +121,21 @@
 			heard = true
 		}
 		c.heard(address, beat)
+		if !beat.GetLeased() && c.free(ctx) {
+			c.log.Info("the active host has lost its lease", zap.String("address", address))
+			return
+		}
 	}
 }
 
+// free reports whether the ledger answers and knows of no lease.
+func (c *Claimer) free(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	lock, err := c.ledger.Get(ctx, lockKey)
+	return err == nil && lock.Revision == 0
+}
+
 // heard takes a heartbeat in.
 func (c *Claimer) heard(address string, beat *peer.Beat) {
 	now := c.clock.Now()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -126,6 +126,9 @@
 	for _, s := range e.plan.Shown() {
 		e.shown[s.ID] = shownJob{s.Shown, s.Queue}
 	}
+	for _, id := range e.plan.Holders() {
+		e.link(id) // it may never register again
+	}
 	e.log.Info("jobs loaded", zap.Int("jobs", n), zap.Uint64("epoch", e.rec.Epoch()),
 		zap.Int64("took_ms", e.clock.Now().Sub(e.startedAt).Milliseconds()))
 	return nil
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -62,6 +62,17 @@
 	return s != nil && (len(s.runs) > 0 || len(s.strays) > 0)
 }
 
+// Holders lists the servers on which something may run.
+func (p *Planner) Holders() []string {
+	var list []string
+	for id := range p.servers {
+		if p.Busy(id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // Seen is the number of the last end that has been applied.
 func (p *Planner) Seen(id string) int64 {
 	if s := p.servers[id]; s != nil {
