planner: a refused repeat says nothing of the first copy of a start

Change: after an unanswered copy only refusals that cover it settle the run; otherwise it is stopped, and is over when the server has confirmed that.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -241,7 +241,7 @@
 	l := e.link(st.Server)
 	s, ok := e.plan.Server(st.Server)
 	if !ok || !e.plan.Startable(st.Server) || !e.informed() {
-		e.plan.Answered(st.Server, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedReplaced})
+		e.plan.Answered(st.Server, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
 		return
 	}
 	sentAt := e.now
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -237,21 +237,37 @@
 func (p *Planner) refused(s *server, x seat, why yuccapaddle.Refusal) {
 	u := x.u
 	p.note(Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Server: s.ID, Run: u.run, Detail: string(why)})
+	m := &u.members[x.i]
 	switch why {
 	case yuccapaddle.RefusedLate:
-		if u.members[x.i].tries < startTries {
+		if m.tries < startTries {
 			p.again(s, x)
 			return
 		}
-	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedRoom, yuccapaddle.RefusedReplaced, yuccapaddle.RefusedOutdated:
+	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedRoom, yuccapaddle.RefusedReplaced:
 		s.unfit = p.now.Add(unfitTime)
 		p.wakeBy(s.unfit)
 	case yuccapaddle.RefusedInvalid:
 		p.failed(s, u)
 	}
+	if m.tries > 0 && !settles(why) {
+		// An earlier copy has had no answer and may still be carried out.
+		p.stop(u, "a start was refused after one without an answer")
+		return
+	}
 	p.over(s, u, x.i, "the start was refused: "+string(why))
 }
 
+// settles reports whether a refusal says of earlier copies of the start, too,
+// that they will not be carried out.
+func settles(why yuccapaddle.Refusal) bool {
+	switch why {
+	case yuccapaddle.RefusedOld, yuccapaddle.RefusedLate, yuccapaddle.RefusedReplaced:
+		return true
+	}
+	return false
+}
+
 // again sends a start once more: the run's number makes it idempotent.
 func (p *Planner) again(s *server, x seat) {
 	x.u.members[x.i].tries++
--- a/server.go
+++ b/server.go
@@ -117,6 +117,8 @@
 	RefusedUnhealthy Refusal = "unhealthy"
 	// RefusedReplaced: another server lives at the address.
 	RefusedReplaced Refusal = "replaced"
+	// RefusedUnsent: the order was held back on this host.
+	RefusedUnsent Refusal = "unsent"
 	// RefusedInvalid: the server does not understand the order.
 	RefusedInvalid Refusal = "invalid"
 )
