--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -25,6 +25,7 @@
 	"yuccapaddle/internal/router"
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/timekeeper"
 	"yuccapaddle/internal/writer"
 )
 
@@ -85,15 +86,15 @@
 	for _, o := range opts {
 		o(a)
 	}
-	a.rules = ruler.New(outside.Rulebook, log)
+	var clock timekeeper.Timekeeper
+	a.rules = ruler.New(outside.Rulebook, clock, log)
 	a.links = linker.New()
-	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, log)
+	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log)
 	return a
 }
 
 func (a *Assembler) build(rec *recorder.Recorder) *executor.Executor {
-	o := a.outside
-	return executor.New(o.Ledger, o.Registry, o.Runner, a.rules, rec, a.bounds, a.log)
+	return executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, timekeeper.Timekeeper{}, a.log)
 }
 
 // Run serves until stop is closed, then drains and returns nil.
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -22,7 +22,6 @@
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/sleeper"
-	"yuccapaddle/internal/timekeeper"
 )
 
 const lockKey = "yp/lock"
@@ -50,7 +49,7 @@
 	links   *linker.Linker
 	build   Build
 	log     *zap.Logger
-	clock   timekeeper.Timekeeper
+	clock   yuccapaddle.Clock
 	host    string
 	address string
 	nonce   string
@@ -77,10 +76,10 @@
 // New returns a Claimer for a host that others reach at address. nonce differs
 // for every process; least is the shortest lease that the ledger gives.
 func New(ledger yuccapaddle.Ledger, rules *ruler.Ruler, links *linker.Linker, host, address, nonce string,
-	least time.Duration, build Build, log *zap.Logger,
+	least time.Duration, build Build, clock yuccapaddle.Clock, log *zap.Logger,
 ) *Claimer {
 	return &Claimer{
-		ledger: ledger, rules: rules, links: links, build: build, log: log, host: host, address: address, nonce: nonce,
+		ledger: ledger, rules: rules, links: links, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
 		lease: max(leaseTime, least), known: map[string]time.Time{},
 	}
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -16,7 +16,6 @@
 	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/ruler"
-	"yuccapaddle/internal/timekeeper"
 )
 
 const (
@@ -43,14 +42,13 @@
 
 // Executor runs on the host that writes the records.
 type Executor struct {
-	ledger   yuccapaddle.Ledger
 	registry yuccapaddle.Registry
 	runner   yuccapaddle.Runner
 	rules    *ruler.Ruler
 	rec      *recorder.Recorder
 	log      *zap.Logger
 	bounds   Bounds
-	clock    timekeeper.Timekeeper
+	clock    yuccapaddle.Clock
 
 	inbox chan func()
 	done  chan struct{}
@@ -77,11 +75,11 @@
 }
 
 // New returns an executor for the writer of the records.
-func New(ledger yuccapaddle.Ledger, registry yuccapaddle.Registry, runner yuccapaddle.Runner,
-	rules *ruler.Ruler, rec *recorder.Recorder, bounds Bounds, log *zap.Logger,
+func New(registry yuccapaddle.Registry, runner yuccapaddle.Runner, rules *ruler.Ruler, rec *recorder.Recorder,
+	bounds Bounds, clock yuccapaddle.Clock, log *zap.Logger,
 ) *Executor {
 	return &Executor{
-		ledger: ledger, registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, log: log,
+		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
 		links: map[string]*link{}, shown: map[string]shownJob{},
 	}
--- /dev/null
+++ b/internal/executor/executor_test.go
@@ -0,0 +1,225 @@
+package executor_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/standin/bookkeeper"
+	"yuccapaddle/internal/standin/laborer"
+)
+
+var one = yuccapaddle.Need{CPU: 8000, Memory: 1000, GPU: 1}
+
+func play(t *testing.T, workers int, f func(r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, workers)
+		r.takeOver()
+		defer r.close()
+		f(r)
+	})
+}
+
+// holder is the worker that runs the job's first task.
+func (r *rig) holder(id string) string {
+	for name, w := range r.workers {
+		for _, t := range w.Running() {
+			if t.Job == id && t.Index == 0 {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// TestCompletes: a job of several steps is done and each task runs once.
+func TestCompletes(t *testing.T) {
+	play(t, 4, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 6, Need: one, Estimate: 2000})
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 4*time.Second)
+		for i := range 6 {
+			r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a", Index: i}), qt.HasLen, 1)
+		}
+	})
+}
+
+// TestServerGone: a worker is lost for good; its task runs elsewhere once its
+// lease is certainly over, however often it was asked meanwhile.
+func TestServerGone(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(4 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 4000})
+		time.Sleep(time.Second)
+		lost := r.holder("a")
+		r.workers[lost].SetFault(laborer.FaultCut)
+		r.hidden.Store(lost, true)
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 15*time.Second)
+	})
+}
+
+// TestStopUnanswered: a worker answers neither starts nor stops and runs
+// nothing; once it answers again the task is placed anew.
+func TestStopUnanswered(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.workers["w0"].SetFault(laborer.FaultCut)
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
+		time.Sleep(3 * time.Second)
+		r.workers["w0"].SetFault(laborer.FaultNone)
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 8*time.Second)
+	})
+}
+
+// TestTakeOver: another host takes over while tasks run; they run on.
+func TestTakeOver(t *testing.T) {
+	play(t, 4, func(r *rig) {
+		r.took.Store(int64(5 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 4, Need: one, Estimate: 5000})
+		time.Sleep(2 * time.Second)
+		r.takeOver()
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 4*time.Second)
+		for i := range 4 {
+			r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a", Index: i}), qt.HasLen, 1)
+		}
+	})
+}
+
+// TestStartUnsent: the host is lost between the commit of a placement and its
+// order; the next one sends it.
+func TestStartUnsent(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.workers["w0"].SetFault(laborer.FaultCut)
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
+		r.workers["w0"].SetFault(laborer.FaultNone)
+		r.takeOver()
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 4*time.Second)
+	})
+}
+
+// TestGoneAtTakeOver: a worker that left while the role moved never registers
+// with the new host; its task does not wait for it for ever.
+func TestGoneAtTakeOver(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(4 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 4000})
+		time.Sleep(time.Second)
+		lost := r.holder("a")
+		r.workers[lost].SetFault(laborer.FaultCut)
+		r.hidden.Store(lost, true)
+		r.takeOver()
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 15*time.Second)
+	})
+}
+
+// TestLateStart: the first copy of a start gets no answer and is carried out
+// seconds later; the task does not run on two workers.
+func TestLateStart(t *testing.T) {
+	play(t, 3, func(r *rig) {
+		for _, w := range r.workers {
+			w.SetFault(laborer.FaultLate)
+		}
+		r.took.Store(int64(5 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 3, Need: one, Estimate: 5000})
+		time.Sleep(600 * time.Millisecond)
+		for _, id := range []string{"w1", "w2"} {
+			r.workers[id].SetFault(laborer.FaultNone)
+		}
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 20*time.Second)
+	})
+}
+
+// TestSilentRepeat: a worker carries a start out, answers nothing and is then
+// not to be had for the repeat; the task does not start elsewhere meanwhile.
+func TestSilentRepeat(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(8 * time.Second))
+		r.submit("before", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 8000})
+		time.Sleep(1800 * time.Millisecond)
+		busy := r.holder("before")
+		r.workers[busy].SetFault(laborer.FaultMute)
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 8000})
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 30*time.Second)
+	})
+}
+
+// TestStoreDown: nothing is accepted or started without the store, and what
+// runs goes on.
+func TestStoreDown(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(4 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 2, Need: one, Estimate: 4000})
+		time.Sleep(500 * time.Millisecond)
+		r.store.SetFault(bookkeeper.FaultSilent)
+		time.Sleep(8 * time.Second)
+		r.c.Check(r.state("a", "batch"), qt.Equals, yuccapaddle.JobRunning)
+		r.store.SetFault(bookkeeper.FaultNone)
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 2*time.Second)
+		for i := range 2 {
+			r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a", Index: i}), qt.HasLen, 1)
+		}
+	})
+}
+
+// TestAnswerLost: commits are carried out and not answered; nothing runs twice.
+func TestAnswerLost(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 2, Need: one, Estimate: 2000})
+		time.Sleep(1500 * time.Millisecond)
+		r.store.SetFault(bookkeeper.FaultLost)
+		time.Sleep(3 * time.Second)
+		r.store.SetFault(bookkeeper.FaultNone)
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 3*time.Second)
+		for i := range 2 {
+			r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a", Index: i}), qt.HasLen, 1)
+		}
+	})
+}
+
+// TestRestartSameID: a worker starts anew under its ID; its task runs again.
+func TestRestartSameID(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
+		time.Sleep(time.Second)
+		r.workers["w0"].Restart()
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 6*time.Second)
+	})
+}
+
+// TestUrgentTakesRoom: an urgent job on a full cluster starts within the time in
+// which a share has to be given back.
+func TestUrgentTakesRoom(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(30 * time.Second))
+		r.submit("long", "batch", yuccapaddle.Step{Count: 16, Need: one, Estimate: 30000})
+		time.Sleep(time.Second)
+		r.submit("now", "quick", yuccapaddle.Step{Count: 4, Need: one, Gang: true, Estimate: 2000})
+		time.Sleep(time.Second)
+		n := 0
+		for _, w := range r.workers {
+			for _, task := range w.Running() {
+				if task.Job == "now" {
+					n++
+				}
+			}
+		}
+		r.c.Check(n, qt.Equals, 4)
+	})
+}
+
+// TestCancelStops: a cancelled job's tasks are stopped and not started again.
+func TestCancelStops(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(30 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 4, Need: one, Estimate: 30000})
+		time.Sleep(time.Second)
+		found, err := r.exec.Cancel(r.t.Context(), "a", "batch")
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(found, qt.IsTrue)
+		time.Sleep(time.Second)
+		r.c.Check(r.holder("a"), qt.Equals, "")
+		r.c.Check(r.state("a", "batch"), qt.Equals, yuccapaddle.JobCanceled)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -41,6 +41,7 @@
 	told      int64 // ends that the server has been told to forget
 	lapsesBy  time.Time
 	silent    bool
+	met       bool // it has told what it runs since this host is active
 }
 
 func (e *Executor) link(id string) *link {
@@ -167,8 +168,10 @@
 	if busy && !l.silent {
 		// A silent server is only looked at: an order to it may arrive although its
 		// answer does not, and each renewal would put off the end of its leases.
-		o.WaitMS = waitMS
 		o.Deadline = e.deadline(l)
+		if l.met {
+			o.WaitMS = waitMS
+		}
 	}
 	if e.plan.Seen(id) > l.committed {
 		// The server would answer at once with ends that are not committed yet.
@@ -207,7 +210,7 @@
 		}
 	}
 	l.setClock(reply.Clock, sentAt)
-	l.told = max(l.told, o.Seen)
+	l.told, l.met = max(l.told, o.Seen), true
 	e.plan.Report(id, &reply, sentAt)
 }
 
--- /dev/null
+++ b/internal/executor/rig_test.go
@@ -0,0 +1,202 @@
+package executor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/planner"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/ruler"
+	"yuccapaddle/internal/standin/bookkeeper"
+	"yuccapaddle/internal/standin/laborer"
+)
+
+const (
+	holdMax  = 6000
+	rackSize = 4
+)
+
+// rig is an executor with a store and workers in memory, in virtual time.
+type rig struct {
+	t       *testing.T
+	c       *qt.C
+	store   *bookkeeper.Bookkeeper
+	workers map[string]*laborer.Laborer
+	hidden  sync.Map // registrations that have been removed
+	starts  *laborer.Starts
+	took    atomic.Int64 // of a task
+	exec    *executor.Executor
+	stop    context.CancelFunc
+	group   *errgroup.Group
+	host    int
+}
+
+func newRig(t *testing.T, workers int) *rig {
+	r := &rig{
+		t: t, c: qt.New(t), store: bookkeeper.New(), workers: map[string]*laborer.Laborer{},
+		starts: laborer.NewStarts(), group: &errgroup.Group{},
+	}
+	r.took.Store(int64(2 * time.Second))
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		self := yuccapaddle.Server{
+			ID: id, Address: id + ":1", Service: "svc", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/rackSize),
+			Labels: []string{"a", fmt.Sprintf("r%d", i/rackSize)}, Capacity: yuccapaddle.Need{CPU: 64000, Memory: 262144, GPU: 8},
+		}
+		r.workers[id] = laborer.New(self, holdMax, r.work, r.starts)
+	}
+	return r
+}
+
+func (r *rig) work(yuccapaddle.TaskID, string) (time.Duration, bool) {
+	return time.Duration(r.took.Load()), false
+}
+
+// Servers implements yuccapaddle.Registry.
+func (r *rig) Servers(context.Context) ([]yuccapaddle.Server, error) {
+	var list []yuccapaddle.Server
+	for id, w := range r.workers {
+		if _, ok := r.hidden.Load(id); !ok {
+			list = append(list, w.Server())
+		}
+	}
+	return list, nil
+}
+
+// Start implements yuccapaddle.Runner.
+func (r *rig) Start(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.StartOrder) (int64, error) {
+	return r.workers[s.ID].Start(ctx, o)
+}
+
+// Stop implements yuccapaddle.Runner.
+func (r *rig) Stop(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.StopOrder) (int64, error) {
+	return r.workers[s.ID].Stop(ctx, o)
+}
+
+// Hold implements yuccapaddle.Runner.
+func (r *rig) Hold(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
+	return r.workers[s.ID].Hold(ctx, o)
+}
+
+// Read implements yuccapaddle.Rulebook.
+func (r *rig) Read(context.Context) ([]byte, error) {
+	return []byte("rules"), nil
+}
+
+// Decode implements yuccapaddle.Rulebook.
+func (r *rig) Decode([]byte) (*yuccapaddle.Rules, error) {
+	rules := &yuccapaddle.Rules{
+		Version: 1, Revision: 1, Digest: 1,
+		Queues: []yuccapaddle.Queue{
+			{Name: "quick", Service: "svc", Priority: 0, Attempts: 3},
+			{Name: "batch", Service: "svc", Priority: 2, Attempts: 3},
+		},
+		Tenants: []yuccapaddle.Tenant{{Name: "north", Keys: []string{"k"}, Guaranteed: 16}},
+	}
+	return rules.Index(), nil
+}
+
+// takeOver ends the executor, if there is one, without a word and starts another.
+func (r *rig) takeOver() {
+	if r.stop != nil {
+		r.stop()
+		synctest.Wait()
+	}
+	r.host++
+	name := fmt.Sprintf("h%d", r.host)
+	rec, err := recorder.Claim(r.t.Context(), r.store, name, name, name, recorder.Lock{Key: "lock-" + name, Address: name})
+	r.c.Assert(err, qt.IsNil)
+	log := zap.NewNop()
+	if testing.Verbose() {
+		log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewDevelopmentEncoderConfig()), zapcore.AddSync(writer{r.t}), zap.InfoLevel))
+	}
+	rules := ruler.New(r, yuccapaddle.SystemClock{}, log)
+	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
+	bounds := executor.Bounds{HoldMax: holdMax, Planner: planner.Limits{
+		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
+	}}
+	ctx, cancel := context.WithCancel(r.t.Context())
+	r.exec, r.stop = executor.New(r, r, rules, rec, bounds, yuccapaddle.SystemClock{}, log), cancel
+	exec := r.exec
+	r.group.Go(func() error { return rules.Run(ctx, func() bool { return true }) })
+	r.group.Go(func() error {
+		err := exec.Run(ctx)
+		if errors.Is(err, yuccapaddle.ErrUnknown) || errors.Is(err, executor.ErrStopped) {
+			return nil
+		}
+		return err
+	})
+}
+
+type writer struct{ t *testing.T }
+
+// Write implements io.Writer.
+func (w writer) Write(p []byte) (int, error) {
+	w.t.Logf("%s %s", time.Now().Format("05.000"), strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+// close ends the rig; every test calls it before its bubble ends.
+func (r *rig) close() {
+	r.stop()
+	r.c.Check(r.group.Wait(), qt.IsNil)
+}
+
+// submit hands a job of one step in.
+func (r *rig) submit(id, queue string, step yuccapaddle.Step) {
+	r.t.Helper()
+	j := &yuccapaddle.Job{ID: id, Queue: queue, Service: "svc", Workspace: "north", Steps: []yuccapaddle.Step{step}}
+	ctx, cancel := context.WithTimeout(r.t.Context(), 3*time.Second)
+	defer cancel()
+	r.c.Assert(r.exec.Submit(ctx, j), qt.IsNil)
+}
+
+// state is the committed state of a job.
+func (r *rig) state(id, queue string) yuccapaddle.JobState {
+	s, _, err := r.exec.Show(r.t.Context(), id, queue)
+	r.c.Assert(err, qt.IsNil)
+	return s
+}
+
+// settles waits until the job has the state, checking all the while that no
+// task runs on two workers.
+func (r *rig) settles(id, queue string, want yuccapaddle.JobState, within time.Duration) {
+	r.t.Helper()
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+		r.single()
+		if r.state(id, queue) == want {
+			return
+		}
+	}
+	r.c.Fatalf("job %s is %s after %v, not %s", id, r.state(id, queue), within, want)
+}
+
+// single checks that no task runs on two workers at once.
+func (r *rig) single() {
+	r.t.Helper()
+	on := map[yuccapaddle.TaskID]string{}
+	for id, w := range r.workers {
+		for _, t := range w.Running() {
+			if other, ok := on[t]; ok {
+				r.c.Fatalf("task %s runs on %s and %s", t, other, id)
+			}
+			on[t] = id
+		}
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -107,14 +107,14 @@
 func (p *Planner) missing(s *server, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
 	for t, x := range s.runs {
 		m := &x.u.members[x.i]
-		if running[t] || !m.movedAt.Before(sentAt) {
+		if running[t] || m.movedAt.After(sentAt) {
 			continue
 		}
 		if m.adopted && !x.u.stopping {
 			m.adopted = false
 			p.again(s, x)
 		}
-		if !m.sent {
+		if !m.sent || m.movedAt.Equal(sentAt) {
 			continue
 		}
 		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Server: s.ID, Run: x.u.run})
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -49,6 +49,7 @@
 // Recorder is the one writer of the records.
 type Recorder struct {
 	ledger   yuccapaddle.Ledger
+	epoch    uint64
 	head     head
 	revision uint64
 }
@@ -82,12 +83,13 @@
 	if err := r.commit(ctx, t); err != nil {
 		return nil, fmt.Errorf("claim the records: %w", err)
 	}
+	r.epoch = r.head.Epoch
 	return r, nil
 }
 
-// Epoch is the number of this writer.
+// Epoch is the number of this writer. It may be called at any time.
 func (r *Recorder) Epoch() uint64 {
-	return r.head.Epoch
+	return r.epoch
 }
 
 // Load reads all records.
--- a/internal/ruler/ruler.go
+++ b/internal/ruler/ruler.go
@@ -11,7 +11,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/sleeper"
-	"yuccapaddle/internal/timekeeper"
 )
 
 const (
@@ -25,7 +24,7 @@
 type Ruler struct {
 	book    yuccapaddle.Rulebook
 	log     *zap.Logger
-	clock   timekeeper.Timekeeper
+	clock   yuccapaddle.Clock
 	current atomic.Pointer[state]
 	freshAt atomic.Int64 // Unix nanoseconds of the steady clock
 	away    bool
@@ -37,8 +36,8 @@
 }
 
 // New returns a Ruler without rules.
-func New(book yuccapaddle.Rulebook, log *zap.Logger) *Ruler {
-	return &Ruler{book: book, log: log}
+func New(book yuccapaddle.Rulebook, clock yuccapaddle.Clock, log *zap.Logger) *Ruler {
+	return &Ruler{book: book, clock: clock, log: log}
 }
 
 // Current returns the rules in force, nil if there are none yet.
