executor: refuse new jobs while the ledger is away

Change: a job waits for the commit in work and is part of the next one; when the commit takes over 0.7 s it is refused, which is true of it. Submissions are tried at other hosts for 1.3 s when no host is active.

--- a/internal/executor/desk.go
+++ b/internal/executor/desk.go
@@ -3,12 +3,79 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"yuccapaddle"
 )
 
-// Submit takes a job in and returns once it is committed.
+// submission is a job that waits for the commit in work to end. Its channel
+// tells whether it has been taken in.
+type submission struct {
+	job   *yuccapaddle.Job
+	taken chan bool
+}
+
+// Submit takes a job in and returns once it is committed. While commits do not
+// get through it is refused, which is true of it: only jobs that have been taken
+// in are ever part of a commit.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
-	return e.ask(ctx, func() { e.plan.Submit(j) })
+	s := submission{job: j, taken: make(chan bool, 1)}
+	if !e.post(func() { e.receive(s) }) {
+		return yuccapaddle.ErrNotTaken
+	}
+	select {
+	case ok := <-s.taken:
+		if !ok {
+			return ErrRefused
+		}
+	case <-ctx.Done():
+		return yuccapaddle.ErrUnknown
+	case <-e.done:
+		return yuccapaddle.ErrUnknown
+	}
+	return e.ask(ctx, func() {})
+}
+
+// receive takes a job in, or lets it wait for the commit in work.
+func (e *Executor) receive(s submission) {
+	if e.committing {
+		e.arriving = append(e.arriving, s)
+		return
+	}
+	e.takeIn(s)
+}
+
+func (e *Executor) takeIn(s submission) {
+	e.plan.Submit(s.job)
+	s.taken <- true
+}
+
+// stalled reports whether the commit in work takes so long that the ledger is
+// taken to be away.
+func (e *Executor) stalled() bool {
+	return e.committing && e.now.Sub(e.committedAt) > stallTime
+}
+
+func (e *Executor) turnAway(s submission) {
+	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", "the ledger does not answer"),
+		zap.Int64("commit_ms_ago", e.now.Sub(e.committedAt).Milliseconds()))
+	s.taken <- false
+}
+
+// admit settles the jobs that have waited for a commit.
+func (e *Executor) admit() {
+	waiting := e.arriving
+	e.arriving = nil
+	for _, s := range waiting {
+		switch {
+		case !e.committing:
+			e.takeIn(s)
+		case e.stalled():
+			e.turnAway(s)
+		default:
+			e.arriving = append(e.arriving, s)
+		}
+	}
 }
 
 // Cancel cancels a job and returns once that is committed.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -28,11 +28,17 @@
 	// knownFor is how old the registrations and rules may be when tasks are placed.
 	knownFor = 1800 * time.Millisecond
 	idleTick = 200 * time.Millisecond
+	// stallTime is how long a commit may take before new jobs are refused: long
+	// enough for a slow ledger, short against the time that callers wait.
+	stallTime = 700 * time.Millisecond
 )
 
 // ErrStopped reports that the executor has ended before it could answer.
 var ErrStopped = errors.New("this host is not active any more")
 
+// ErrRefused reports a job that is not taken in while the ledger is away.
+var ErrRefused = fmt.Errorf("the ledger does not answer: %w", yuccapaddle.ErrNotTaken)
+
 // Bounds are figures of the settings.
 type Bounds struct {
 	// HoldMax is the longest lease that a server gives, in milliseconds.
@@ -60,6 +66,7 @@
 	committing  bool
 	committedAt time.Time
 	waiters     []chan struct{}
+	arriving    []submission
 	links       map[string]*link
 	shown       map[string]shownJob
 	digest      uint64
@@ -172,6 +179,7 @@
 		e.digest = r.Digest
 		e.plan.Configure(r)
 	}
+	e.admit()
 	if !e.committing {
 		if e.informed() {
 			e.plan.Plan()
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,28 @@
 		r.c.Check(r.state("a", "batch"), qt.Equals, yuccapaddle.JobCanceled)
 	})
 }
+
+// TestRefusedWhileAway: with the store away, a job that is not part of a commit
+// is refused at once and truly: it is not run later.
+func TestRefusedWhileAway(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
+		r.store.SetFault(bookkeeper.FaultSilent)
+		ctx, cancel := context.WithTimeout(r.t.Context(), 3*time.Second)
+		defer cancel()
+		first := &yuccapaddle.Job{ID: "b", Queue: "batch", Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: one}}}
+		r.group.Go(func() error {
+			_ = r.exec.Submit(ctx, first) // its commit hangs: what becomes of it is not known
+			return nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		begun := time.Now()
+		late := &yuccapaddle.Job{ID: "c", Queue: "batch", Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: one}}}
+		err := r.exec.Submit(ctx, late)
+		r.c.Check(err, qt.ErrorIs, yuccapaddle.ErrNotTaken)
+		r.c.Check(time.Since(begun) < time.Second, qt.IsTrue)
+		r.store.SetFault(bookkeeper.FaultNone)
+		time.Sleep(5 * time.Second)
+		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "c"}), qt.HasLen, 0)
+	})
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -76,6 +76,8 @@
 	}
 	answer, err := f(e)
 	switch {
+	case errors.Is(err, executor.ErrRefused):
+		return &peer.JobAnswer{Refused: true}, nil
 	case errors.Is(err, yuccapaddle.ErrNotTaken):
 		return &peer.JobAnswer{Inactive: true}, nil
 	case err != nil:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,9 @@
 	// tryTime is how long one try at the active host may take.
 	tryTime    = 1200 * time.Millisecond
 	retryEvery = 60 * time.Millisecond
+	// searchTime is how long an active host is sought: a little longer than the
+	// role takes to move.
+	searchTime = 1300 * time.Millisecond
 )
 
 // Router implements yuccapaddle.Desk.
@@ -102,6 +105,7 @@
 // can have been carried out the error matches ErrNotTaken, else ErrUnknown.
 func (r *Router) try(ctx context.Context, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
 	known := true
+	giveUp := time.Now().Add(searchTime)
 	for {
 		answer, taken, err := r.tryOnce(ctx, local, remote)
 		if err == nil {
@@ -110,6 +114,9 @@
 		if taken {
 			known = false
 		}
+		if known && (errors.Is(err, errRefused) || time.Now().After(giveUp)) {
+			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotTaken, err)
+		}
 		if sleeper.Sleep(ctx, retryEvery) == nil {
 			continue
 		}
@@ -120,12 +127,20 @@
 	}
 }
 
-var errNoActive = errors.New("no host is active")
+var (
+	errNoActive = errors.New("no host is active")
+	// errRefused: the active host refuses the request, so that trying again at
+	// once is of no use.
+	errRefused = errors.New("the active host refused the request")
+)
 
 // tryOnce reports in taken whether a failed try may have been carried out.
 func (r *Router) tryOnce(ctx context.Context, local localCall, remote remoteCall) (answer *peer.JobAnswer, taken bool, err error) {
 	if e := r.claimer.Local(); e != nil {
 		answer, err = local(ctx, e)
+		if errors.Is(err, executor.ErrRefused) {
+			return nil, false, errRefused
+		}
 		return answer, !errors.Is(err, yuccapaddle.ErrNotTaken), err
 	}
 	address, ok := r.claimer.Leader()
@@ -142,6 +157,9 @@
 	if err != nil {
 		return nil, status.Code(err) != codes.InvalidArgument, err
 	}
+	if answer.GetRefused() {
+		return nil, false, errRefused
+	}
 	if answer.GetInactive() {
 		return nil, false, errNoActive
 	}
