planner: choose whom to stop by the work that is lost

Change: each server offers room at the price of the work that its victims lose; the cheapest offers win, within one rack if the gang asks for it.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -72,6 +72,7 @@
 	bounds := executor.Bounds{HoldMax: s.Bounds.HoldMaxMS, Planner: planner.Limits{
 		Remote:     s.Bounds.RemotePenalty,
 		StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
+		Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
 		Retention:  time.Duration(s.Bounds.StatusS) * time.Second,
 	}}
 	host := assembler.New(place, outside, bounds, namer.Unique(s.Host), log,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -30,6 +30,8 @@
 	Remote float64
 	// StopWithin is the longest time that a stop takes.
 	StopWithin time.Duration
+	// Restore is the time that a task takes to go on from a checkpoint.
+	Restore time.Duration
 	// Retention is how long a finished job can be asked for.
 	Retention time.Duration
 }
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -8,8 +8,20 @@
 	"yuccapaddle"
 )
 
-// claimTime is how long freed room is kept for the unit that it was freed for.
-const claimTime = 2 * time.Second
+const (
+	// claimTime is how long freed room is kept for the unit that it was freed for.
+	claimTime = 2 * time.Second
+	// coresPerGPU is what an accelerator counts against a core when work is lost.
+	coresPerGPU = 8
+)
+
+// offer is room for one more task on a server once the victims have gone. Cost
+// is the work that is lost for it.
+type offer struct {
+	s       *server
+	victims []*unit
+	cost    float64
+}
 
 // preempt frees room for an urgent unit by stopping less urgent ones. It reports
 // whether the unit was placed, which is never at once.
@@ -17,137 +29,142 @@
 	if u.job.queue.priority != 0 || u.spec().Spare {
 		return false
 	}
-	reserved := p.reserved()
-	var victims []*unit
-	extra := map[string]yuccapaddle.Need{}
-	for _, v := range p.victims(u) {
-		victims = append(victims, v)
-		for i := range v.members {
-			if !v.members[i].over {
-				id := v.members[i].server
-				extra[id] = extra[id].Add(v.spec().Need)
+	best := p.cheapest(u)
+	if best == nil {
+		return false
+	}
+	u.claim, u.claimedAt = nil, p.now
+	for _, o := range best {
+		u.claim = append(u.claim, o.s.ID)
+		for _, v := range o.victims {
+			if !v.stopping {
+				p.stop(v, "its room is for "+u.job.in.ID)
 			}
 		}
-		servers := p.pickWith(u, reserved, extra)
-		if servers == nil {
-			continue
-		}
-		p.evict(u, servers, victims, reserved)
-		return false
 	}
+	p.wakeBy(p.now.Add(claimTime))
 	return false
 }
 
-// pickWith picks as if the extra room were free.
-func (p *Planner) pickWith(u *unit, reserved, extra map[string]yuccapaddle.Need) []string {
-	less := make(map[string]yuccapaddle.Need, len(reserved)+len(extra))
-	for id, n := range reserved {
-		less[id] = n
-	}
-	for id, n := range extra {
-		less[id] = less[id].Sub(n)
-	}
-	rooms := p.rooms(u, less)
-	n := u.width()
-	if u.spec().DataRack != "" {
-		if list := fill(inRack(rooms, u.spec().DataRack), n); list != nil {
-			return list
+// cheapest chooses an offer for each task of the unit: within one rack if the
+// unit asks for that and a rack is large enough, else anywhere.
+func (p *Planner) cheapest(u *unit) []offer {
+	byRack := map[string][]offer{}
+	var all []offer
+	reserved := p.reserved()
+	for id, s := range p.servers {
+		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) || p.rests(s) {
+			continue
 		}
+		list := p.offers(u, s, reserved[id])
+		byRack[s.Rack] = append(byRack[s.Rack], list...)
+		all = append(all, list...)
 	}
-	if n == 1 {
-		return fill(rooms, n)
+	var best []offer
+	if u.spec().DataRack != "" || u.spec().OneRack && u.width() > 1 {
+		for name, list := range byRack {
+			if u.spec().DataRack != "" && name != u.spec().DataRack {
+				continue
+			}
+			if chosen := choose(list, u.width()); chosen != nil && (best == nil || total(chosen) < total(best)) {
+				best = chosen
+			}
+		}
 	}
-	if list := oneRack(rooms, n); list != nil || u.spec().OneRack && p.rackCouldHold(u, "") {
-		return list
+	if best == nil {
+		best = choose(all, u.width())
 	}
-	return fewestRacks(rooms, n)
+	return best
 }
 
-// evict stops those victims that are needed, and claims the room.
-func (p *Planner) evict(u *unit, servers []string, victims []*unit, reserved map[string]yuccapaddle.Need) {
-	u.claim, u.claimedAt = servers, p.now
-	need := map[string]yuccapaddle.Need{}
-	for _, id := range servers {
-		need[id] = need[id].Add(u.spec().Need)
-	}
-	lacking := func() map[string]bool {
-		short := map[string]bool{}
-		for id, n := range need {
-			if !n.Fits(p.servers[id].free().Sub(reserved[id]).Add(p.leaving(id))) {
-				short[id] = true
-			}
+// offers lists the room for one, two and more tasks on a server, each with the
+// victims that it needs beyond those before it.
+func (p *Planner) offers(u *unit, s *server, reserved yuccapaddle.Need) []offer {
+	free := s.free().Sub(reserved)
+	var victims []*unit
+	for _, x := range s.runs {
+		switch {
+		case x.u.stopping:
+			free = free.Add(x.u.spec().Need)
+		case p.yields(x.u, u):
+			victims = append(victims, x.u)
 		}
-		return short
 	}
+	slices.SortFunc(victims, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.job.in.ID, b.job.in.ID), cmp.Compare(a.index, b.index))
+	})
+	most := p.perServer(u, s)
+	var list []offer
+	have := tasksIn(u, free, most)
+	for range have {
+		list = append(list, offer{s: s})
+	}
+	var pending []*unit
+	cost := 0.0
 	for _, v := range victims {
-		short := lacking()
-		if len(short) == 0 {
-			break
-		}
-		if v.touches(short) {
-			p.stop(v, "its room is for "+u.job.in.ID)
+		free = free.Add(v.spec().Need)
+		pending = append(pending, v)
+		cost += p.loss(v)
+		if n := tasksIn(u, free, most); n > have {
+			list = append(list, offer{s: s, victims: pending, cost: cost})
+			for range n - have - 1 {
+				list = append(list, offer{s: s})
+			}
+			have, pending, cost = n, nil, 0
 		}
 	}
-	p.wakeBy(p.now.Add(claimTime))
+	return list
 }
 
-// leaving is the room that stopped runs will give back on a server.
-func (p *Planner) leaving(id string) yuccapaddle.Need {
-	var n yuccapaddle.Need
-	for _, x := range p.servers[id].runs {
-		if x.u.stopping {
-			n = n.Add(x.u.spec().Need)
-		}
+// choose takes the n cheapest offers, nil if there are fewer. The offers of a
+// server are taken in their order, since each builds on those before it.
+func choose(list []offer, n int) []offer {
+	if len(list) < n {
+		return nil
 	}
-	return n
-}
-
-func (u *unit) touches(servers map[string]bool) bool {
-	for i := range u.members {
-		if !u.members[i].over && servers[u.members[i].server] {
-			return true
-		}
+	// Offers behind a dear one of the same server cannot be had without it.
+	most := map[*server]float64{}
+	keys := make([]float64, len(list))
+	for i, o := range list {
+		most[o.s] = max(most[o.s], o.cost)
+		keys[i] = most[o.s]
 	}
-	return false
-}
-
-// victims lists the units that may give way to u: those already being stopped,
-// then the least urgent, then those that lose the least work.
-func (p *Planner) victims(u *unit) []*unit {
-	var list []*unit
-	for _, j := range p.jobs {
-		for _, v := range j.units {
-			if v.state == unitPlaced && v.live() && (v.stopping || p.yields(v, u)) {
-				list = append(list, v)
-			}
-		}
+	order := make([]int, len(list))
+	for i := range order {
+		order[i] = i
 	}
-	slices.SortFunc(list, func(a, b *unit) int {
-		return cmp.Or(
-			compareBool(!a.stopping, !b.stopping),
-			cmp.Compare(b.job.queue.priority, a.job.queue.priority),
-			cmp.Compare(p.loss(a), p.loss(b)),
-			cmp.Compare(a.job.in.ID, b.job.in.ID),
-			cmp.Compare(a.step*mostTasks+a.index, b.step*mostTasks+b.index),
-		)
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(keys[a], keys[b]), cmp.Compare(list[a].s.ID, list[b].s.ID), cmp.Compare(a, b))
 	})
-	return list
+	chosen := make([]offer, 0, n)
+	for _, i := range order[:n] {
+		chosen = append(chosen, list[i])
+	}
+	return chosen
 }
 
-const mostTasks = 4096
+func total(list []offer) float64 {
+	sum := 0.0
+	for _, o := range list {
+		sum += o.cost
+	}
+	return sum
+}
 
 func (p *Planner) yields(v, u *unit) bool {
 	return p.priority(v.job) > u.job.queue.priority
 }
 
-// loss is the work that a stop throws away, in milliseconds of a core. An
-// accelerator counts as coresPerGPU cores.
-func (p *Planner) loss(u *unit) int {
+// loss is the work that a stop throws away, in core-seconds: all of a run that
+// writes no checkpoints, and the time to go on for one that does.
+func (p *Planner) loss(u *unit) float64 {
+	cores := float64(u.held()) * (float64(u.spec().Need.CPU)/1000 + coresPerGPU*float64(u.spec().Need.GPU))
+	run := p.now.Sub(u.placedAt).Seconds()
 	if u.spec().Saves {
-		return 0
+		run = min(run, p.limits.Restore.Seconds())
 	}
-	run := int(p.now.Sub(u.placedAt).Milliseconds())
-	return run * u.held() * (u.spec().Need.CPU/1000 + coresPerGPU*u.spec().Need.GPU)
+	return (run + stopLoss) * cores
 }
 
-const coresPerGPU = 8
+// stopLoss is what each stop costs beside the lost work, in seconds of the room.
+const stopLoss = 0.5
