claimer: give the role up at once, and do not wait for hosts that are cut off

Ruled out: a longer lease or slow loading (jobs are loaded in some 10 ms). Change: the lease is given back and submissions are turned elsewhere as soon as the role ends; a host that cannot be reached is not followed again. Also here: empty servers are kept for the bursts of urgent work (reserve.go).

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -32,7 +32,7 @@
 	// leases end; a renewal costs a tenth of a read.
 	leaseTime  = 1200 * time.Millisecond
 	renewEvery = 350 * time.Millisecond
-	callTime   = 500 * time.Millisecond
+	callTime   = 700 * time.Millisecond
 	seekEvery  = 150 * time.Millisecond
 	// silentFor is how long the active host may send no heartbeat.
 	silentFor = 900 * time.Millisecond
@@ -147,8 +147,11 @@
 	}
 	holder := string(lock.Value)
 	if lock.Revision != 0 && holder != c.address {
-		if !c.refused(holder) {
+		switch c.probe(holder) {
+		case reachable:
 			return holder, true
+		case unreachable:
+			return "", false // its lease will tell
 		}
 		c.log.Info("the active host's process is gone", zap.String("address", holder))
 	}
@@ -159,15 +162,27 @@
 	return "", false
 }
 
-// refused reports whether nothing listens at an address, so that the process
-// there has certainly ended.
-func (c *Claimer) refused(address string) bool {
+// presence is what a connection to a host's address shows.
+type presence int
+
+const (
+	reachable presence = iota
+	// unreachable hosts may live; only the way to them may be cut.
+	unreachable
+	// absent: nothing listens, so that the process has certainly ended.
+	absent
+)
+
+func (c *Claimer) probe(address string) presence {
 	conn, err := net.DialTimeout("tcp", address, dialTime)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close() // it was opened only to see whether it can be
-		return false
+		return reachable
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return absent
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return unreachable
 }
 
 // ask asks the other hosts which one is active, when the ledger does not answer.
@@ -259,8 +274,6 @@
 	}
 	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
 	c.lead(ctx, rec, lease)
-	c.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
-	c.release(ctx, lease)
 }
 
 func (c *Claimer) release(ctx context.Context, lease uint64) {
@@ -271,30 +284,38 @@
 	}
 }
 
-// lead runs the executor until the role is lost or given up.
+// lead runs the executor until the role is lost or given up. The lease is given
+// back as soon as that is known: calls in work may take seconds to end.
 func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64) {
-	ctx, cancel := context.WithCancel(ctx)
+	lost, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
 	c.stop = cancel
 	c.mu.Unlock()
-	if c.yielding.Load() {
-		return
-	}
 	e := c.build(rec)
+	c.renewed.Store(c.clock.Now().UnixNano())
 	c.leader.Store(nil)
 	c.local.Store(e)
-	defer c.local.CompareAndSwap(e, nil)
-	g, ctx := guarder.New(ctx, c.log)
+	g, lost := guarder.New(lost, c.log)
 	g.Go("executor", func() error {
 		defer cancel()
-		return e.Run(ctx)
+		return e.Run(lost)
 	})
 	g.Go("renewal", func() error {
 		defer cancel()
-		return c.renew(ctx, lease, rec.Epoch())
+		return c.renew(lost, lease, rec.Epoch())
 	})
-	g.Go("counts", func() error { return c.count(ctx, e) })
+	g.Go("counts", func() error { return c.count(lost, e) })
+	g.Go("end", func() error {
+		<-lost.Done()
+		c.local.CompareAndSwap(e, nil)
+		c.release(ctx, lease)
+		c.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
+		return nil
+	})
+	if c.yielding.Load() {
+		cancel()
+	}
 	if err := g.Wait(); err != nil {
 		c.log.Info("the role ends", zap.Error(err))
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -95,11 +95,11 @@
 // Run loads the records and decides until the context ends or another host has
 // taken over.
 func (e *Executor) Run(ctx context.Context) error {
-	defer close(e.done)
 	e.group, e.ctx = guarder.New(ctx, e.log)
 	e.startedAt = e.clock.Now()
 	e.stamp()
 	if err := e.load(); err != nil {
+		close(e.done)
 		return err
 	}
 	e.group.Go("registrations", e.followRegistry)
@@ -141,6 +141,7 @@
 
 // loop handles events one after the other; nothing else touches the planner.
 func (e *Executor) loop() error {
+	defer close(e.done)
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for e.fail == nil {
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -97,7 +97,7 @@
 			cmp.Compare(a.s.ID, b.s.ID),
 		)
 	})
-	return list
+	return p.spare(u, list)
 }
 
 // perServer is how many tasks of the unit's step may still go to a server, 0 for
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -35,6 +35,7 @@
 		return
 	}
 	p.changed = false
+	p.observeUrgent()
 	p.place()
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,8 @@
 	removed []string
 	changed bool // something that placing depends on has changed
 	wakeAt  time.Time
+	urgent  int    // accelerators that urgent work holds or waits for
+	peaks   []peak // falling, of the last while
 }
 
 // Limits are bounds that the settings give.
