--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -20,9 +20,12 @@
 	"yuccapaddle/internal/logger"
 	"yuccapaddle/internal/namer"
 	"yuccapaddle/internal/planner"
+	"yuccapaddle/internal/timekeeper"
+	"yuccapaddle/platform/adviser"
 	"yuccapaddle/platform/booter"
 	"yuccapaddle/platform/fronter"
 	"yuccapaddle/platform/lister"
+	"yuccapaddle/platform/machinist"
 	"yuccapaddle/platform/reader"
 	"yuccapaddle/platform/runner"
 	"yuccapaddle/platform/storer"
@@ -66,6 +69,7 @@
 	ledger := storer.New(s.Store)
 	outside := assembler.Outside{
 		Ledger: ledger, Registry: lister.New(ledger, log), Runner: runner.New(), Rulebook: reader.New(ledger),
+		Adviser: adviser.New(s.Advice, timekeeper.Timekeeper{}), Fleet: machinist.New(s.Machines, ledger),
 		Front: func(d yuccapaddle.Desk) fasthttp.RequestHandler { return fronter.New(d, log).Handle },
 	}
 	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/timekeeper"
+	"yuccapaddle/internal/upkeeper"
 	"yuccapaddle/internal/writer"
 )
 
@@ -46,6 +47,8 @@
 	Registry yuccapaddle.Registry
 	Runner   yuccapaddle.Runner
 	Rulebook yuccapaddle.Rulebook
+	Adviser  yuccapaddle.Adviser
+	Fleet    yuccapaddle.Fleet
 	// Front makes the handler for callers.
 	Front func(yuccapaddle.Desk) fasthttp.RequestHandler
 }
@@ -93,8 +96,11 @@
 	return a
 }
 
-func (a *Assembler) build(rec *recorder.Recorder) *executor.Executor {
-	return executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, timekeeper.Timekeeper{}, a.log)
+func (a *Assembler) build(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
+	clock := timekeeper.Timekeeper{}
+	e := executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, clock, a.log, executor.WithAdviser(a.outside.Adviser))
+	keep := upkeeper.New(a.outside.Fleet, e, a.rules.Current, clock, a.place.Host, rec.Epoch(), a.log)
+	return e, keep.Run
 }
 
 // Run serves until stop is closed, then drains and returns nil.
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -39,8 +39,9 @@
 	dialTime  = 300 * time.Millisecond
 )
 
-// Build makes the executor of this host when it becomes active.
-type Build func(rec *recorder.Recorder) *executor.Executor
+// Build makes the executor of this host when it becomes active, and what else
+// runs then.
+type Build func(rec *recorder.Recorder) (e *executor.Executor, beside func(ctx context.Context) error)
 
 // Claimer is safe for concurrent use but for Run.
 type Claimer struct {
@@ -292,7 +293,7 @@
 	c.mu.Lock()
 	c.stop = cancel
 	c.mu.Unlock()
-	e := c.build(rec)
+	e, beside := c.build(rec)
 	c.renewed.Store(c.clock.Now().UnixNano())
 	c.leader.Store(nil)
 	c.local.Store(e)
@@ -305,6 +306,10 @@
 		defer cancel()
 		return c.renew(lost, lease, rec.Epoch())
 	})
+	g.Go("beside", func() error {
+		defer cancel()
+		return beside(lost)
+	})
 	g.Go("counts", func() error { return c.count(lost, e) })
 	g.Go("end", func() error {
 		<-lost.Done()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -50,18 +50,20 @@
 type Executor struct {
 	registry yuccapaddle.Registry
 	runner   yuccapaddle.Runner
+	adviser  yuccapaddle.Adviser
 	rules    *ruler.Ruler
 	rec      *recorder.Recorder
 	log      *zap.Logger
 	bounds   Bounds
 	clock    yuccapaddle.Clock
 
-	inbox chan func()
-	done  chan struct{}
-	plan  *planner.Planner
-	group *guarder.Guarder
-	ctx   context.Context
-	fail  error
+	inbox     chan func()
+	questions chan planner.Question
+	done      chan struct{}
+	plan      *planner.Planner
+	group     *guarder.Guarder
+	ctx       context.Context
+	fail      error
 
 	committing  bool
 	committedAt time.Time
@@ -81,15 +83,27 @@
 	queue string
 }
 
+// Option changes an executor under construction.
+type Option func(*Executor)
+
+// WithAdviser adds the service that gives tickets for advised queues.
+func WithAdviser(a yuccapaddle.Adviser) Option {
+	return func(e *Executor) { e.adviser = a }
+}
+
 // New returns an executor for the writer of the records.
 func New(registry yuccapaddle.Registry, runner yuccapaddle.Runner, rules *ruler.Ruler, rec *recorder.Recorder,
-	bounds Bounds, clock yuccapaddle.Clock, log *zap.Logger,
+	bounds Bounds, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Executor {
-	return &Executor{
+	e := &Executor{
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
-		links: map[string]*link{}, shown: map[string]shownJob{},
+		links: map[string]*link{}, shown: map[string]shownJob{}, questions: make(chan planner.Question, mostQuestions),
+	}
+	for _, o := range opts {
+		o(e)
 	}
+	return e
 }
 
 // Run loads the records and decides until the context ends or another host has
@@ -103,6 +117,9 @@
 		return err
 	}
 	e.group.Go("registrations", e.followRegistry)
+	if e.adviser != nil {
+		e.group.Go("advice", e.followAdvice)
+	}
 	e.group.Go("decisions", e.loop)
 	err := e.group.Wait()
 	if errors.Is(err, context.Canceled) {
@@ -254,6 +271,12 @@
 	for i := range b.Starts {
 		e.sendStart(b.Starts[i])
 	}
+	for i := range b.Paces {
+		e.sendPace(b.Paces[i])
+	}
+	for i := range b.Questions {
+		e.consult(b.Questions[i])
+	}
 }
 
 func (e *Executor) logNotes(b *planner.Batch) {
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -249,3 +249,73 @@
 		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "c"}), qt.HasLen, 0)
 	})
 }
+
+// running counts the tasks of a job that are in work.
+func (r *rig) running(id string) int {
+	n := 0
+	for _, w := range r.workers {
+		for _, task := range w.Running() {
+			if task.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestAdvised: a job whose queue is advised runs where the advice allows it,
+// with the ticket.
+func TestAdvised(t *testing.T) {
+	play(t, 3, func(r *rig) {
+		for _, w := range r.workers {
+			w.SetTicket("t")
+		}
+		r.submit("a", "advised", yuccapaddle.Step{Count: 3, Need: one, Estimate: 2000})
+		r.settles("a", "advised", yuccapaddle.JobCompleted, 5*time.Second)
+		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a"}), qt.DeepEquals, []string{"w1"})
+	})
+}
+
+// TestGuaranteeReclaims: a workspace gets its guarantee back from another that
+// uses more than its own for urgent jobs, and not more than that.
+func TestGuaranteeReclaims(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(30 * time.Second))
+		r.submitFor("south", "big", "quick", yuccapaddle.Step{Count: 16, Need: one, Estimate: 30000})
+		time.Sleep(time.Second)
+		r.c.Assert(r.running("big"), qt.Equals, 16)
+		r.submitFor("north", "own", "quick", yuccapaddle.Step{Count: 8, Need: one, Gang: true, Estimate: 30000})
+		time.Sleep(2900 * time.Millisecond)
+		r.c.Check(r.running("own"), qt.Equals, 8)
+		r.c.Check(r.running("big"), qt.Equals, 8)
+	})
+}
+
+// TestPace: what fills a server is halted when a serving task nears its target,
+// and goes on when it does not any more.
+func TestPace(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.took.Store(int64(60 * time.Second))
+		r.submit("serves", "batch", yuccapaddle.Step{Count: 1, Need: one, Endless: true, Target: 100})
+		r.submit("fills", "batch", yuccapaddle.Step{Count: 1, Need: one, Spare: true, Estimate: 60000})
+		pace := func() int { return r.workers["w0"].Paces()[yuccapaddle.TaskID{Job: "fills"}] }
+		r.workers["w0"].SetGauge(95)
+		time.Sleep(3 * time.Second)
+		r.c.Check(pace(), qt.Equals, 0)
+		r.workers["w0"].SetGauge(20)
+		time.Sleep(5 * time.Second)
+		r.c.Check(pace(), qt.Equals, 100)
+	})
+}
+
+// TestKept: tasks of which none may be away are not stopped for urgent work.
+func TestKept(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.took.Store(int64(60 * time.Second))
+		r.submit("kept", "batch", yuccapaddle.Step{Count: 6, Need: one, Endless: true, Kept: true})
+		time.Sleep(time.Second)
+		r.submit("now", "quick", yuccapaddle.Step{Count: 4, Need: one, Gang: true, Estimate: 2000})
+		time.Sleep(3 * time.Second)
+		r.c.Check(r.running("kept"), qt.Equals, 6)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -17,6 +17,9 @@
 	orderTime = 500 * time.Millisecond
 	// waitMS is how long a server may wait with its list for another end.
 	waitMS = 1900
+	// sharedWaitMS is the same where the pace of tasks has to be set: a gauge tells
+	// of the last half second.
+	sharedWaitMS = 500
 	// holdSlack is what a call may take beyond its wait.
 	holdSlack = 700 * time.Millisecond
 	holdRetry = 200 * time.Millisecond
@@ -169,7 +172,11 @@
 		// A silent server is only looked at: an order to it may arrive although its
 		// answer does not, and each renewal would put off the end of its leases.
 		o.Deadline = e.deadline(l)
-		if l.met {
+		switch {
+		case !l.met:
+		case e.plan.Shared(id):
+			o.WaitMS = sharedWaitMS
+		default:
 			o.WaitMS = waitMS
 		}
 	}
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,20 @@
 	return r.workers[s.ID].Hold(ctx, o)
 }
 
+// Pace implements yuccapaddle.Runner.
+func (r *rig) Pace(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.PaceOrder) error {
+	return r.workers[s.ID].Pace(ctx, o)
+}
+
+// Advise implements yuccapaddle.Adviser: only w1 may run a step, with ticket "t".
+func (r *rig) Advise(_ context.Context, _ yuccapaddle.StepID, servers []string) ([]yuccapaddle.Ticket, error) {
+	time.Sleep(200 * time.Millisecond)
+	if slices.Contains(servers, "w1") {
+		return []yuccapaddle.Ticket{{Server: "w1", Value: "t", Ends: time.Now().Add(3 * time.Second)}}, nil
+	}
+	return nil, nil
+}
+
 // Read implements yuccapaddle.Rulebook.
 func (r *rig) Read(context.Context) ([]byte, error) {
 	return []byte("rules"), nil
@@ -104,8 +119,12 @@
 		Queues: []yuccapaddle.Queue{
 			{Name: "quick", Service: "svc", Priority: 0, Attempts: 3},
 			{Name: "batch", Service: "svc", Priority: 2, Attempts: 3},
+			{Name: "advised", Service: "svc", Priority: 2, Attempts: 3, Advised: true},
+		},
+		Tenants: []yuccapaddle.Tenant{
+			{Name: "north", Keys: []string{"k"}, Guaranteed: 8},
+			{Name: "south", Keys: []string{"s"}, Guaranteed: 8},
 		},
-		Tenants: []yuccapaddle.Tenant{{Name: "north", Keys: []string{"k"}, Guaranteed: 16}},
 	}
 	return rules.Index(), nil
 }
@@ -130,7 +149,7 @@
 		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	}}
 	ctx, cancel := context.WithCancel(r.t.Context())
-	r.exec, r.stop = executor.New(r, r, rules, rec, bounds, yuccapaddle.SystemClock{}, log), cancel
+	r.exec, r.stop = executor.New(r, r, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r)), cancel
 	exec := r.exec
 	r.group.Go(func() error { return rules.Run(ctx, func() bool { return true }) })
 	r.group.Go(func() error {
@@ -159,7 +178,12 @@
 // submit hands a job of one step in.
 func (r *rig) submit(id, queue string, step yuccapaddle.Step) {
 	r.t.Helper()
-	j := &yuccapaddle.Job{ID: id, Queue: queue, Service: "svc", Workspace: "north", Steps: []yuccapaddle.Step{step}}
+	r.submitFor("north", id, queue, step)
+}
+
+func (r *rig) submitFor(workspace, id, queue string, step yuccapaddle.Step) {
+	r.t.Helper()
+	j := &yuccapaddle.Job{ID: id, Queue: queue, Service: "svc", Workspace: workspace, Steps: []yuccapaddle.Step{step}}
 	ctx, cancel := context.WithTimeout(r.t.Context(), 3*time.Second)
 	defer cancel()
 	r.c.Assert(r.exec.Submit(ctx, j), qt.IsNil)
--- /dev/null
+++ b/internal/executor/vacate.go
@@ -0,0 +1,21 @@
+package executor
+
+import "context"
+
+// Vacate has a server get no new runs for as long as want holds. It reports
+// whether nothing runs there, and whether taking it down now would have too many
+// tasks of a step away.
+func (e *Executor) Vacate(ctx context.Context, server string, want bool) (empty, needed bool) {
+	type answer struct{ empty, needed bool }
+	answers := make(chan answer, 1)
+	if !e.post(func() { answers <- answer{e.plan.Keep(server, want), e.plan.Spared(server)} }) {
+		return false, true
+	}
+	select {
+	case a := <-answers:
+		return a.empty, a.needed
+	case <-ctx.Done():
+	case <-e.done:
+	}
+	return false, true
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -62,6 +62,7 @@
 	movedAt time.Time // the last progress
 	tries   int
 	seen    bool // listed as running
+	pace    int  // the percentage at which it may work
 	adopted bool // placed by a former host, and not seen yet
 }
 
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -70,8 +70,14 @@
 	return false
 }
 
-// suits reports whether a server may run the unit at all.
+// suits reports whether a server may run the unit now.
 func (p *Planner) suits(u *unit, s *server) bool {
+	return p.fitsKind(u, s) && p.ticketed(u, s)
+}
+
+// fitsKind reports whether a server is of the service and kind that the unit
+// needs.
+func (p *Planner) fitsKind(u *unit, s *server) bool {
 	return s.Service == p.service(u.job) && (u.spec().Label == "" || s.label(u.spec().Label))
 }
 
@@ -119,12 +125,12 @@
 }
 
 func tasksIn(u *unit, free yuccapaddle.Need, most int) int {
-	need := u.spec().Need
+	need := u.spec().Room()
 	n := u.width()
 	if most != 0 {
 		n = min(n, max(most, 0))
 	}
-	if need.CPU > 0 && !u.spec().Spare {
+	if need.CPU > 0 {
 		n = min(n, free.CPU/need.CPU)
 	}
 	if need.Memory > 0 {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -74,6 +74,7 @@
 
 // place goes through the waiting units in order.
 func (p *Planner) place() {
+	p.needed = nil
 	stuck := map[stepKey]bool{}
 	for _, u := range p.waiting() {
 		key := stepKey{u.job.in.ID, u.occurrence, u.step}
@@ -145,6 +146,7 @@
 	}
 	servers := p.pick(u, p.reserved())
 	if servers == nil {
+		p.ask(u)
 		return p.preempt(u)
 	}
 	p.assign(u, servers)
@@ -160,7 +162,7 @@
 			u.claim = nil
 			return p.tryPlace(u)
 		}
-		taken[id] = taken[id].Add(u.spec().Need)
+		taken[id] = taken[id].Add(u.spec().Room())
 		if !taken[id].Fits(s.free()) {
 			if p.now.Sub(u.claimedAt) > claimTime {
 				u.claim = nil
@@ -184,7 +186,7 @@
 		}
 		for _, u := range j.units {
 			for _, id := range u.claim {
-				held[id] = held[id].Add(u.spec().Need)
+				held[id] = held[id].Add(u.spec().Room())
 			}
 		}
 	}
@@ -199,9 +201,9 @@
 	u.members = make([]member, len(servers))
 	for i, id := range servers {
 		s := p.servers[id]
-		u.members[i] = member{server: id, born: s.Born, movedAt: p.now}
+		u.members[i] = member{server: id, born: s.Born, movedAt: p.now, pace: fullPace}
 		s.add(u, i)
-		p.batch.Starts = append(p.batch.Starts, u.start(id, i))
+		p.batch.Starts = append(p.batch.Starts, p.start(u, id, i))
 		p.note(Note{
 			Event: "placed", Job: u.job.in.ID, Task: u.taskID(i).String(), Server: id, Run: u.run,
 			Detail: "waited " + strconv.FormatInt(p.now.Sub(u.waitsFrom).Milliseconds(), 10) + " ms",
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,8 +22,10 @@
 	removed []string
 	changed bool // something that placing depends on has changed
 	wakeAt  time.Time
-	urgent  int    // accelerators that urgent work holds or waits for
-	peaks   []peak // falling, of the last while
+	advice  map[yuccapaddle.StepID]*advice
+	needed  map[string]int // by workspace, for one round of placing
+	urgent  int            // accelerators that urgent work holds or waits for
+	peaks   []peak         // falling, of the last while
 }
 
 // Limits are bounds that the settings give.
@@ -42,19 +44,20 @@
 func New(limits Limits) *Planner {
 	return &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, servers: map[string]*server{},
-		limits: limits, dirty: map[string]*job{},
+		limits: limits, dirty: map[string]*job{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 }
 
 // Batch is what is to be done: the records first, the orders once these are
 // committed.
 type Batch struct {
-	Records  []Record
-	Removed  []string
-	Starts   []Start
-	Stops    []Stop
-	Notes    []Note
-	Finished []string
+	Records   []Record
+	Removed   []string
+	Starts    []Start
+	Stops     []Stop
+	Questions []Question
+	Paces     []Pace
+	Notes     []Note
 }
 
 // Start is an order to start a run on a server.
@@ -86,7 +89,8 @@
 
 // Empty reports whether there is nothing to do.
 func (b *Batch) Empty() bool {
-	return len(b.Records) == 0 && len(b.Removed) == 0 && len(b.Starts) == 0 && len(b.Stops) == 0 && len(b.Notes) == 0
+	return len(b.Records) == 0 && len(b.Removed) == 0 && len(b.Starts) == 0 && len(b.Stops) == 0 &&
+		len(b.Questions) == 0 && len(b.Paces) == 0 && len(b.Notes) == 0
 }
 
 // At sets the time of the events that follow. now is steady, wall is the time of
@@ -199,7 +203,7 @@
 	p.touch(j)
 	p.changed = true
 	p.note(Note{Event: string(state), Job: j.in.ID, Detail: j.why})
-	p.batch.Finished = append(p.batch.Finished, j.in.ID)
+	p.forgetAdvice(j.in.ID)
 	for _, u := range j.units {
 		if u.state == unitPlaced {
 			p.stop(u, "the job is "+string(state))
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -85,7 +85,7 @@
 	for _, x := range s.runs {
 		switch {
 		case x.u.stopping:
-			free = free.Add(x.u.spec().Need)
+			free = free.Add(x.u.spec().Room())
 		case p.yields(x.u, u):
 			victims = append(victims, x.u)
 		}
@@ -102,7 +102,7 @@
 	var pending []*unit
 	cost := 0.0
 	for _, v := range victims {
-		free = free.Add(v.spec().Need)
+		free = free.Add(v.spec().Room())
 		pending = append(pending, v)
 		cost += p.loss(v)
 		if n := tasksIn(u, free, most); n > have {
@@ -151,10 +151,6 @@
 	return sum
 }
 
-func (p *Planner) yields(v, u *unit) bool {
-	return p.priority(v.job) > u.job.queue.priority
-}
-
 // loss is the work that a stop throws away, in core-seconds: all of a run that
 // writes no checkpoints, and the time to go on for one that does.
 func (p *Planner) loss(u *unit) float64 {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -126,7 +126,7 @@
 	u.state, u.run, u.fails, u.saved, u.done, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Done, r.Stopping
 	u.placedAt = p.now
 	for _, m := range r.Members {
-		u.members = append(u.members, member{server: m.Server, born: m.Born, over: m.Over, movedAt: p.now, adopted: true})
+		u.members = append(u.members, member{server: m.Server, born: m.Born, over: m.Over, movedAt: p.now, pace: fullPace, adopted: true})
 		if !m.Over {
 			p.server(m.Server).add(u, len(u.members)-1)
 		}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -46,6 +46,7 @@
 		}
 	}
 	p.missing(s, running, sentAt)
+	p.balance(s, r.Running)
 }
 
 // reborn notes that a server has started anew: what ran there before is gone.
@@ -247,6 +248,8 @@
 	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedRoom, yuccapaddle.RefusedReplaced:
 		s.unfit = p.now.Add(unfitTime)
 		p.wakeBy(s.unfit)
+	case yuccapaddle.RefusedTicket:
+		p.rejectTicket(u, s.ID)
 	case yuccapaddle.RefusedInvalid:
 		p.failed(s, u)
 	}
@@ -271,7 +274,7 @@
 // again sends a start once more: the run's number makes it idempotent.
 func (p *Planner) again(s *server, x seat) {
 	x.u.members[x.i].tries++
-	p.batch.Starts = append(p.batch.Starts, x.u.start(s.ID, x.i))
+	p.batch.Starts = append(p.batch.Starts, p.start(x.u, s.ID, x.i))
 }
 
 func (p *Planner) unanswered(s *server, x seat) {
@@ -316,6 +319,8 @@
 	clear(s.strays)
 }
 
-func (u *unit) start(server string, i int) Start {
-	return Start{Server: server, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved}
+func (p *Planner) start(u *unit, server string, i int) Start {
+	return Start{
+		Server: server, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, server),
+	}
 }
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -20,6 +20,7 @@
 	gone     time.Time // since when it has not been listed
 	unfit    time.Time // orders to it failed until then
 	silent   bool      // it does not answer
+	resting  bool      // it is kept empty for its service
 }
 
 // seat is a member's place.
@@ -40,7 +41,7 @@
 
 func (s *server) add(u *unit, i int) {
 	s.runs[u.taskID(i)] = seat{u, i}
-	s.used = s.used.Add(u.spec().Need)
+	s.used = s.used.Add(u.spec().Room())
 }
 
 func (s *server) drop(u *unit, i int) {
@@ -48,7 +49,7 @@
 		return
 	}
 	delete(s.runs, u.taskID(i))
-	s.used = s.used.Sub(u.spec().Need)
+	s.used = s.used.Sub(u.spec().Room())
 }
 
 func (s *server) free() yuccapaddle.Need {
@@ -129,7 +130,33 @@
 
 // usable reports whether new runs may be placed on the server.
 func (p *Planner) usable(s *server) bool {
-	return s.listed && !s.silent && !s.Draining && !p.rules.Closed[s.Zone] && !p.now.Before(s.unfit)
+	return s.listed && !s.silent && !s.resting && !s.Draining && !p.rules.Closed[s.Zone] && !p.now.Before(s.unfit)
+}
+
+// Keep has a server get no new runs, or ends that, for the service of its
+// machine, and reports whether nothing runs there.
+func (p *Planner) Keep(id string, empty bool) bool {
+	s := p.server(id)
+	if s.resting != empty {
+		s.resting = empty
+		p.changed = true
+	}
+	return len(s.runs) == 0
+}
+
+// Spared reports whether a step would have too many tasks away if the server were
+// taken down now.
+func (p *Planner) Spared(id string) bool {
+	s := p.servers[id]
+	if s == nil {
+		return false
+	}
+	for _, x := range s.runs {
+		if x.u.spec().Kept && x.u.working() && !p.kept(x.u) {
+			return true
+		}
+	}
+	return false
 }
 
 // Listed reports whether the server is registered.
--- a/internal/standin/laborer/laborer.go
+++ b/internal/standin/laborer/laborer.go
@@ -57,6 +57,8 @@
 	count   int64
 	starts  []yuccapaddle.StartOrder
 	log     *Starts
+	gauge   float64
+	ticket  string
 }
 
 type run struct {
@@ -65,6 +67,7 @@
 	took     time.Duration
 	fails    bool
 	stopping time.Time
+	pace     int
 }
 
 // New returns a worker with the registration self. holdMax is the longest lease,
@@ -223,10 +226,13 @@
 	if o.Run <= l.highest[o.Task] {
 		return l.refuse(yuccapaddle.RefusedOld)
 	}
+	if l.ticket != "" && o.Ticket != l.ticket {
+		return l.refuse(yuccapaddle.RefusedTicket)
+	}
 	l.extend(o.Deadline)
 	took, fails := l.work(o.Task, o.Payload)
 	l.highest[o.Task] = o.Run
-	l.runs[o.Task] = &run{order: o, begunAt: time.Now(), took: took, fails: fails}
+	l.runs[o.Task] = &run{order: o, begunAt: time.Now(), took: took, fails: fails, pace: 100}
 	l.starts = append(l.starts, o)
 	l.log.note(l.self.ID, o)
 	return nil
@@ -249,6 +255,44 @@
 	return clock, err
 }
 
+// Pace notes at which percentage a run may work.
+func (l *Laborer) Pace(ctx context.Context, o yuccapaddle.PaceOrder) error {
+	return l.pass(ctx, func() error {
+		if o.Token < l.token {
+			return l.refuse(yuccapaddle.RefusedOutdated)
+		}
+		if r := l.runs[o.Task]; r != nil && r.order.Run == o.Run {
+			r.pace = o.Percent
+		}
+		return nil
+	})
+}
+
+// Paces lists the percentage of every run.
+func (l *Laborer) Paces() map[yuccapaddle.TaskID]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	paces := map[yuccapaddle.TaskID]int{}
+	for t, r := range l.runs {
+		paces[t] = r.pace
+	}
+	return paces
+}
+
+// SetGauge sets what the worker tells of a task that serves.
+func (l *Laborer) SetGauge(g float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gauge = g
+}
+
+// SetTicket has the worker take only starts that carry the ticket.
+func (l *Laborer) SetTicket(ticket string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ticket = ticket
+}
+
 // Hold renews the leases and lists what runs and what has ended.
 func (l *Laborer) Hold(ctx context.Context, o yuccapaddle.HoldOrder) (reply yuccapaddle.HoldReply, err error) {
 	waitUntil := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
@@ -286,7 +330,7 @@
 		if r.took > 0 {
 			percent = int(100 * time.Since(r.begunAt) / r.took)
 		}
-		reply.Running = append(reply.Running, yuccapaddle.Run{Task: t, Run: r.order.Run, Percent: min(percent, 99)})
+		reply.Running = append(reply.Running, yuccapaddle.Run{Task: t, Run: r.order.Run, Percent: min(percent, 99), Gauge: l.gauge})
 	}
 	return reply
 }
--- a/job.go
+++ b/job.go
@@ -56,8 +56,24 @@
 	Saves bool `json:"s,omitempty"`
 	// Endless tasks run until the job is cancelled.
 	Endless bool `json:"on,omitempty"`
-	// Spare tasks take only capacity that others leave unused.
+	// Spare tasks take only processor time that others leave unused.
 	Spare bool `json:"sp,omitempty"`
+	// Target is the time below which the tail of an endless task's answers should
+	// stay, in milliseconds; 0 for none.
+	Target int `json:"tg,omitempty"`
+	// MayMiss is how many of the step's endless tasks the system may have away at
+	// once; it is of weight only if Kept is set.
+	MayMiss int  `json:"mm,omitempty"`
+	Kept    bool `json:"k,omitempty"`
+}
+
+// Room is what a task of the step takes of a server's capacity.
+func (s *Step) Room() Need {
+	n := s.Need
+	if s.Spare {
+		n.CPU = 0
+	}
+	return n
 }
 
 // Job is work handed in by a caller: steps of tasks, run once or on a timetable.
--- a/rules.go
+++ b/rules.go
@@ -18,6 +18,17 @@
 	Stretch     float64
 	// Public queues need no key.
 	Public bool
+	// Advised queues start tasks only with a ticket of the advice service.
+	Advised bool
+}
+
+// Wave is the operators' order to service machines, at most Most at once and all
+// within DurationS seconds.
+type Wave struct {
+	Number    int64
+	Machines  []string
+	DurationS float64
+	Most      int
 }
 
 // Tenant is a workspace as the operators' rules know it: its keys and the
@@ -41,6 +52,7 @@
 	Guards map[string]bool
 	// Closed holds the zones in which nothing may be started.
 	Closed map[string]bool
+	Waves  []Wave
 	byKey  map[string]*Tenant
 	byName map[string]*Queue
 }
--- a/server.go
+++ b/server.go
@@ -57,6 +57,17 @@
 	Run     int
 	Saved   string
 	Percent int
+	// Gauge is, for a task with a target, the tail of its answers in
+	// milliseconds, and for others the processor time in use.
+	Gauge float64
+}
+
+// PaceOrder lets a task work at Percent of its speed, from 0 to 100.
+type PaceOrder struct {
+	Task    TaskID
+	Run     int
+	Percent int
+	Token   uint64
 }
 
 // EndCause says how a run ended.
@@ -96,8 +107,68 @@
 	Start(ctx context.Context, s *Server, o StartOrder) (clock int64, err error)
 	Stop(ctx context.Context, s *Server, o StopOrder) (clock int64, err error)
 	Hold(ctx context.Context, s *Server, o HoldOrder) (HoldReply, error)
+	Pace(ctx context.Context, s *Server, o PaceOrder) error
+}
+
+// StepID names a step of one occurrence of a job.
+type StepID struct {
+	Job              string
+	Occurrence, Step int
+}
+
+// Ticket allows the tasks of a step to start on a server until it ends.
+type Ticket struct {
+	Server string
+	Value  string
+	Ends   time.Time
+}
+
+// Adviser tells which servers may run a step. It answers in its own time, and
+// one call after the other.
+type Adviser interface {
+	Advise(ctx context.Context, s StepID, servers []string) ([]Ticket, error)
 }
 
+// MachineState says what a machine does.
+type MachineState string
+
+// States of a machine.
+const (
+	MachineUp     MachineState = "up"
+	MachineMoving MachineState = "moving"
+	MachineUpkeep MachineState = "upkeep"
+	MachineDown   MachineState = "down"
+)
+
+// Machine is the hardware below a server. Server is empty while it has none.
+type Machine struct {
+	Name   string
+	Pool   string
+	State  MachineState
+	Server string
+}
+
+// Fleet orders the service of machines. Holder and token shut out orders of
+// hosts that have been replaced.
+type Fleet interface {
+	Machines(ctx context.Context) ([]Machine, error)
+	// Service takes a machine down for its service in a wave; what runs there
+	// ends. It is idempotent. ErrBusy means that it cannot be taken down now, and
+	// ErrNotOfWave that the wave does not hold it any more.
+	Service(ctx context.Context, machine string, wave int64, holder string, token uint64) error
+	// Report tells the operators how far a wave is.
+	Report(ctx context.Context, wave int64, completed bool) error
+}
+
+var (
+	// ErrBusy reports a machine that cannot be taken down now.
+	ErrBusy = errors.New("the machine is not up, or leaves")
+	// ErrNotOfWave reports a machine that is in no such wave.
+	ErrNotOfWave = errors.New("the machine is not of that wave")
+	// ErrOutdated reports an order under a token that is not the highest any more.
+	ErrOutdated = errors.New("a later host gives the orders")
+)
+
 // Refusal is a server's reason for not carrying out an order.
 type Refusal string
 
