logs and metrics of the job path

Cause: logs went through a blocking writer and nothing was measured. Change: lines are written in the background, dropped and counted when the output does not keep up, and like lines are thinned beyond 400 a second; each answer to a caller, each decision, each wait with what it waits for has a line; histograms of answers, commits, starts and counters of decisions and looks on the metrics address.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/assembler"
@@ -20,6 +21,7 @@
 	"yuccapaddle/internal/logger"
 	"yuccapaddle/internal/namer"
 	"yuccapaddle/internal/planner"
+	"yuccapaddle/internal/spooler"
 	"yuccapaddle/internal/timekeeper"
 	"yuccapaddle/platform/adviser"
 	"yuccapaddle/platform/booter"
@@ -59,10 +61,18 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger.New(level, logger.WithOutput("stdout"))
+	lines := spooler.New(os.Stdout)
+	log, err := logger.New(level, logger.WithOutput(lines))
 	if err != nil {
 		return err
 	}
+	written := make(chan struct{})
+	var spool errgroup.Group
+	spool.Go(func() error { return lines.Run(written) })
+	defer func() {
+		close(written)
+		_ = spool.Wait() // there is nowhere left to tell of it
+	}()
 	log = log.With(zap.String("host", s.Host))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB*megabyte)))
@@ -70,9 +80,11 @@
 	outside := assembler.Outside{
 		Ledger: ledger, Registry: lister.New(ledger, log), Runner: runner.New(), Rulebook: reader.New(ledger),
 		Adviser: adviser.New(s.Advice, timekeeper.Timekeeper{}), Fleet: machinist.New(s.Machines, ledger),
-		Front: func(d yuccapaddle.Desk) fasthttp.RequestHandler { return fronter.New(d, log).Handle },
+		Front: func(d yuccapaddle.Desk, m yuccapaddle.Meter) fasthttp.RequestHandler {
+			return fronter.New(d, m, log).Handle
+		},
 	}
-	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers}
+	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics}
 	bounds := executor.Bounds{HoldMax: s.Bounds.HoldMaxMS, Planner: planner.Limits{
 		Remote:     s.Bounds.RemotePenalty,
 		StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"yuccapaddle/internal/guarder"
 	"yuccapaddle/internal/jobserver"
 	"yuccapaddle/internal/linker"
+	"yuccapaddle/internal/monitor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/router"
@@ -38,7 +39,7 @@
 
 // Place says where a host listens. Addresses are host:port.
 type Place struct {
-	Host, Callers, Ready, Peers string
+	Host, Callers, Ready, Peers, Metrics string
 }
 
 // Outside is what a host meets outside of the system.
@@ -50,7 +51,7 @@
 	Adviser  yuccapaddle.Adviser
 	Fleet    yuccapaddle.Fleet
 	// Front makes the handler for callers.
-	Front func(yuccapaddle.Desk) fasthttp.RequestHandler
+	Front func(yuccapaddle.Desk, yuccapaddle.Meter) fasthttp.RequestHandler
 }
 
 // Assembler is one host.
@@ -65,6 +66,7 @@
 	rules    *ruler.Ruler
 	links    *linker.Linker
 	claimer  *claimer.Claimer
+	monitor  *monitor.Monitor
 	front    *fasthttp.Server
 	stopping atomic.Bool
 	serving  atomic.Int64
@@ -92,13 +94,15 @@
 	var clock timekeeper.Timekeeper
 	a.rules = ruler.New(outside.Rulebook, clock, log)
 	a.links = linker.New()
+	a.monitor = monitor.New(place.Host, a.isReady)
 	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log)
 	return a
 }
 
 func (a *Assembler) build(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
 	clock := timekeeper.Timekeeper{}
-	e := executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, clock, a.log, executor.WithAdviser(a.outside.Adviser))
+	e := executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, clock, a.log,
+		executor.WithAdviser(a.outside.Adviser), executor.WithMeter(a.monitor))
 	keep := upkeeper.New(a.outside.Fleet, e, a.rules.Current, clock, a.place.Host, rec.Epoch(), a.log)
 	return e, keep.Run
 }
@@ -108,15 +112,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := guarder.New(ctx, a.log)
-	handle := a.outside.Front(router.New(a.rules, a.claimer, a.links))
+	handle := a.outside.Front(router.New(a.rules, a.claimer, a.links), a.monitor)
 	a.front = server(a.counted(handle))
-	ready := server(a.ready)
+	ready, metrics := server(a.ready), server(a.monitor.Handle)
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
 	peer.RegisterJobsServer(peers, jobserver.New(a.claimer))
 	serve := []struct {
 		address string
 		serve   func(net.Listener) error
-	}{{a.place.Peers, peers.Serve}, {a.place.Ready, ready.Serve}, {a.place.Callers, a.front.Serve}}
+	}{{a.place.Peers, peers.Serve}, {a.place.Ready, ready.Serve}, {a.place.Metrics, metrics.Serve}, {a.place.Callers, a.front.Serve}}
 	for _, s := range serve {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
@@ -134,11 +138,12 @@
 		}
 		cancel()
 		peers.Stop()
-		return errors.Join(a.front.Shutdown(), ready.Shutdown())
+		return errors.Join(a.front.Shutdown(), ready.Shutdown(), metrics.Shutdown())
 	})
 	a.log.Info("started", zap.String("callers", a.place.Callers), zap.String("peers", a.place.Peers))
 	err := g.Wait()
 	a.links.Close()
+	err = errors.Join(err, a.monitor.Close())
 	a.log.Info("stopped", zap.Error(err))
 	return err
 }
@@ -162,15 +167,23 @@
 	}
 }
 
+// ready answers the platform's question whether callers should be sent here.
 func (a *Assembler) ready(ctx *fasthttp.RequestCtx) {
+	if ok, why := a.isReady(); !ok {
+		writer.Error(ctx, fasthttp.StatusServiceUnavailable, why)
+		return
+	}
+	writer.JSON(ctx, fasthttp.StatusOK, struct{}{})
+}
+
+func (a *Assembler) isReady() (bool, string) {
 	switch {
 	case a.stopping.Load():
-		writer.Error(ctx, fasthttp.StatusServiceUnavailable, "this host is stopping")
+		return false, "this host is stopping"
 	case a.rules.Current() == nil:
-		writer.Error(ctx, fasthttp.StatusServiceUnavailable, "the rules are not known yet")
-	default:
-		writer.JSON(ctx, fasthttp.StatusOK, struct{}{})
+		return false, "the rules are not known yet"
 	}
+	return true, ""
 }
 
 // drainCallers gives the role up and serves on while callers still come.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -51,6 +51,7 @@
 	registry yuccapaddle.Registry
 	runner   yuccapaddle.Runner
 	adviser  yuccapaddle.Adviser
+	meter    yuccapaddle.Meter
 	rules    *ruler.Ruler
 	rec      *recorder.Recorder
 	log      *zap.Logger
@@ -86,6 +87,11 @@
 // Option changes an executor under construction.
 type Option func(*Executor)
 
+// WithMeter measures what the executor does.
+func WithMeter(m yuccapaddle.Meter) Option {
+	return func(e *Executor) { e.meter = m }
+}
+
 // WithAdviser adds the service that gives tickets for advised queues.
 func WithAdviser(a yuccapaddle.Adviser) Option {
 	return func(e *Executor) { e.adviser = a }
@@ -99,6 +105,7 @@
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
 		links: map[string]*link{}, shown: map[string]shownJob{}, questions: make(chan planner.Question, mostQuestions),
+		meter: yuccapaddle.NoMeter{},
 	}
 	for _, o := range opts {
 		o(e)
@@ -238,7 +245,9 @@
 	}
 	e.committing, e.committedAt = true, e.now
 	e.group.Go("commit", func() error {
+		begun := e.clock.Now()
 		err := e.rec.Save(e.ctx, b.Records, b.Removed)
+		e.meter.Time("commit", outcome(err), e.clock.Now().Sub(begun))
 		if err != nil {
 			return fmt.Errorf("commit: %w", err)
 		}
@@ -282,12 +291,25 @@
 func (e *Executor) logNotes(b *planner.Batch) {
 	for i := range b.Notes {
 		n := &b.Notes[i]
+		e.meter.Tally("decisions", n.Event, 1)
 		e.log.Info(n.Event, zap.String("job", n.Job), zap.String("task", n.Task), zap.String("server", n.Server),
 			zap.Int("run", n.Run), zap.String("detail", n.Detail), zap.Int64("rules", e.plan.Rules().Version),
 			zap.Int64("listed_ms_ago", e.now.Sub(e.listedAt).Milliseconds()))
 	}
 }
 
+// outcome names how a call ended, for the metrics.
+func outcome(err error) string {
+	var refusal *yuccapaddle.RefusalError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &refusal):
+		return string(refusal.Reason)
+	}
+	return "no answer"
+}
+
 // wait registers a channel that is closed with the next commit. It is called by
 // the loop.
 func (e *Executor) wait() chan struct{} {
@@ -304,6 +326,7 @@
 		callCtx, cancel := context.WithTimeout(e.ctx, listTime)
 		list, err := e.registry.Servers(callCtx)
 		cancel()
+		e.meter.Time("registrations", outcome(err), e.clock.Now().Sub(at))
 		if (err != nil) != away {
 			away = err != nil
 			e.log.Info("registrations", zap.Bool("readable", !away), zap.Error(err))
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -200,6 +200,7 @@
 
 func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, reply yuccapaddle.HoldReply, err error) {
 	l.holding = false
+	e.meter.Tally("looks", outcome(err), 1)
 	if err != nil {
 		e.noteSilence(id, l, err)
 		return
@@ -269,6 +270,7 @@
 }
 
 func (e *Executor) answered(l *link, st planner.Start, clock int64, sentAt time.Time, err error) {
+	e.meter.Time("start", outcome(err), e.now.Sub(sentAt))
 	l.setClock(clock, sentAt)
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -4,16 +4,25 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Like lines beyond likeFirst a second are written once in likeEvery, so that a
+// flood of requests does not become a flood of lines.
+const (
+	likeFirst = 400
+	likeEvery = 50
 )
 
 // Option changes a logger under construction.
-type Option func(*zap.Config)
+type Option func(*zapcore.WriteSyncer, *bool)
 
-// WithOutput sends the lines to a path, or to "stdout".
-func WithOutput(path string) Option {
-	return func(cfg *zap.Config) { cfg.OutputPaths = []string{path} }
+// WithOutput sends the lines to an output and bounds the number of like ones.
+func WithOutput(out zapcore.WriteSyncer) Option {
+	return func(w *zapcore.WriteSyncer, sampled *bool) { *w, *sampled = out, true }
 }
 
 // New returns a logger for a level such as "info".
@@ -22,15 +31,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q does not exist: %w", level, err)
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = lvl
-	cfg.Sampling = nil
-	for _, o := range opts {
-		o(&cfg)
-	}
-	log, err := cfg.Build()
+	out, _, err := zap.Open("stderr")
 	if err != nil {
 		return nil, fmt.Errorf("logs cannot be set up: %w", err)
 	}
-	return log, nil
+	sampled := false
+	for _, o := range opts {
+		o(&out, &sampled)
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, lvl)
+	if sampled {
+		core = zapcore.NewSamplerWithOptions(core, time.Second, likeFirst, likeEvery)
+	}
+	return zap.New(core, zap.ErrorOutput(out)), nil
 }
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -46,6 +46,19 @@
 	s.Timer("answer_time").Record(took)
 }
 
+// Time records in a histogram how long something took, by its outcome.
+func (m *Monitor) Time(name, outcome string, took time.Duration) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Histogram(name+"_seconds", buckets).RecordDuration(took)
+}
+
+// Tally adds to a total, by outcome.
+func (m *Monitor) Tally(name, outcome string, n int64) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter(name).Inc(n)
+}
+
+// buckets reach from a fast answer of the ledger to the wait of a batch job.
+var buckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 16)
+
 // Gauge sets a value.
 func (m *Monitor) Gauge(name string, v float64) {
 	m.scope.Gauge(name).Update(v)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -50,6 +50,7 @@
 	claim      []string // servers on which room is being freed for it
 	claimedAt  time.Time
 	failed     bool // the current run has counted as a failure
+	waitNoted  bool
 }
 
 // member is one task of the current run on its server.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -83,10 +83,33 @@
 		}
 		if !p.tryPlace(u) {
 			stuck[key] = true
+			p.noteWait(u)
 		}
 	}
 }
 
+// noteWait says once for each time that a unit waits what it waits for.
+func (p *Planner) noteWait(u *unit) {
+	if u.waitNoted {
+		return
+	}
+	u.waitNoted = true
+	need := u.spec().Need
+	why := "room"
+	switch {
+	case u.claim != nil:
+		why = "room that is being freed"
+	case p.advised(u):
+		why = "room on a server with a ticket"
+	case u.spec().Label != "":
+		why = "room on a server with label " + u.spec().Label
+	}
+	p.note(Note{
+		Event: "waits", Job: u.job.in.ID, Task: u.taskID(0).String(), Run: u.run,
+		Detail: "for " + why + ": " + itoa(u.width()) + " tasks of " + itoa(need.CPU) + " cpu, " + itoa(need.Memory) + " MB, " + itoa(need.GPU) + " gpu",
+	})
+}
+
 type stepKey struct {
 	job        string
 	occurrence int
@@ -198,6 +221,7 @@
 	u.run++
 	u.state, u.stopping, u.failed = unitPlaced, false, false
 	u.placedAt = p.now
+	u.waitNoted = false
 	u.members = make([]member, len(servers))
 	for i, id := range servers {
 		s := p.servers[id]
