explainer: tell a job's life and the cause of its outcome from the logs

Cause: on-call engineers have logs and metrics only, and a job's lines lie in the logs of several hosts. Tests play a refusal, a lost role and a failed job without the bench and check that line.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -160,11 +160,12 @@
 	}
 }
 
+var errUnregistered = errors.New("it is not registered")
+
 func (e *Executor) hold(id string, l *link, busy bool) {
 	s, ok := e.plan.Server(id)
 	if !ok || s.Address == "" {
-		l.silent = true
-		l.retryAt = e.now.Add(holdRetry)
+		e.noteSilence(id, l, errUnregistered)
 		return
 	}
 	o := yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed}
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -1,9 +1,11 @@
 package executor_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +21,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/explainer"
 	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/ruler"
@@ -44,6 +47,32 @@
 	stop    context.CancelFunc
 	group   *errgroup.Group
 	host    int
+	logs    logs
+}
+
+// logs keeps what the hosts write.
+type logs struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// cause is what the logs alone tell of a job's outcome.
+func (r *rig) cause(id string) string {
+	r.logs.mu.Lock()
+	defer r.logs.mu.Unlock()
+	e := explainer.New(id)
+	r.c.Assert(e.Read(bytes.NewReader(r.logs.buf.Bytes())), qt.IsNil)
+	var out strings.Builder
+	r.c.Assert(e.Write(&out), qt.IsNil)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	return lines[len(lines)-1]
 }
 
 func newRig(t *testing.T, workers int) *rig {
@@ -139,10 +168,9 @@
 	name := fmt.Sprintf("h%d", r.host)
 	rec, err := recorder.Claim(r.t.Context(), r.store, name, name, name, recorder.Lock{Key: "lock-" + name, Address: name})
 	r.c.Assert(err, qt.IsNil)
-	log := zap.NewNop()
-	if testing.Verbose() {
-		log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewDevelopmentEncoderConfig()), zapcore.AddSync(writer{r.t}), zap.InfoLevel))
-	}
+	out := zapcore.AddSync(io.MultiWriter(writer{r.t}, &r.logs))
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
+	log = log.With(zap.String("host", name))
 	rules := ruler.New(r, yuccapaddle.SystemClock{}, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{HoldMax: holdMax, Planner: planner.Limits{
@@ -165,6 +193,9 @@
 
 // Write implements io.Writer.
 func (w writer) Write(p []byte) (int, error) {
+	if !testing.Verbose() {
+		return len(p), nil
+	}
 	w.t.Logf("%s %s", time.Now().Format("05.000"), strings.TrimSpace(string(p)))
 	return len(p), nil
 }
