--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -105,7 +105,7 @@
 	}
 	var list []line
 	for _, l := range e.roles {
-		if l.At >= from && l.At <= to {
+		if l.At > from && l.At <= to {
 			list = append(list, l)
 		}
 	}
