--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -73,6 +73,7 @@
 	links       map[string]*link
 	shown       map[string]shownJob
 	digest      uint64
+	away        bool // the registrations cannot be read
 	listedAt    time.Time
 	startedAt   time.Time
 	now         time.Time
@@ -123,6 +124,7 @@
 		close(e.done)
 		return err
 	}
+	e.list() // the first list comes before the first decision
 	e.group.Go("registrations", e.followRegistry)
 	if e.adviser != nil {
 		e.group.Go("advice", e.followAdvice)
@@ -320,24 +322,7 @@
 
 // followRegistry reads the servers' registrations.
 func (e *Executor) followRegistry() error {
-	away := false
 	for {
-		at := e.clock.Now()
-		callCtx, cancel := context.WithTimeout(e.ctx, listTime)
-		list, err := e.registry.Servers(callCtx)
-		cancel()
-		e.meter.Time("registrations", outcome(err), e.clock.Now().Sub(at))
-		if (err != nil) != away {
-			away = err != nil
-			e.log.Info("registrations", zap.Bool("readable", !away), zap.Error(err))
-		}
-		if err == nil {
-			e.post(func() {
-				e.listedAt = at
-				e.plan.List(list)
-				e.noteClocks(list, at)
-			})
-		}
 		timer := time.NewTimer(listEvery)
 		select {
 		case <-e.ctx.Done():
@@ -345,5 +330,27 @@
 			return e.ctx.Err()
 		case <-timer.C:
 		}
+		e.list()
+	}
+}
+
+// list reads the registrations once.
+func (e *Executor) list() {
+	at := e.clock.Now()
+	ctx, cancel := context.WithTimeout(e.ctx, listTime)
+	defer cancel()
+	list, err := e.registry.Servers(ctx)
+	e.meter.Time("registrations", outcome(err), e.clock.Now().Sub(at))
+	if (err != nil) != e.away {
+		e.away = err != nil
+		e.log.Info("registrations", zap.Bool("readable", !e.away), zap.Error(err))
 	}
+	if err != nil {
+		return
+	}
+	e.post(func() {
+		e.listedAt = at
+		e.plan.List(list)
+		e.noteClocks(list, at)
+	})
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,7 @@
 	removed []string
 	changed bool // something that placing depends on has changed
 	wakeAt  time.Time
+	listed  bool // the registrations have been read
 	advice  map[yuccapaddle.StepID]*advice
 	needed  map[string]int // by workspace, for one round of placing
 	urgent  int            // accelerators that urgent work holds or waits for
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -94,13 +94,20 @@
 // List takes in the servers that are registered now.
 func (p *Planner) List(list []yuccapaddle.Server) {
 	present := make(map[string]bool, len(list))
+	first := !p.listed
+	p.listed = true
+	if first {
+		p.note(Note{Event: "servers listed", Detail: itoa(len(list)) + " for the first time"})
+	}
 	for i := range list {
 		e := &list[i]
 		present[e.ID] = true
 		s := p.server(e.ID)
 		if !s.listed || s.Draining != e.Draining || s.Born != e.Born || s.Capacity != e.Capacity {
 			p.changed = true
-			p.note(Note{Event: "server listed", Server: e.ID, Detail: describe(e)})
+			if !first || e.Draining {
+				p.note(Note{Event: "server listed", Server: e.ID, Detail: describe(e)})
+			}
 		}
 		s.Server, s.listed, s.gone = *e, true, time.Time{}
 	}
