--- a/cmd/yuccapaddled/main.go
+++ b/cmd/yuccapaddled/main.go
@@ -64,7 +64,7 @@
 	if host.Platform.HostList != "" {
 		opts = append(opts, server.WithHostList(hostlister.New(host.Platform.HostList)))
 	}
-	worker := func(addressOf func(string) string, observe func(string, int, int)) yuccapaddle.Worker {
+	worker := func(addressOf func(string) string, observe func(string, int, int)) yuccapaddle.GangWorker {
 		return dispatcher.New(addressOf, observe)
 	}
 	s := server.New(host, namer.Unique(host.Name), storer.New(host.Platform.Store), worker, log, opts...)
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -82,7 +82,7 @@
 	host.Tokens.Operators = []loader.OperatorToken{{Name: operator, Hash: authenticator.Hash(operator)}}
 	host.Limits.DrainMS = 0
 	d.server = server.New(&host, namer.Unique("demo"), storer.New(),
-		func(func(string) string, func(string, int, int)) yuccapaddle.Worker { return w }, zap.NewNop(), server.WithoutListeners())
+		func(func(string) string, func(string, int, int)) yuccapaddle.GangWorker { return w }, zap.NewNop(), server.WithoutListeners())
 	d.began = time.Now()
 	stop := make(chan struct{})
 	var g errgroup.Group
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,13 +22,13 @@
 	scheme      = "http://"
 )
 
-// Dispatcher implements yuccapaddle.Worker.
+// Dispatcher implements yuccapaddle.GangWorker.
 type Dispatcher struct {
 	caller    *caller.Caller
 	addressOf func(upstream string) string
 }
 
-var _ yuccapaddle.Worker = (*Dispatcher)(nil)
+var _ yuccapaddle.GangWorker = (*Dispatcher)(nil)
 
 // New returns a Dispatcher; addressOf returns the host:port of an upstream, ""
 // if it is not declared. observe is told the bytes of each call's bodies.
@@ -40,34 +40,34 @@
 	return &Dispatcher{caller: caller.New(caller.WithObserver(count)), addressOf: addressOf}
 }
 
-// Reserve implements yuccapaddle.Worker.
+// Reserve implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Reserve(ctx context.Context, r yuccapaddle.Reservation) error {
 	return d.post(ctx, r.Upstream, "reserve", r, nil, callTimeout)
 }
 
-// Start implements yuccapaddle.Worker.
+// Start implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Start(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	return d.post(ctx, c.Upstream, "start", c, nil, callTimeout)
 }
 
-// Checkpoint implements yuccapaddle.Worker.
+// Checkpoint implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Checkpoint(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	return d.post(ctx, c.Upstream, "checkpoint", c, nil, callTimeout)
 }
 
-// Stop implements yuccapaddle.Worker.
+// Stop implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Stop(ctx context.Context, c yuccapaddle.LeaseCommand) (yuccapaddle.StopReply, error) {
 	var reply yuccapaddle.StopReply
 	err := d.post(ctx, c.Upstream, "stop", c, &reply, callTimeout)
 	return reply, err
 }
 
-// Forget implements yuccapaddle.Worker.
+// Forget implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Forget(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	return d.post(ctx, c.Upstream, "forget", c, nil, callTimeout)
 }
 
-// Sync implements yuccapaddle.Worker.
+// Sync implements yuccapaddle.GangWorker.
 func (d *Dispatcher) Sync(ctx context.Context, r yuccapaddle.SyncRequest) (yuccapaddle.Report, error) {
 	var report yuccapaddle.Report
 	err := d.post(ctx, r.Upstream, "sync", r, &report, time.Until(r.WaitUntil)+syncSlack)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -38,7 +38,7 @@
 // Driver is the active host's engine. Its methods are safe for concurrent use.
 type Driver struct {
 	store     yuccapaddle.Store
-	worker    yuccapaddle.Worker
+	worker    yuccapaddle.GangWorker
 	policy    yuccapaddle.Policy
 	writer    string
 	log       *zap.Logger
@@ -93,7 +93,7 @@
 
 // New returns a Driver. config returns the configuration in force at this host
 // and permit renews the permit to start tasks.
-func New(store yuccapaddle.Store, worker yuccapaddle.Worker, writer string, log *zap.Logger,
+func New(store yuccapaddle.Store, worker yuccapaddle.GangWorker, writer string, log *zap.Logger,
 	config func() *yuccapaddle.Config, permit func(ctx context.Context) (time.Time, error), opts ...Option,
 ) *Driver {
 	d := &Driver{
--- a/internal/executor/advice.go
+++ b/internal/executor/advice.go
@@ -41,23 +41,23 @@
 		case q = <-e.questions:
 		}
 		ctx, cancel := context.WithTimeout(e.ctx, adviceTime)
-		tickets, err := e.adviser.Advise(ctx, q.Step, q.Servers)
+		tickets, err := e.adviser.Advise(ctx, q.Step, q.Workers)
 		cancel()
 		e.post(func() { e.plan.Advised(&q, tickets, err) })
 	}
 }
 
 func (e *Executor) sendPace(x planner.Pace) {
-	s, ok := e.plan.Server(x.Server)
+	s, ok := e.plan.Worker(x.Worker)
 	if !ok {
 		return
 	}
-	o := yuccapaddle.PaceOrder{Task: x.Task, Run: x.Run, Percent: x.Percent, Token: e.token(e.link(x.Server))}
+	o := yuccapaddle.PaceOrder{Task: x.Task, Run: x.Run, Percent: x.Percent, Token: e.token(e.link(x.Worker))}
 	e.group.Go("pace", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTime)
 		defer cancel()
 		if err := e.runner.Pace(ctx, &s, o); err != nil {
-			e.log.Info("pace not confirmed", zap.String("server", x.Server), zap.String("task", x.Task.String()), zap.Error(err))
+			e.log.Info("pace not confirmed", zap.String("worker", x.Worker), zap.String("task", x.Task.String()), zap.Error(err))
 			e.post(func() { e.plan.Unpaced(x) })
 		}
 		return nil
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -21,7 +21,7 @@
 const (
 	// inboxLength is how many events may wait for the loop.
 	inboxLength = 4096
-	// listEvery is how often the servers' registrations are read: a draining one
+	// listEvery is how often the workers' registrations are read: a draining one
 	// must be noticed well within the time that operators allow.
 	listEvery = 700 * time.Millisecond
 	listTime  = 600 * time.Millisecond
@@ -41,7 +41,7 @@
 
 // Bounds are figures of the settings.
 type Bounds struct {
-	// HoldMax is the longest lease that a server gives, in milliseconds.
+	// HoldMax is the longest lease that a worker gives, in milliseconds.
 	HoldMax int64
 	Planner planner.Limits
 }
@@ -200,7 +200,7 @@
 	return max(wait, 5*time.Millisecond)
 }
 
-// advance plans, commits and keeps the servers' leases.
+// advance plans, commits and keeps the workers' leases.
 func (e *Executor) advance() {
 	if r := e.rules.Current(); r != nil && r.Digest != e.digest {
 		e.digest = r.Digest
@@ -294,7 +294,7 @@
 	for i := range b.Notes {
 		n := &b.Notes[i]
 		e.meter.Tally("decisions", n.Event, 1)
-		e.log.Info(n.Event, zap.String("job", n.Job), zap.String("task", n.Task), zap.String("server", n.Server),
+		e.log.Info(n.Event, zap.String("job", n.Job), zap.String("task", n.Task), zap.String("worker", n.Worker),
 			zap.Int("run", n.Run), zap.String("detail", n.Detail), zap.Int64("rules", e.plan.Rules().Version),
 			zap.Int64("listed_ms_ago", e.now.Sub(e.listedAt).Milliseconds()))
 	}
@@ -320,7 +320,7 @@
 	return w
 }
 
-// followRegistry reads the servers' registrations.
+// followRegistry reads the workers' registrations.
 func (e *Executor) followRegistry() error {
 	for {
 		timer := time.NewTimer(listEvery)
@@ -339,7 +339,7 @@
 	at := e.clock.Now()
 	ctx, cancel := context.WithTimeout(e.ctx, listTime)
 	defer cancel()
-	list, err := e.registry.Servers(ctx)
+	list, err := e.registry.Workers(ctx)
 	e.meter.Time("registrations", outcome(err), e.clock.Now().Sub(at))
 	if (err != nil) != e.away {
 		e.away = err != nil
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -291,7 +291,7 @@
 	})
 }
 
-// TestPace: what fills a server is halted when a serving task nears its target,
+// TestPace: what fills a worker is halted when a serving task nears its target,
 // and goes on when it does not any more.
 func TestPace(t *testing.T) {
 	play(t, 1, func(r *rig) {
--- a/internal/executor/explain_test.go
+++ b/internal/executor/explain_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// TestExplainFailed: the log of a job that failed on several servers puts it down
+// TestExplainFailed: the log of a job that failed on several workers puts it down
 // to the job.
 func TestExplainFailed(t *testing.T) {
 	play(t, 4, func(r *rig) {
@@ -51,6 +51,6 @@
 		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
 		r.settles("a", "batch", yuccapaddle.JobFailed, 5*time.Second)
 		r.c.Check(r.cause("a"), qt.Equals,
-			"cause: failed: task a.0.0.0 has failed 3 times; it failed on 3 servers, which speaks for the job's own fault")
+			"cause: failed: task a.0.0.0 has failed 3 times; it failed on 3 workers, which speaks for the job's own fault")
 	})
 }
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -11,11 +11,11 @@
 	"yuccapaddle/internal/planner"
 )
 
-// Figures of the calls to servers.
+// Figures of the calls to workers.
 const (
 	// orderTime is how long a start or stop may go unanswered.
 	orderTime = 500 * time.Millisecond
-	// waitMS is how long a server may wait with its list for another end.
+	// waitMS is how long a worker may wait with its list for another end.
 	waitMS = 1900
 	// sharedWaitMS is the same where the pace of tasks has to be set: a gauge tells
 	// of the last half second.
@@ -23,17 +23,17 @@
 	// holdSlack is what a call may take beyond its wait.
 	holdSlack = 700 * time.Millisecond
 	holdRetry = 200 * time.Millisecond
-	// probeEvery is how often a silent server that runs nothing is looked at.
+	// probeEvery is how often a silent worker that runs nothing is looked at.
 	probeEvery = 600 * time.Millisecond
-	// slowest is the rate at which a server's clock certainly runs.
+	// slowest is the rate at which a worker's clock certainly runs.
 	slowest = 0.98
-	// bumpBits leave room in a token for the restarts of one server.
+	// bumpBits leave room in a token for the restarts of one worker.
 	bumpBits = 16
 )
 
-// link is what this host knows of its way to a server.
+// link is what this host knows of its way to a worker.
 type link struct {
-	clock     int64 // of the server, in milliseconds
+	clock     int64 // of the worker, in milliseconds
 	clockAt   time.Time
 	born      int64
 	bump      uint64
@@ -41,7 +41,7 @@
 	holdAt    time.Time // when the last hold was sent
 	retryAt   time.Time
 	committed int64 // ends whose effects are committed
-	told      int64 // ends that the server has been told to forget
+	told      int64 // ends that the worker has been told to forget
 	lapsesBy  time.Time
 	silent    bool
 	met       bool // it has told what it runs since this host is active
@@ -62,7 +62,7 @@
 	return at.Add(time.Duration(ms) * time.Millisecond)
 }
 
-// clockNow is the least that the server's clock can show now.
+// clockNow is the least that the worker's clock can show now.
 func (l *link) clockNow(now time.Time) int64 {
 	if l.clockAt.IsZero() {
 		return 0
@@ -70,7 +70,7 @@
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*slowest)
 }
 
-// setClock takes a reading of the server's clock that was asked for at sentAt.
+// setClock takes a reading of the worker's clock that was asked for at sentAt.
 func (l *link) setClock(clock int64, sentAt time.Time) {
 	if clock <= 0 || clock < l.clockNow(sentAt) {
 		return
@@ -97,7 +97,7 @@
 }
 
 // noteClocks takes the clocks of new registrations.
-func (e *Executor) noteClocks(list []yuccapaddle.Server, at time.Time) {
+func (e *Executor) noteClocks(list []yuccapaddle.Worker, at time.Time) {
 	for i := range list {
 		s := &list[i]
 		l := e.link(s.ID)
@@ -163,14 +163,14 @@
 var errUnregistered = errors.New("it is not registered")
 
 func (e *Executor) hold(id string, l *link, busy bool) {
-	s, ok := e.plan.Server(id)
+	s, ok := e.plan.Worker(id)
 	if !ok || s.Address == "" {
 		e.noteSilence(id, l, errUnregistered)
 		return
 	}
 	o := yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed}
 	if busy && !l.silent {
-		// A silent server is only looked at: an order to it may arrive although its
+		// A silent worker is only looked at: an order to it may arrive although its
 		// answer does not, and each renewal would put off the end of its leases.
 		o.Deadline = e.deadline(l)
 		switch {
@@ -182,7 +182,7 @@
 		}
 	}
 	if e.plan.Seen(id) > l.committed {
-		// The server would answer at once with ends that are not committed yet.
+		// The worker would answer at once with ends that are not committed yet.
 		if e.now.Sub(l.holdAt) < waitMS*time.Millisecond/2 {
 			return
 		}
@@ -209,7 +209,7 @@
 	if l.silent {
 		l.silent = false
 		e.plan.Hear(id, true)
-		e.log.Info("server answers again", zap.String("server", id))
+		e.log.Info("worker answers again", zap.String("worker", id))
 	}
 	if reply.Born != l.born {
 		fresh := l.born != 0
@@ -236,24 +236,24 @@
 	if !l.silent {
 		l.silent = true
 		e.plan.Hear(id, false)
-		e.log.Info("server does not answer", zap.String("server", id), zap.Error(err),
+		e.log.Info("worker does not answer", zap.String("worker", id), zap.Error(err),
 			zap.Int64("leases_end_ms", l.lapsesBy.Sub(e.now).Milliseconds()))
 	}
 }
 
-// deposed ends this executor: a server has had orders from a later writer.
+// deposed ends this executor: a worker has had orders from a later writer.
 func (e *Executor) deposed(id string) {
 	if e.fail == nil {
-		e.log.Warn("a server obeys a later host", zap.String("server", id))
+		e.log.Warn("a worker obeys a later host", zap.String("worker", id))
 		e.fail = ErrStopped
 	}
 }
 
 func (e *Executor) sendStart(st planner.Start) {
-	l := e.link(st.Server)
-	s, ok := e.plan.Server(st.Server)
-	if !ok || !e.plan.Startable(st.Server) || !e.informed() {
-		e.plan.Answered(st.Server, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
+	l := e.link(st.Worker)
+	s, ok := e.plan.Worker(st.Worker)
+	if !ok || !e.plan.Startable(st.Worker) || !e.informed() {
+		e.plan.Answered(st.Worker, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
 		return
 	}
 	sentAt := e.now
@@ -277,16 +277,16 @@
 	if errors.As(err, &refusal) {
 		l.setClock(refusal.Clock, sentAt)
 		if refusal.Reason == yuccapaddle.RefusedOutdated {
-			e.deposed(st.Server)
+			e.deposed(st.Worker)
 			return
 		}
 	}
-	e.plan.Answered(st.Server, st.Task, st.Run, err)
+	e.plan.Answered(st.Worker, st.Task, st.Run, err)
 }
 
 func (e *Executor) sendStop(st planner.Stop) {
-	l := e.link(st.Server)
-	s, ok := e.plan.Server(st.Server)
+	l := e.link(st.Worker)
+	s, ok := e.plan.Worker(st.Worker)
 	if !ok || s.Address == "" {
 		return
 	}
@@ -298,7 +298,7 @@
 		e.post(func() {
 			l.setClock(clock, e.now)
 			if err == nil {
-				e.plan.Stopped(st.Server, st.Task, st.Run)
+				e.plan.Stopped(st.Worker, st.Task, st.Run)
 			}
 		})
 		return nil
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -83,8 +83,8 @@
 	r.took.Store(int64(2 * time.Second))
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
-		self := yuccapaddle.Server{
-			ID: id, Address: id + ":1", Service: "svc", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/rackSize),
+		self := yuccapaddle.Worker{
+			ID: id, Address: id + ":1", Service: "svc", Domain: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i/rackSize),
 			Labels: []string{"a", fmt.Sprintf("r%d", i/rackSize)}, Capacity: yuccapaddle.Need{CPU: 64000, Memory: 262144, GPU: 8},
 		}
 		r.workers[id] = laborer.New(self, holdMax, r.work, r.starts)
@@ -96,42 +96,42 @@
 	return time.Duration(r.took.Load()), false
 }
 
-// Servers implements yuccapaddle.Registry.
-func (r *rig) Servers(context.Context) ([]yuccapaddle.Server, error) {
-	var list []yuccapaddle.Server
+// Workers implements yuccapaddle.Registry.
+func (r *rig) Workers(context.Context) ([]yuccapaddle.Worker, error) {
+	var list []yuccapaddle.Worker
 	for id, w := range r.workers {
 		if _, ok := r.hidden.Load(id); !ok {
-			list = append(list, w.Server())
+			list = append(list, w.Worker())
 		}
 	}
 	return list, nil
 }
 
 // Start implements yuccapaddle.Runner.
-func (r *rig) Start(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.StartOrder) (int64, error) {
+func (r *rig) Start(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.StartOrder) (int64, error) {
 	return r.workers[s.ID].Start(ctx, o)
 }
 
 // Stop implements yuccapaddle.Runner.
-func (r *rig) Stop(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.StopOrder) (int64, error) {
+func (r *rig) Stop(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.StopOrder) (int64, error) {
 	return r.workers[s.ID].Stop(ctx, o)
 }
 
 // Hold implements yuccapaddle.Runner.
-func (r *rig) Hold(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
+func (r *rig) Hold(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
 	return r.workers[s.ID].Hold(ctx, o)
 }
 
 // Pace implements yuccapaddle.Runner.
-func (r *rig) Pace(ctx context.Context, s *yuccapaddle.Server, o yuccapaddle.PaceOrder) error {
+func (r *rig) Pace(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.PaceOrder) error {
 	return r.workers[s.ID].Pace(ctx, o)
 }
 
 // Advise implements yuccapaddle.Adviser: only w1 may run a step, with ticket "t".
-func (r *rig) Advise(_ context.Context, _ yuccapaddle.StepID, servers []string) ([]yuccapaddle.Ticket, error) {
+func (r *rig) Advise(_ context.Context, _ yuccapaddle.StepID, workers []string) ([]yuccapaddle.Ticket, error) {
 	time.Sleep(200 * time.Millisecond)
-	if slices.Contains(servers, "w1") {
-		return []yuccapaddle.Ticket{{Server: "w1", Value: "t", Ends: time.Now().Add(3 * time.Second)}}, nil
+	if slices.Contains(workers, "w1") {
+		return []yuccapaddle.Ticket{{Worker: "w1", Value: "t", Ends: time.Now().Add(3 * time.Second)}}, nil
 	}
 	return nil, nil
 }
@@ -150,7 +150,7 @@
 			{Name: "batch", Service: "svc", Priority: 2, Attempts: 3},
 			{Name: "advised", Service: "svc", Priority: 2, Attempts: 3, Advised: true},
 		},
-		Tenants: []yuccapaddle.Tenant{
+		Workspaces: []yuccapaddle.WorkspaceGrant{
 			{Name: "north", Keys: []string{"k"}, Guaranteed: 8},
 			{Name: "south", Keys: []string{"s"}, Guaranteed: 8},
 		},
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -33,7 +33,7 @@
 	Host   string  `json:"host"`
 	Job    string  `json:"job"`
 	Task   string  `json:"task"`
-	Server string  `json:"server"`
+	Worker string  `json:"worker"`
 	Run    int     `json:"run"`
 	Detail string  `json:"detail"`
 	Error  string  `json:"error"`
@@ -122,8 +122,8 @@
 	if l.Task != "" {
 		add("%s run %d", l.Task, l.Run)
 	}
-	if l.Server != "" {
-		add("on %s", l.Server)
+	if l.Worker != "" {
+		add("on %s", l.Worker)
 	}
 	for _, s := range []string{l.Detail, l.Error} {
 		if s != "" {
@@ -177,16 +177,16 @@
 }
 
 func (e *Explainer) failures() string {
-	servers := map[string]int{}
+	workers := map[string]int{}
 	for i := range e.lines {
 		if e.lines[i].Msg == "ended" && e.lines[i].Detail == "failed" {
-			servers[e.lines[i].Server]++
+			workers[e.lines[i].Worker]++
 		}
 	}
-	if len(servers) > 1 {
-		return fmt.Sprintf("it failed on %d servers, which speaks for the job's own fault", len(servers))
+	if len(workers) > 1 {
+		return fmt.Sprintf("it failed on %d workers, which speaks for the job's own fault", len(workers))
 	}
-	return "all failures were on one server, which speaks for that server's fault"
+	return "all failures were on one worker, which speaks for that worker's fault"
 }
 
 func (e *Explainer) waiting() string {
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// askAtOnce is how many servers one question names: the service takes a time
+	// askAtOnce is how many workers one question names: the service takes a time
 	// for each of them.
 	askAtOnce = 30
 	// askAgain is how long after a question without an answer the next one is put.
@@ -18,13 +18,13 @@
 	ticketSlack = 700 * time.Millisecond
 )
 
-// Question asks which of the servers may run a step.
+// Question asks which of the workers may run a step.
 type Question struct {
 	Step    yuccapaddle.StepID
-	Servers []string
+	Workers []string
 }
 
-// advice is what is known of the servers for one step. Which servers may run it
+// advice is what is known of the workers for one step. Which workers may run it
 // does not change; tickets end.
 type advice struct {
 	asked   map[string]bool // true: may run it
@@ -43,8 +43,8 @@
 	return q != nil && q.Advised
 }
 
-// ticketed reports whether the unit may start on the server now.
-func (p *Planner) ticketed(u *unit, s *server) bool {
+// ticketed reports whether the unit may start on the worker now.
+func (p *Planner) ticketed(u *unit, s *worker) bool {
 	if !p.advised(u) {
 		return true
 	}
@@ -57,7 +57,7 @@
 }
 
 // ask puts a question about a unit that finds no room with a ticket: first about
-// servers that are known to be good, then about those not asked of yet, those
+// workers that are known to be good, then about those not asked of yet, those
 // with the most room first.
 func (p *Planner) ask(u *unit) {
 	if !p.advised(u) {
@@ -72,8 +72,8 @@
 	if a.open || p.now.Before(a.again) {
 		return
 	}
-	var list []*server
-	for _, s := range p.servers {
+	var list []*worker
+	for _, s := range p.workers {
 		good, known := a.asked[s.ID]
 		if p.usable(s) && p.fitsKind(u, s) && (good || !known) && !p.ticketed(u, s) {
 			list = append(list, s)
@@ -82,7 +82,7 @@
 	if len(list) == 0 {
 		return
 	}
-	slices.SortFunc(list, func(x, y *server) int {
+	slices.SortFunc(list, func(x, y *worker) int {
 		return cmp.Or(
 			compareBool(!a.asked[x.ID], !a.asked[y.ID]),
 			cmp.Compare(y.free().GPU, x.free().GPU),
@@ -92,11 +92,11 @@
 	})
 	q := Question{Step: id}
 	for _, s := range list[:min(len(list), askAtOnce)] {
-		q.Servers = append(q.Servers, s.ID)
+		q.Workers = append(q.Workers, s.ID)
 	}
 	a.open = true
 	p.batch.Questions = append(p.batch.Questions, q)
-	p.note(Note{Event: "advice asked", Job: id.Job, Detail: itoa(len(q.Servers)) + " servers"})
+	p.note(Note{Event: "advice asked", Job: id.Job, Detail: itoa(len(q.Workers)) + " workers"})
 }
 
 // Advised takes in the answer to a question; err means that there is none.
@@ -113,17 +113,17 @@
 		p.note(Note{Event: "no advice", Job: q.Step.Job, Detail: err.Error()})
 		return
 	}
-	for _, id := range q.Servers {
+	for _, id := range q.Workers {
 		a.asked[id] = false
 	}
 	for _, t := range tickets {
-		a.asked[t.Server] = true
-		a.tickets[t.Server] = t
+		a.asked[t.Worker] = true
+		a.tickets[t.Worker] = t
 	}
-	p.note(Note{Event: "advice", Job: q.Step.Job, Detail: itoa(len(tickets)) + " servers are good"})
+	p.note(Note{Event: "advice", Job: q.Step.Job, Detail: itoa(len(tickets)) + " workers are good"})
 }
 
-// ticket is what a start of the unit on a server carries.
+// ticket is what a start of the unit on a worker carries.
 func (p *Planner) ticket(u *unit, id string) string {
 	if a := p.advice[u.stepID()]; a != nil {
 		return a.tickets[id].Value
@@ -131,7 +131,7 @@
 	return ""
 }
 
-// rejectTicket forgets a ticket that a server does not take.
+// rejectTicket forgets a ticket that a worker does not take.
 func (p *Planner) rejectTicket(u *unit, id string) {
 	if a := p.advice[u.stepID()]; a != nil {
 		delete(a.tickets, id)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -47,16 +47,16 @@
 	waitsFrom  time.Time
 	placedAt   time.Time
 	avoid      map[string]time.Time
-	claim      []string // servers on which room is being freed for it
+	claim      []string // workers on which room is being freed for it
 	claimedAt  time.Time
 	failed     bool // the current run has counted as a failure
 	waitNoted  bool
 }
 
-// member is one task of the current run on its server.
+// member is one task of the current run on its worker.
 type member struct {
-	server  string
-	sent    bool // the server has confirmed the start
+	worker  string
+	sent    bool // the worker has confirmed the start
 	over    bool // it has ended, or certainly will not begin
 	percent int
 	movedAt time.Time // the last progress
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -4,7 +4,7 @@
 	"yuccapaddle"
 )
 
-// Load pattern: tasks that serve users share a server with tasks that fill it,
+// Load pattern: tasks that serve users share a worker with tasks that fill it,
 // and how much these disturb changes within seconds. So what fills is held back
 // at once when a serving task comes near its target, and let go by steps.
 
@@ -20,20 +20,20 @@
 
 // Pace is an order to let a run work at a percentage.
 type Pace struct {
-	Server  string
+	Worker  string
 	Task    yuccapaddle.TaskID
 	Run     int
 	Percent int
 }
 
 // Shared reports whether tasks that fill run beside tasks with a target, so that
-// the server has to be looked at often.
+// the worker has to be looked at often.
 func (p *Planner) Shared(id string) bool {
-	s := p.servers[id]
+	s := p.workers[id]
 	return s != nil && s.shared()
 }
 
-func (s *server) shared() bool {
+func (s *worker) shared() bool {
 	fills, serves := false, false
 	for _, x := range s.runs {
 		fills = fills || x.u.spec().Spare
@@ -42,8 +42,8 @@
 	return fills && serves
 }
 
-// balance sets the pace of what fills a server by how the serving tasks do.
-func (p *Planner) balance(s *server, running []yuccapaddle.Run) {
+// balance sets the pace of what fills a worker by how the serving tasks do.
+func (p *Planner) balance(s *worker, running []yuccapaddle.Run) {
 	if !s.shared() {
 		return
 	}
@@ -70,9 +70,9 @@
 			continue
 		}
 		m.pace = next
-		p.batch.Paces = append(p.batch.Paces, Pace{Server: s.ID, Task: x.u.taskID(x.i), Run: x.u.run, Percent: next})
+		p.batch.Paces = append(p.batch.Paces, Pace{Worker: s.ID, Task: x.u.taskID(x.i), Run: x.u.run, Percent: next})
 		p.note(Note{
-			Event: "pace", Job: x.u.job.in.ID, Task: x.u.taskID(x.i).String(), Server: s.ID, Run: x.u.run,
+			Event: "pace", Job: x.u.job.in.ID, Task: x.u.taskID(x.i).String(), Worker: s.ID, Run: x.u.run,
 			Detail: itoa(next) + "% at " + itoa(int(100*worst)) + "% of the target",
 		})
 	}
@@ -80,7 +80,7 @@
 
 // Unpaced takes in that it is not known at which pace a run works.
 func (p *Planner) Unpaced(x Pace) {
-	at, ok := p.server(x.Server).runs[x.Task]
+	at, ok := p.worker(x.Worker).runs[x.Task]
 	if ok && at.u.run == x.Run {
 		at.u.members[at.i].pace = unknownPace
 	}
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -8,14 +8,14 @@
 	"yuccapaddle"
 )
 
-// room is what a server offers to one unit.
+// room is what a worker offers to one unit.
 type room struct {
-	s     *server
+	s     *worker
 	free  yuccapaddle.Need
 	tasks int // that fit
 }
 
-// pick chooses a server for each task of a unit, nil if there is no room.
+// pick chooses a worker for each task of a unit, nil if there is no room.
 // reserved is room that is kept for others.
 func (p *Planner) pick(u *unit, reserved map[string]yuccapaddle.Need) []string {
 	rooms := p.rooms(u, reserved)
@@ -57,9 +57,9 @@
 // for the unit when it is empty.
 func (p *Planner) rackCouldHold(u *unit, rack string) bool {
 	count := map[string]int{}
-	for _, s := range p.servers {
+	for _, s := range p.workers {
 		if (rack == "" || s.Rack == rack) && p.usable(s) && p.suits(u, s) {
-			count[s.Rack] += tasksIn(u, s.Capacity, u.spec().PerServer)
+			count[s.Rack] += tasksIn(u, s.Capacity, u.spec().PerWorker)
 		}
 	}
 	for _, n := range count {
@@ -70,27 +70,27 @@
 	return false
 }
 
-// suits reports whether a server may run the unit now.
-func (p *Planner) suits(u *unit, s *server) bool {
+// suits reports whether a worker may run the unit now.
+func (p *Planner) suits(u *unit, s *worker) bool {
 	return p.fitsKind(u, s) && p.ticketed(u, s)
 }
 
-// fitsKind reports whether a server is of the service and kind that the unit
+// fitsKind reports whether a worker is of the service and kind that the unit
 // needs.
-func (p *Planner) fitsKind(u *unit, s *server) bool {
+func (p *Planner) fitsKind(u *unit, s *worker) bool {
 	return s.Service == p.service(u.job) && (u.spec().Label == "" || s.label(u.spec().Label))
 }
 
-// rooms lists the servers with room for a task, those with the least room left
-// first; servers that have failed of late come last.
+// rooms lists the workers with room for a task, those with the least room left
+// first; workers that have failed of late come last.
 func (p *Planner) rooms(u *unit, reserved map[string]yuccapaddle.Need) []room {
 	var list []room
-	for id, s := range p.servers {
+	for id, s := range p.workers {
 		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) {
 			continue
 		}
 		free := s.free().Sub(reserved[id])
-		n := tasksIn(u, free, p.perServer(u, s))
+		n := tasksIn(u, free, p.perWorker(u, s))
 		if n > 0 {
 			list = append(list, room{s: s, free: free, tasks: n})
 		}
@@ -106,10 +106,10 @@
 	return p.spare(u, list)
 }
 
-// perServer is how many tasks of the unit's step may still go to a server, 0 for
+// perWorker is how many tasks of the unit's step may still go to a worker, 0 for
 // no limit, less than 0 for none.
-func (p *Planner) perServer(u *unit, s *server) int {
-	most := u.spec().PerServer
+func (p *Planner) perWorker(u *unit, s *worker) int {
+	most := u.spec().PerWorker
 	if most == 0 {
 		return 0
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -61,12 +61,12 @@
 		if m.over || !m.seen || m.percent >= 100 || p.now.Sub(m.movedAt) < stillTime {
 			continue
 		}
-		s := p.server(m.server)
+		s := p.worker(m.worker)
 		if s.silent {
 			continue
 		}
 		p.strike(s)
-		p.shun(u, m.server)
+		p.shun(u, m.worker)
 		p.stop(u, "task "+u.taskID(i).String()+" stands still")
 		return
 	}
@@ -100,9 +100,9 @@
 	case u.claim != nil:
 		why = "room that is being freed"
 	case p.advised(u):
-		why = "room on a server with a ticket"
+		why = "room on a worker with a ticket"
 	case u.spec().Label != "":
-		why = "room on a server with label " + u.spec().Label
+		why = "room on a worker with label " + u.spec().Label
 	}
 	p.note(Note{
 		Event: "waits", Job: u.job.in.ID, Task: u.taskID(0).String(), Run: u.run,
@@ -154,7 +154,7 @@
 	return lowest
 }
 
-// service names the servers that run a job, and whether that is known.
+// service names the workers that run a job, and whether that is known.
 func (p *Planner) service(j *job) string {
 	if q := p.rules.Queue(j.in.Queue); q != nil {
 		j.in.Service = q.Service
@@ -167,20 +167,20 @@
 	if u.claim != nil {
 		return p.tryClaimed(u)
 	}
-	servers := p.pick(u, p.reserved())
-	if servers == nil {
+	workers := p.pick(u, p.reserved())
+	if workers == nil {
 		p.ask(u)
 		return p.preempt(u)
 	}
-	p.assign(u, servers)
+	p.assign(u, workers)
 	return true
 }
 
-// tryClaimed places a unit on the servers on which room was freed for it.
+// tryClaimed places a unit on the workers on which room was freed for it.
 func (p *Planner) tryClaimed(u *unit) bool {
 	taken := map[string]yuccapaddle.Need{}
 	for _, id := range u.claim {
-		s := p.servers[id]
+		s := p.workers[id]
 		if s == nil || !p.usable(s) {
 			u.claim = nil
 			return p.tryPlace(u)
@@ -194,13 +194,13 @@
 			return false
 		}
 	}
-	servers := u.claim
+	workers := u.claim
 	u.claim = nil
-	p.assign(u, servers)
+	p.assign(u, workers)
 	return true
 }
 
-// reserved is the room on each server that waits for claims.
+// reserved is the room on each worker that waits for claims.
 func (p *Planner) reserved() map[string]yuccapaddle.Need {
 	held := map[string]yuccapaddle.Need{}
 	for _, j := range p.jobs {
@@ -217,19 +217,19 @@
 }
 
 // assign starts a new run of a unit.
-func (p *Planner) assign(u *unit, servers []string) {
+func (p *Planner) assign(u *unit, workers []string) {
 	u.run++
 	u.state, u.stopping, u.failed = unitPlaced, false, false
 	u.placedAt = p.now
 	u.waitNoted = false
-	u.members = make([]member, len(servers))
-	for i, id := range servers {
-		s := p.servers[id]
-		u.members[i] = member{server: id, movedAt: p.now, pace: fullPace}
+	u.members = make([]member, len(workers))
+	for i, id := range workers {
+		s := p.workers[id]
+		u.members[i] = member{worker: id, movedAt: p.now, pace: fullPace}
 		s.add(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.start(u, id, i))
 		p.note(Note{
-			Event: "placed", Job: u.job.in.ID, Task: u.taskID(i).String(), Server: id, Run: u.run,
+			Event: "placed", Job: u.job.in.ID, Task: u.taskID(i).String(), Worker: id, Run: u.run,
 			Detail: "waited " + strconv.FormatInt(p.now.Sub(u.waitsFrom).Milliseconds(), 10) + " ms",
 		})
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -13,7 +13,7 @@
 type Planner struct {
 	rules   *yuccapaddle.Rules
 	jobs    map[string]*job
-	servers map[string]*server
+	workers map[string]*worker
 	limits  Limits
 	now     time.Time
 	wall    time.Time
@@ -44,7 +44,7 @@
 // New returns a Planner without jobs.
 func New(limits Limits) *Planner {
 	return &Planner{
-		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, servers: map[string]*server{},
+		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, dirty: map[string]*job{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 }
@@ -61,9 +61,9 @@
 	Notes     []Note
 }
 
-// Start is an order to start a run on a server.
+// Start is an order to start a run on a worker.
 type Start struct {
-	Server  string
+	Worker  string
 	Task    yuccapaddle.TaskID
 	Run     int
 	Payload string
@@ -71,9 +71,9 @@
 	Ticket  string
 }
 
-// Stop is an order to end a run on a server.
+// Stop is an order to end a run on a worker.
 type Stop struct {
-	Server string
+	Worker string
 	Task   yuccapaddle.TaskID
 	Run    int
 }
@@ -83,7 +83,7 @@
 	Event  string
 	Job    string
 	Task   string
-	Server string
+	Worker string
 	Run    int
 	Detail string
 }
@@ -218,11 +218,11 @@
 	u.stopAt = p.now
 	for i := range u.members {
 		m := &u.members[i]
-		if m.over || p.server(m.server).silent {
+		if m.over || p.worker(m.worker).silent {
 			continue
 		}
-		p.batch.Stops = append(p.batch.Stops, Stop{Server: m.server, Task: u.taskID(i), Run: u.run})
-		p.note(Note{Event: "stop", Job: u.job.in.ID, Task: u.taskID(i).String(), Server: m.server, Run: u.run, Detail: why})
+		p.batch.Stops = append(p.batch.Stops, Stop{Worker: m.worker, Task: u.taskID(i), Run: u.run})
+		p.note(Note{Event: "stop", Job: u.job.in.ID, Task: u.taskID(i).String(), Worker: m.worker, Run: u.run, Detail: why})
 	}
 }
 
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -15,10 +15,10 @@
 	coresPerGPU = 8
 )
 
-// offer is room for one more task on a server once the victims have gone. Cost
+// offer is room for one more task on a worker once the victims have gone. Cost
 // is the work that is lost for it.
 type offer struct {
-	s       *server
+	s       *worker
 	victims []*unit
 	cost    float64
 }
@@ -52,7 +52,7 @@
 	byRack := map[string][]offer{}
 	var all []offer
 	reserved := p.reserved()
-	for id, s := range p.servers {
+	for id, s := range p.workers {
 		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) || p.rests(s) {
 			continue
 		}
@@ -77,9 +77,9 @@
 	return best
 }
 
-// offers lists the room for one, two and more tasks on a server, each with the
+// offers lists the room for one, two and more tasks on a worker, each with the
 // victims that it needs beyond those before it.
-func (p *Planner) offers(u *unit, s *server, reserved yuccapaddle.Need) []offer {
+func (p *Planner) offers(u *unit, s *worker, reserved yuccapaddle.Need) []offer {
 	free := s.free().Sub(reserved)
 	var victims []*unit
 	for _, x := range s.runs {
@@ -93,7 +93,7 @@
 	slices.SortFunc(victims, func(a, b *unit) int {
 		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.job.in.ID, b.job.in.ID), cmp.Compare(a.index, b.index))
 	})
-	most := p.perServer(u, s)
+	most := p.perWorker(u, s)
 	var list []offer
 	have := tasksIn(u, free, most)
 	for range have {
@@ -117,13 +117,13 @@
 }
 
 // choose takes the n cheapest offers, nil if there are fewer. The offers of a
-// server are taken in their order, since each builds on those before it.
+// worker are taken in their order, since each builds on those before it.
 func choose(list []offer, n int) []offer {
 	if len(list) < n {
 		return nil
 	}
-	// Offers behind a dear one of the same server cannot be had without it.
-	most := map[*server]float64{}
+	// Offers behind a dear one of the same worker cannot be had without it.
+	most := map[*worker]float64{}
 	keys := make([]float64, len(list))
 	for i, o := range list {
 		most[o.s] = max(most[o.s], o.cost)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -41,7 +41,7 @@
 }
 
 type memberRecord struct {
-	Server string `json:"w"`
+	Worker string `json:"w"`
 	Over   bool   `json:"o,omitempty"`
 }
 
@@ -70,7 +70,7 @@
 	}
 	for i := range u.members {
 		m := &u.members[i]
-		r.Members = append(r.Members, memberRecord{Server: m.server, Over: m.over})
+		r.Members = append(r.Members, memberRecord{Worker: m.worker, Over: m.over})
 	}
 	return r
 }
@@ -125,9 +125,9 @@
 	u.state, u.run, u.fails, u.saved, u.done, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Done, r.Stopping
 	u.placedAt = p.now
 	for _, m := range r.Members {
-		u.members = append(u.members, member{server: m.Server, over: m.Over, movedAt: p.now, pace: fullPace, adopted: true})
+		u.members = append(u.members, member{worker: m.Worker, over: m.Over, movedAt: p.now, pace: fullPace, adopted: true})
 		if !m.Over {
-			p.server(m.Server).add(u, len(u.members)-1)
+			p.worker(m.Worker).add(u, len(u.members)-1)
 		}
 	}
 	if u.state == unitPlaced && !u.live() {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -7,13 +7,13 @@
 	"yuccapaddle"
 )
 
-// Times in which a server proves itself.
+// Times in which a worker proves itself.
 const (
-	// restAfterFailure is how long a server is avoided after it failed a task.
+	// restAfterFailure is how long a worker is avoided after it failed a task.
 	restAfterFailure = 6 * time.Second
-	// restMost bounds the time that a server is avoided.
+	// restMost bounds the time that a worker is avoided.
 	restMost = 24 * time.Second
-	// unfitTime is how long a server that refuses starts gets none.
+	// unfitTime is how long a worker that refuses starts gets none.
 	unfitTime = 2 * time.Second
 	// startTries is how often an unanswered start is sent before the run is given up.
 	startTries = 3
@@ -21,10 +21,10 @@
 	stopAgain = 700 * time.Millisecond
 )
 
-// Report takes in what a server has in work and what has ended there. The call
+// Report takes in what a worker has in work and what has ended there. The call
 // was sent at sentAt.
 func (p *Planner) Report(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
-	s := p.server(id)
+	s := p.worker(id)
 	if s.lives != r.Born {
 		p.reborn(s, r.Born)
 	}
@@ -49,17 +49,17 @@
 	p.balance(s, r.Running)
 }
 
-// reborn notes that a server has started anew. Runs that it had confirmed and does
+// reborn notes that a worker has started anew. Runs that it had confirmed and does
 // not list any more are gone, as missing finds; starts on their way may meet the
 // new life, and are settled like any other.
-func (p *Planner) reborn(s *server, born int64) {
+func (p *Planner) reborn(s *worker, born int64) {
 	if s.lives != 0 {
-		p.note(Note{Event: "server restarted", Server: s.ID})
+		p.note(Note{Event: "worker restarted", Worker: s.ID})
 	}
 	s.lives, s.seen = born, 0
 }
 
-func (s *server) seats() []seat {
+func (s *worker) seats() []seat {
 	list := make([]seat, 0, len(s.runs))
 	for _, x := range s.runs {
 		list = append(list, x)
@@ -67,15 +67,15 @@
 	return list
 }
 
-// running takes in a run that a server has in work.
-func (p *Planner) running(s *server, r *yuccapaddle.Run) {
+// running takes in a run that a worker has in work.
+func (p *Planner) running(s *worker, r *yuccapaddle.Run) {
 	x, ok := s.runs[r.Task]
 	if !ok || x.u.run != r.Run {
 		if _, known := s.strays[r.Task]; !known {
-			p.note(Note{Event: "stray run", Task: r.Task.String(), Server: s.ID, Run: r.Run})
+			p.note(Note{Event: "stray run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
 		}
 		s.strays[r.Task] = *r
-		p.batch.Stops = append(p.batch.Stops, Stop{Server: s.ID, Task: r.Task, Run: r.Run})
+		p.batch.Stops = append(p.batch.Stops, Stop{Worker: s.ID, Task: r.Task, Run: r.Run})
 		return
 	}
 	m := &x.u.members[x.i]
@@ -100,9 +100,9 @@
 	}
 }
 
-// missing settles runs that a server confirmed before and does not list, and
+// missing settles runs that a worker confirmed before and does not list, and
 // starts those that a former host may not have sent.
-func (p *Planner) missing(s *server, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
+func (p *Planner) missing(s *worker, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
 	for t, x := range s.runs {
 		m := &x.u.members[x.i]
 		if running[t] || m.movedAt.After(sentAt) {
@@ -115,24 +115,24 @@
 		if !m.sent || m.movedAt.Equal(sentAt) {
 			continue
 		}
-		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Server: s.ID, Run: x.u.run})
-		p.over(s, x.u, x.i, "the server does not list it")
+		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: s.ID, Run: x.u.run})
+		p.over(s, x.u, x.i, "the worker does not list it")
 	}
 }
 
 // ended takes in the end of a run.
-func (p *Planner) ended(s *server, e *yuccapaddle.End) {
+func (p *Planner) ended(s *worker, e *yuccapaddle.End) {
 	j := p.jobs[e.Task.Job]
 	if j == nil {
 		return
 	}
 	x, ok := s.runs[e.Task]
 	if !ok || x.u.run != e.Run {
-		p.note(Note{Event: "old run ended", Job: e.Task.Job, Task: e.Task.String(), Server: s.ID, Run: e.Run, Detail: string(e.Cause)})
+		p.note(Note{Event: "old run ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
 		return
 	}
 	u := x.u
-	p.note(Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Server: s.ID, Run: e.Run, Detail: string(e.Cause)})
+	p.note(Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
 	if e.Saved != "" {
 		u.saved = e.Saved
 	}
@@ -148,8 +148,8 @@
 	p.over(s, u, x.i, string(e.Cause))
 }
 
-// failed counts a failure against the task, and rests the server.
-func (p *Planner) failed(s *server, u *unit) {
+// failed counts a failure against the task, and rests the worker.
+func (p *Planner) failed(s *worker, u *unit) {
 	if !u.failed {
 		u.failed = true
 		u.fails++
@@ -158,7 +158,7 @@
 	p.shun(u, s.ID)
 }
 
-func (p *Planner) strike(s *server) {
+func (p *Planner) strike(s *worker) {
 	s.strikes++
 	s.restedAt = p.now.Add(min(restAfterFailure*time.Duration(s.strikes), restMost))
 }
@@ -171,7 +171,7 @@
 }
 
 // over settles a member, and the unit once all members are.
-func (p *Planner) over(s *server, u *unit, i int, why string) {
+func (p *Planner) over(s *worker, u *unit, i int, why string) {
 	m := &u.members[i]
 	if m.over {
 		return
@@ -210,10 +210,10 @@
 	}
 }
 
-// Answered takes in a server's answer to a start: err is nil if the run is
+// Answered takes in a worker's answer to a start: err is nil if the run is
 // there, a refusal, or ErrNoAnswer.
 func (p *Planner) Answered(id string, t yuccapaddle.TaskID, run int, err error) {
-	s := p.server(id)
+	s := p.worker(id)
 	x, ok := s.runs[t]
 	if !ok || x.u.run != run || x.u.members[x.i].over {
 		return
@@ -232,9 +232,9 @@
 	p.unanswered(s, x)
 }
 
-func (p *Planner) refused(s *server, x seat, why yuccapaddle.Refusal) {
+func (p *Planner) refused(s *worker, x seat, why yuccapaddle.Refusal) {
 	u := x.u
-	p.note(Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Server: s.ID, Run: u.run, Detail: string(why)})
+	p.note(Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run, Detail: string(why)})
 	m := &u.members[x.i]
 	switch why {
 	case yuccapaddle.RefusedLate:
@@ -269,14 +269,14 @@
 }
 
 // again sends a start once more: the run's number makes it idempotent.
-func (p *Planner) again(s *server, x seat) {
+func (p *Planner) again(s *worker, x seat) {
 	x.u.members[x.i].tries++
 	p.batch.Starts = append(p.batch.Starts, p.start(x.u, s.ID, x.i))
 }
 
-func (p *Planner) unanswered(s *server, x seat) {
+func (p *Planner) unanswered(s *worker, x seat) {
 	u := x.u
-	p.note(Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Server: s.ID, Run: u.run})
+	p.note(Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run})
 	if u.stopping {
 		return
 	}
@@ -286,13 +286,13 @@
 	}
 	s.unfit = p.now.Add(unfitTime)
 	p.wakeBy(s.unfit)
-	p.stop(u, "a server does not answer the start")
+	p.stop(u, "a worker does not answer the start")
 }
 
-// Stopped takes in that a server has confirmed a stop: a start of the run that
+// Stopped takes in that a worker has confirmed a stop: a start of the run that
 // has not been confirmed will not be carried out any more, unless it runs.
 func (p *Planner) Stopped(id string, t yuccapaddle.TaskID, run int) {
-	s := p.server(id)
+	s := p.worker(id)
 	x, ok := s.runs[t]
 	if !ok || x.u.run != run {
 		return
@@ -304,11 +304,11 @@
 	}
 }
 
-// Lapsed takes in that every lease that a server can have has run out.
+// Lapsed takes in that every lease that a worker can have has run out.
 func (p *Planner) Lapsed(id string) {
-	s := p.server(id)
+	s := p.worker(id)
 	if len(s.runs) > 0 {
-		p.note(Note{Event: "leases over", Server: id})
+		p.note(Note{Event: "leases over", Worker: id})
 	}
 	for _, x := range s.seats() {
 		p.over(s, x.u, x.i, "the lease is over")
@@ -316,8 +316,8 @@
 	clear(s.strays)
 }
 
-func (p *Planner) start(u *unit, server string, i int) Start {
+func (p *Planner) start(u *unit, worker string, i int) Start {
 	return Start{
-		Server: server, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, server),
+		Worker: worker, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, worker),
 	}
 }
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -9,7 +9,7 @@
 // Load pattern: urgent gangs come in bursts on a cluster that wide batch jobs
 // have filled. Each gang then stops tasks that have run for some seconds, which
 // start again and are stopped again by the next. So work that can wait leaves as
-// many servers empty as urgent work has lately needed beyond what it needs now.
+// many workers empty as urgent work has lately needed beyond what it needs now.
 
 const (
 	// reserveWindow is how far back the need of urgent work is looked at.
@@ -55,14 +55,14 @@
 	}
 }
 
-// reserve is the number of accelerators on empty servers that work which can
+// reserve is the number of accelerators on empty workers that work which can
 // wait has to leave alone.
 func (p *Planner) reserve() int {
 	if len(p.peaks) == 0 {
 		return 0
 	}
 	total, used := yuccapaddle.Need{}, yuccapaddle.Need{}
-	for _, s := range p.servers {
+	for _, s := range p.workers {
 		if p.usable(s) {
 			total, used = total.Add(s.Capacity), used.Add(s.used)
 		}
@@ -85,7 +85,7 @@
 	return float64(a) / float64(b)
 }
 
-// spare takes from the rooms of a unit that can wait the empty servers that are
+// spare takes from the rooms of a unit that can wait the empty workers that are
 // kept for urgent work.
 func (p *Planner) spare(u *unit, rooms []room) []room {
 	if u.job.queue.priority == 0 || p.overdue(u) {
--- a/internal/planner/server.go
+++ b/internal/planner/worker.go
@@ -6,9 +6,9 @@
 	"yuccapaddle"
 )
 
-// server is what the planner knows of one worker.
-type server struct {
-	yuccapaddle.Server
+// worker is what the planner knows of one worker.
+type worker struct {
+	yuccapaddle.Worker
 	listed   bool
 	used     yuccapaddle.Need
 	runs     map[yuccapaddle.TaskID]seat
@@ -29,22 +29,22 @@
 	i int
 }
 
-func (p *Planner) server(id string) *server {
-	s := p.servers[id]
+func (p *Planner) worker(id string) *worker {
+	s := p.workers[id]
 	if s == nil {
-		s = &server{runs: map[yuccapaddle.TaskID]seat{}, strays: map[yuccapaddle.TaskID]yuccapaddle.Run{}}
+		s = &worker{runs: map[yuccapaddle.TaskID]seat{}, strays: map[yuccapaddle.TaskID]yuccapaddle.Run{}}
 		s.ID = id
-		p.servers[id] = s
+		p.workers[id] = s
 	}
 	return s
 }
 
-func (s *server) add(u *unit, i int) {
+func (s *worker) add(u *unit, i int) {
 	s.runs[u.taskID(i)] = seat{u, i}
 	s.used = s.used.Add(u.spec().Room())
 }
 
-func (s *server) drop(u *unit, i int) {
+func (s *worker) drop(u *unit, i int) {
 	if _, ok := s.runs[u.taskID(i)]; !ok {
 		return
 	}
@@ -52,21 +52,21 @@
 	s.used = s.used.Sub(u.spec().Room())
 }
 
-func (s *server) free() yuccapaddle.Need {
+func (s *worker) free() yuccapaddle.Need {
 	return s.Capacity.Sub(s.used)
 }
 
-// Busy reports whether something may run on the server, or has ended there and
+// Busy reports whether something may run on the worker, or has ended there and
 // has not been noted.
 func (p *Planner) Busy(id string) bool {
-	s := p.servers[id]
+	s := p.workers[id]
 	return s != nil && (len(s.runs) > 0 || len(s.strays) > 0)
 }
 
-// Holders lists the servers on which something may run.
+// Holders lists the workers on which something may run.
 func (p *Planner) Holders() []string {
 	var list []string
-	for id := range p.servers {
+	for id := range p.workers {
 		if p.Busy(id) {
 			list = append(list, id)
 		}
@@ -76,74 +76,74 @@
 
 // Seen is the number of the last end that has been applied.
 func (p *Planner) Seen(id string) int64 {
-	if s := p.servers[id]; s != nil {
+	if s := p.workers[id]; s != nil {
 		return s.seen
 	}
 	return 0
 }
 
-// Server returns the registration of a server.
-func (p *Planner) Server(id string) (yuccapaddle.Server, bool) {
-	s := p.servers[id]
+// Worker returns the registration of a worker.
+func (p *Planner) Worker(id string) (yuccapaddle.Worker, bool) {
+	s := p.workers[id]
 	if s == nil {
-		return yuccapaddle.Server{}, false
+		return yuccapaddle.Worker{}, false
 	}
-	return s.Server, true
+	return s.Worker, true
 }
 
-// List takes in the servers that are registered now.
-func (p *Planner) List(list []yuccapaddle.Server) {
+// List takes in the workers that are registered now.
+func (p *Planner) List(list []yuccapaddle.Worker) {
 	present := make(map[string]bool, len(list))
 	first := !p.listed
 	p.listed = true
 	if first {
-		p.note(Note{Event: "servers listed", Detail: itoa(len(list)) + " for the first time"})
+		p.note(Note{Event: "workers listed", Detail: itoa(len(list)) + " for the first time"})
 	}
 	for i := range list {
 		e := &list[i]
 		present[e.ID] = true
-		s := p.server(e.ID)
+		s := p.worker(e.ID)
 		if !s.listed || s.Draining != e.Draining || s.Born != e.Born || s.Capacity != e.Capacity {
 			p.changed = true
 			if !first || e.Draining {
-				p.note(Note{Event: "server listed", Server: e.ID, Detail: describe(e)})
+				p.note(Note{Event: "worker listed", Worker: e.ID, Detail: describe(e)})
 			}
 		}
-		s.Server, s.listed, s.gone = *e, true, time.Time{}
+		s.Worker, s.listed, s.gone = *e, true, time.Time{}
 	}
-	for id, s := range p.servers {
+	for id, s := range p.workers {
 		if present[id] {
 			continue
 		}
 		if s.listed {
 			s.listed, s.gone = false, p.now
-			p.note(Note{Event: "server gone", Server: id})
+			p.note(Note{Event: "worker gone", Worker: id})
 		}
-		if !s.listed && len(s.runs) == 0 && len(s.strays) == 0 && p.now.Sub(s.gone) > forgetServer {
-			delete(p.servers, id)
+		if !s.listed && len(s.runs) == 0 && len(s.strays) == 0 && p.now.Sub(s.gone) > forgetWorker {
+			delete(p.workers, id)
 		}
 	}
 }
 
-// forgetServer is how long a server that is gone and runs nothing is remembered.
-const forgetServer = 30 * time.Second
+// forgetWorker is how long a worker that is gone and runs nothing is remembered.
+const forgetWorker = 30 * time.Second
 
-func describe(e *yuccapaddle.Server) string {
+func describe(e *yuccapaddle.Worker) string {
 	if e.Draining {
-		return e.Zone + " " + e.Rack + " draining"
+		return e.Domain + " " + e.Rack + " draining"
 	}
-	return e.Zone + " " + e.Rack
+	return e.Domain + " " + e.Rack
 }
 
-// usable reports whether new runs may be placed on the server.
-func (p *Planner) usable(s *server) bool {
-	return s.listed && !s.silent && !s.resting && !s.Draining && !p.rules.Closed[s.Zone] && !p.now.Before(s.unfit)
+// usable reports whether new runs may be placed on the worker.
+func (p *Planner) usable(s *worker) bool {
+	return s.listed && !s.silent && !s.resting && !s.Draining && !p.rules.Closed[s.Domain] && !p.now.Before(s.unfit)
 }
 
-// Keep has a server get no new runs, or ends that, for the service of its
+// Keep has a worker get no new runs, or ends that, for the service of its
 // machine, and reports whether nothing runs there.
 func (p *Planner) Keep(id string, empty bool) bool {
-	s := p.server(id)
+	s := p.worker(id)
 	if s.resting != empty {
 		s.resting = empty
 		p.changed = true
@@ -151,10 +151,10 @@
 	return len(s.runs) == 0
 }
 
-// Spared reports whether a step would have too many tasks away if the server were
+// Spared reports whether a step would have too many tasks away if the worker were
 // taken down now.
 func (p *Planner) Spared(id string) bool {
-	s := p.servers[id]
+	s := p.workers[id]
 	if s == nil {
 		return false
 	}
@@ -166,31 +166,31 @@
 	return false
 }
 
-// Listed reports whether the server is registered.
+// Listed reports whether the worker is registered.
 func (p *Planner) Listed(id string) bool {
-	s := p.servers[id]
+	s := p.workers[id]
 	return s != nil && s.listed
 }
 
-// Hear notes whether a server answers.
+// Hear notes whether a worker answers.
 func (p *Planner) Hear(id string, answers bool) {
-	s := p.server(id)
+	s := p.worker(id)
 	s.silent = !answers
 	p.changed = true
 }
 
-// Startable reports whether a start may be sent to the server now.
+// Startable reports whether a start may be sent to the worker now.
 func (p *Planner) Startable(id string) bool {
-	s := p.servers[id]
+	s := p.workers[id]
 	return s != nil && p.usable(s)
 }
 
-// rests reports whether the server has failed of late and should be avoided.
-func (p *Planner) rests(s *server) bool {
+// rests reports whether the worker has failed of late and should be avoided.
+func (p *Planner) rests(s *worker) bool {
 	return p.now.Before(s.restedAt)
 }
 
-func (s *server) label(l string) bool {
+func (s *worker) label(l string) bool {
 	for _, have := range s.Labels {
 		if have == l {
 			return true
--- a/internal/planner/yield.go
+++ b/internal/planner/yield.go
@@ -33,7 +33,7 @@
 	if p.priority(j) != 0 {
 		return false
 	}
-	t := p.rules.Tenant(j.in.Workspace)
+	t := p.rules.Workspace(j.in.Workspace)
 	return t != nil && p.needs(j.in.Workspace) <= t.Guaranteed
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,7 +49,7 @@
 	host      *loader.Host
 	store     yuccapaddle.Store
 	hosts     yuccapaddle.HostList
-	worker    yuccapaddle.Worker
+	worker    yuccapaddle.GangWorker
 	policy    yuccapaddle.Policy
 	log       *zap.Logger
 	nonce     string
@@ -98,7 +98,7 @@
 
 // WorkerFunc makes the way to the workers. addressOf finds an upstream's address,
 // and observe is told the bytes that go to an address and come from it.
-type WorkerFunc func(addressOf func(upstream string) string, observe func(address string, sent, received int)) yuccapaddle.Worker
+type WorkerFunc func(addressOf func(upstream string) string, observe func(address string, sent, received int)) yuccapaddle.GangWorker
 
 // New returns a Server. nonce differs for every process.
 func New(host *loader.Host, nonce string, store yuccapaddle.Store,
--- a/internal/standin/laborer/laborer.go
+++ b/internal/standin/laborer/laborer.go
@@ -44,7 +44,7 @@
 // Laborer is safe for concurrent use.
 type Laborer struct {
 	mu      sync.Mutex
-	self    yuccapaddle.Server
+	self    yuccapaddle.Worker
 	holdMax int64
 	work    Work
 	fault   Fault
@@ -72,7 +72,7 @@
 
 // New returns a worker with the registration self. holdMax is the longest lease,
 // in milliseconds.
-func New(self yuccapaddle.Server, holdMax int64, work Work, log *Starts) *Laborer {
+func New(self yuccapaddle.Worker, holdMax int64, work Work, log *Starts) *Laborer {
 	l := &Laborer{self: self, holdMax: holdMax, work: work, log: log}
 	l.reset()
 	return l
@@ -100,8 +100,8 @@
 	l.fault = f
 }
 
-// Server is the worker's registration.
-func (l *Laborer) Server() yuccapaddle.Server {
+// Worker is the worker's registration.
+func (l *Laborer) Worker() yuccapaddle.Worker {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.self
--- a/internal/standin/laborer/starts.go
+++ b/internal/standin/laborer/starts.go
@@ -18,10 +18,10 @@
 	return &Starts{starts: map[yuccapaddle.TaskID][]string{}}
 }
 
-func (g *Starts) note(server string, o yuccapaddle.StartOrder) {
+func (g *Starts) note(worker string, o yuccapaddle.StartOrder) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.starts[o.Task] = append(g.starts[o.Task], server)
+	g.starts[o.Task] = append(g.starts[o.Task], worker)
 }
 
 // Of lists the workers that have started the task, in order.
--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -13,7 +13,7 @@
 
 const checkpointTime = 50 * time.Millisecond
 
-// Reserve implements yuccapaddle.Worker.
+// Reserve implements yuccapaddle.GangWorker.
 func (w *Worker) Reserve(ctx context.Context, r yuccapaddle.Reservation) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -69,7 +69,7 @@
 	return nil
 }
 
-// Start implements yuccapaddle.Worker.
+// Start implements yuccapaddle.GangWorker.
 func (w *Worker) Start(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -177,7 +177,7 @@
 	return json.RawMessage(fmt.Sprintf(`{"rank":%d,"answer":%s}`, rank, answer))
 }
 
-// Checkpoint implements yuccapaddle.Worker.
+// Checkpoint implements yuccapaddle.GangWorker.
 func (w *Worker) Checkpoint(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -206,7 +206,7 @@
 	}
 }
 
-// Stop implements yuccapaddle.Worker.
+// Stop implements yuccapaddle.GangWorker.
 func (w *Worker) Stop(ctx context.Context, c yuccapaddle.LeaseCommand) (yuccapaddle.StopReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -229,7 +229,7 @@
 	return out, nil
 }
 
-// Forget implements yuccapaddle.Worker.
+// Forget implements yuccapaddle.GangWorker.
 func (w *Worker) Forget(ctx context.Context, c yuccapaddle.LeaseCommand) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -13,7 +13,7 @@
 // usageLag is how old the usage in a report is.
 const usageLag = 2 * time.Second
 
-// Sync implements yuccapaddle.Worker.
+// Sync implements yuccapaddle.GangWorker.
 func (w *Worker) Sync(ctx context.Context, r yuccapaddle.SyncRequest) (yuccapaddle.Report, error) {
 	report, changed, err := w.renew(ctx, r)
 	if err != nil || changed == nil {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -17,7 +17,7 @@
 )
 
 // Worker pretends to be any number of upstreams with their workers. It
-// implements yuccapaddle.Worker.
+// implements yuccapaddle.GangWorker.
 type Worker struct {
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -96,7 +96,7 @@
 	started time.Time
 }
 
-var _ yuccapaddle.Worker = (*Worker)(nil)
+var _ yuccapaddle.GangWorker = (*Worker)(nil)
 
 // Option changes a Worker under construction.
 type Option func(*Worker)
--- a/internal/upkeeper/upkeeper.go
+++ b/internal/upkeeper/upkeeper.go
@@ -21,9 +21,9 @@
 	emptyShare = 0.8
 )
 
-// Seats empties servers; the executor is one.
+// Seats empties workers; the executor is one.
 type Seats interface {
-	Vacate(ctx context.Context, server string, want bool) (empty, needed bool)
+	Vacate(ctx context.Context, worker string, want bool) (empty, needed bool)
 }
 
 // Upkeeper runs on the active host.
@@ -44,8 +44,8 @@
 	until     time.Time
 	done      map[string]bool
 	down      map[string]time.Time // ordered down, and when
-	vacated   map[string]time.Time // servers that are being emptied, by machine
-	servers   map[string]string
+	vacated   map[string]time.Time // workers that are being emptied, by machine
+	workers   map[string]string
 	announced bool
 	completed bool
 }
@@ -108,7 +108,7 @@
 		if w == nil {
 			w = &wave{
 				until: u.clock.Now().Add(time.Duration(r.DurationS * float64(time.Second))),
-				done:  map[string]bool{}, down: map[string]time.Time{}, vacated: map[string]time.Time{}, servers: map[string]string{},
+				done:  map[string]bool{}, down: map[string]time.Time{}, vacated: map[string]time.Time{}, workers: map[string]string{},
 			}
 			u.waves[r.Number] = w
 		}
@@ -164,7 +164,7 @@
 		}
 		delete(w.down, name)
 		w.done[name] = true
-		u.seats.Vacate(ctx, w.servers[name], false)
+		u.seats.Vacate(ctx, w.workers[name], false)
 	}
 }
 
@@ -176,23 +176,23 @@
 		return nil
 	}
 	if w.vacated[name].IsZero() {
-		w.vacated[name], w.servers[name] = now, m.Server
+		w.vacated[name], w.workers[name] = now, m.Worker
 	}
-	empty, needed := u.seats.Vacate(ctx, m.Server, true)
+	empty, needed := u.seats.Vacate(ctx, m.Worker, true)
 	if !empty && (needed || now.Before(u.patience(w, name))) {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	err := u.fleet.Service(callCtx, name, w.Number, u.holder, u.token)
-	u.log.Info("service ordered", zap.String("machine", name), zap.Int64("wave", w.Number), zap.String("server", m.Server),
+	u.log.Info("service ordered", zap.String("machine", name), zap.Int64("wave", w.Number), zap.String("worker", m.Worker),
 		zap.Bool("empty", empty), zap.Int64("waited_ms", now.Sub(w.vacated[name]).Milliseconds()), zap.Error(err))
 	switch {
 	case err == nil:
-		w.down[name], w.servers[name] = now, m.Server
+		w.down[name], w.workers[name] = now, m.Worker
 	case errors.Is(err, yuccapaddle.ErrNotOfWave):
 		w.done[name] = true
-		u.seats.Vacate(ctx, m.Server, false)
+		u.seats.Vacate(ctx, m.Worker, false)
 	case errors.Is(err, yuccapaddle.ErrOutdated):
 		return err
 	}
--- a/internal/upkeeper/upkeeper_test.go
+++ b/internal/upkeeper/upkeeper_test.go
@@ -16,14 +16,14 @@
 
 const downTime = 2 * time.Second
 
-// fleet plays the machines m0 to m3, each with the server of the same number.
+// fleet plays the machines m0 to m3, each with the worker of the same number.
 type fleet struct {
 	c         *qt.C
 	most      int
 	backAt    map[string]time.Time
 	serviced  map[string]int
 	completed bool
-	busyUntil time.Time // until then tasks run on the servers
+	busyUntil time.Time // until then tasks run on the workers
 	outdated  bool
 }
 
@@ -44,7 +44,7 @@
 func (f *fleet) Machines(context.Context) ([]yuccapaddle.Machine, error) {
 	var list []yuccapaddle.Machine
 	for _, n := range names {
-		list = append(list, yuccapaddle.Machine{Name: n, State: f.state(n), Server: "s" + n})
+		list = append(list, yuccapaddle.Machine{Name: n, State: f.state(n), Worker: "s" + n})
 	}
 	return list, nil
 }
--- a/job.go
+++ b/job.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Need is what one task takes of a server, or what a server has. CPU is in
+// Need is what one task takes of a worker, or what a worker has. CPU is in
 // thousandths of a core, Memory in megabytes, GPU in accelerators.
 type Need struct {
 	CPU    int `json:"c,omitempty"`
@@ -46,12 +46,12 @@
 	Gang bool `json:"gang,omitempty"`
 	// OneRack: the tasks are slow unless all lie in one rack.
 	OneRack bool `json:"rack,omitempty"`
-	// Label is one that the server must have.
+	// Label is one that the worker must have.
 	Label string `json:"l,omitempty"`
 	// DataRack is the rack where the data lies; other racks are slow.
 	DataRack string `json:"at,omitempty"`
-	// PerServer is the most tasks of an occurrence on one server, 0 for no limit.
-	PerServer int `json:"max,omitempty"`
+	// PerWorker is the most tasks of an occurrence on one worker, 0 for no limit.
+	PerWorker int `json:"max,omitempty"`
 	// Saves: the tasks write checkpoints.
 	Saves bool `json:"s,omitempty"`
 	// Endless tasks run until the job is cancelled.
@@ -67,7 +67,7 @@
 	Kept    bool `json:"k,omitempty"`
 }
 
-// Room is what a task of the step takes of a server's capacity.
+// Room is what a task of the step takes of a worker's capacity.
 func (s *Step) Room() Need {
 	n := s.Need
 	if s.Spare {
@@ -81,7 +81,7 @@
 	ID        string `json:"id"`
 	Queue     string `json:"q"`
 	Workspace string `json:"w,omitempty"`
-	// Service names the servers that run the job; the queue may be gone later.
+	// Service names the workers that run the job; the queue may be gone later.
 	Service string `json:"v,omitempty"`
 	Payload string `json:"p,omitempty"`
 	Steps   []Step `json:"t"`
--- a/rules.go
+++ b/rules.go
@@ -2,14 +2,14 @@
 
 import "strings"
 
-// Queue is an operators' rule on jobs: callers reach it by Domain and Prefix.
+// Queue is an operators' rule on jobs: callers reach it by Authority and Prefix.
 type Queue struct {
-	Name     string
-	Domain   string
-	Prefix   string
-	Service  string
-	Priority int
-	Attempts int
+	Name      string
+	Authority string // the Host header
+	Prefix    string
+	Service   string
+	Priority  int
+	Attempts  int
 	// TimeoutMS is the longest time for an answer, in milliseconds; 0 for none.
 	TimeoutMS int
 	// ObjectiveMS and Stretch give the time in which a job should be done:
@@ -31,9 +31,9 @@
 	Most      int
 }
 
-// Tenant is a workspace as the operators' rules know it: its keys and the
+// WorkspaceGrant is what the operators' rules give a workspace: its keys, and the
 // number of accelerators that are its own for urgent jobs.
-type Tenant struct {
+type WorkspaceGrant struct {
 	Name       string
 	Keys       []string
 	Guaranteed int
@@ -45,25 +45,25 @@
 	Version  int64
 	Revision uint64
 	// Digest tells apart rules that differ.
-	Digest  uint64
-	Queues  []Queue
-	Tenants []Tenant
-	// Guards holds the services whose servers refuse what does not fit.
+	Digest     uint64
+	Queues     []Queue
+	Workspaces []WorkspaceGrant
+	// Guards holds the services whose workers refuse what does not fit.
 	Guards map[string]bool
-	// Closed holds the zones in which nothing may be started.
+	// Closed holds the failure domains in which nothing may be started.
 	Closed map[string]bool
 	Waves  []Wave
-	byKey  map[string]*Tenant
+	byKey  map[string]*WorkspaceGrant
 	byName map[string]*Queue
 }
 
 // Index prepares the look-ups, and returns the rules.
 func (r *Rules) Index() *Rules {
-	r.byKey = map[string]*Tenant{}
+	r.byKey = map[string]*WorkspaceGrant{}
 	r.byName = map[string]*Queue{}
-	for i := range r.Tenants {
-		for _, k := range r.Tenants[i].Keys {
-			r.byKey[k] = &r.Tenants[i]
+	for i := range r.Workspaces {
+		for _, k := range r.Workspaces[i].Keys {
+			r.byKey[k] = &r.Workspaces[i]
 		}
 	}
 	for i := range r.Queues {
@@ -77,28 +77,28 @@
 	return r.byName[name]
 }
 
-// Holder returns the tenant with the key, nil if there is none.
-func (r *Rules) Holder(key string) *Tenant {
+// Holder returns the grant of the workspace with the key, nil if there is none.
+func (r *Rules) Holder(key string) *WorkspaceGrant {
 	return r.byKey[key]
 }
 
-// Tenant returns the tenant with the name, nil if there is none.
-func (r *Rules) Tenant(name string) *Tenant {
-	for i := range r.Tenants {
-		if r.Tenants[i].Name == name {
-			return &r.Tenants[i]
+// Workspace returns the grant of the workspace with the name, nil if there is none.
+func (r *Rules) Workspace(name string) *WorkspaceGrant {
+	for i := range r.Workspaces {
+		if r.Workspaces[i].Name == name {
+			return &r.Workspaces[i]
 		}
 	}
 	return nil
 }
 
 // Match returns the queue with the longest prefix of the path, nil if no queue
-// of the domain has one.
-func (r *Rules) Match(domain, path string) *Queue {
+// of the authority has one.
+func (r *Rules) Match(authority, path string) *Queue {
 	var best *Queue
 	for i := range r.Queues {
 		q := &r.Queues[i]
-		if q.Domain != domain || !strings.HasPrefix(path, q.Prefix) {
+		if q.Authority != authority || !strings.HasPrefix(path, q.Prefix) {
 			continue
 		}
 		if best == nil || len(q.Prefix) > len(best.Prefix) {
--- a/server.go
+++ b/runner.go
@@ -6,23 +6,23 @@
 	"time"
 )
 
-// Server is one worker as it registers itself. Born tells two lives under one
+// Worker is one worker as it registers itself. Born tells two lives under one
 // ID apart; it is the Unix millisecond of the start.
-type Server struct {
+type Worker struct {
 	ID       string
 	Address  string
 	Service  string
-	Zone     string
+	Domain   string // failure domain
 	Labels   []string
 	Rack     string
 	Born     int64
 	Draining bool
 	Capacity Need
-	// Clock is the server's steady clock in milliseconds when it registered.
+	// Clock is the worker's steady clock in milliseconds when it registered.
 	Clock int64
 }
 
-// StartOrder asks a server to start a run of a task. The server refuses it
+// StartOrder asks a worker to start a run of a task. The worker refuses it
 // after Deadline, which is in milliseconds of its own clock.
 type StartOrder struct {
 	Task     TaskID
@@ -34,14 +34,14 @@
 	Token    uint64
 }
 
-// StopOrder asks a server to end a run.
+// StopOrder asks a worker to end a run.
 type StopOrder struct {
 	Task  TaskID
 	Run   int
 	Token uint64
 }
 
-// HoldOrder renews the lease of all that runs on a server until Deadline, in
+// HoldOrder renews the lease of all that runs on a worker until Deadline, in
 // milliseconds of its clock (0: no renewal), drops the ends up to Seen, and
 // waits up to WaitMS milliseconds for another end.
 type HoldOrder struct {
@@ -51,7 +51,7 @@
 	WaitMS   int64
 }
 
-// Run is a run that a server has in work. Percent is its progress, 0 to 100.
+// Run is a run that a worker has in work. Percent is its progress, 0 to 100.
 type Run struct {
 	Task    TaskID
 	Run     int
@@ -83,7 +83,7 @@
 	EndAlone   EndCause = "alone"
 )
 
-// End is the end of a run; Number rises by one with each end in a server's life.
+// End is the end of a run; Number rises by one with each end in a worker's life.
 type End struct {
 	Number int64
 	Task   TaskID
@@ -92,7 +92,7 @@
 	Saved  string
 }
 
-// HoldReply is what a server has in work and what has ended there.
+// HoldReply is what a worker has in work and what has ended there.
 type HoldReply struct {
 	Born    int64
 	Clock   int64
@@ -100,14 +100,14 @@
 	Ended   []End
 }
 
-// Runner gives orders to servers. Errors match ErrNoAnswer, or are a
+// Runner gives orders to workers. Errors match ErrNoAnswer, or are a
 // *RefusalError; both say what is known of the order.
 type Runner interface {
-	// Start returns the server's clock.
-	Start(ctx context.Context, s *Server, o StartOrder) (clock int64, err error)
-	Stop(ctx context.Context, s *Server, o StopOrder) (clock int64, err error)
-	Hold(ctx context.Context, s *Server, o HoldOrder) (HoldReply, error)
-	Pace(ctx context.Context, s *Server, o PaceOrder) error
+	// Start returns the worker's clock.
+	Start(ctx context.Context, s *Worker, o StartOrder) (clock int64, err error)
+	Stop(ctx context.Context, s *Worker, o StopOrder) (clock int64, err error)
+	Hold(ctx context.Context, s *Worker, o HoldOrder) (HoldReply, error)
+	Pace(ctx context.Context, s *Worker, o PaceOrder) error
 }
 
 // StepID names a step of one occurrence of a job.
@@ -116,17 +116,17 @@
 	Occurrence, Step int
 }
 
-// Ticket allows the tasks of a step to start on a server until it ends.
+// Ticket allows the tasks of a step to start on a worker until it ends.
 type Ticket struct {
-	Server string
+	Worker string
 	Value  string
 	Ends   time.Time
 }
 
-// Adviser tells which servers may run a step. It answers in its own time, and
+// Adviser tells which workers may run a step. It answers in its own time, and
 // one call after the other.
 type Adviser interface {
-	Advise(ctx context.Context, s StepID, servers []string) ([]Ticket, error)
+	Advise(ctx context.Context, s StepID, workers []string) ([]Ticket, error)
 }
 
 // MachineState says what a machine does.
@@ -140,12 +140,12 @@
 	MachineDown   MachineState = "down"
 )
 
-// Machine is the hardware below a server. Server is empty while it has none.
+// Machine is the hardware below a worker. Worker is empty while it has none.
 type Machine struct {
 	Name   string
 	Pool   string
 	State  MachineState
-	Server string
+	Worker string
 }
 
 // Fleet orders the service of machines. Holder and token shut out orders of
@@ -169,28 +169,28 @@
 	ErrOutdated = errors.New("a later host gives the orders")
 )
 
-// Refusal is a server's reason for not carrying out an order.
+// Refusal is a worker's reason for not carrying out an order.
 type Refusal string
 
 // Refusals.
 const (
-	// RefusedOutdated: the server has seen a higher fencing token.
+	// RefusedOutdated: the worker has seen a higher fencing token.
 	RefusedOutdated Refusal = "outdated"
 	// RefusedOld: a run as high has been stopped or has ended there.
 	RefusedOld Refusal = "old"
 	// RefusedLate: the deadline of the order is over.
 	RefusedLate Refusal = "late"
-	// RefusedRoom: the server has no room for the task.
+	// RefusedRoom: the worker has no room for the task.
 	RefusedRoom Refusal = "room"
-	// RefusedTicket: the server wants another ticket.
+	// RefusedTicket: the worker wants another ticket.
 	RefusedTicket Refusal = "ticket"
-	// RefusedUnhealthy: the server does nothing at the moment.
+	// RefusedUnhealthy: the worker does nothing at the moment.
 	RefusedUnhealthy Refusal = "unhealthy"
-	// RefusedReplaced: another server lives at the address.
+	// RefusedReplaced: another worker lives at the address.
 	RefusedReplaced Refusal = "replaced"
 	// RefusedUnsent: the order was held back on this host.
 	RefusedUnsent Refusal = "unsent"
-	// RefusedInvalid: the server does not understand the order.
+	// RefusedInvalid: the worker does not understand the order.
 	RefusedInvalid Refusal = "invalid"
 )
 
@@ -202,12 +202,12 @@
 
 // Error returns the reason.
 func (e *RefusalError) Error() string {
-	return "the server refused the order: " + string(e.Reason)
+	return "the worker refused the order: " + string(e.Reason)
 }
 
-// Registry lists the servers that are alive, as of a call's answer.
+// Registry lists the workers that are alive, as of a call's answer.
 type Registry interface {
-	Servers(ctx context.Context) ([]Server, error)
+	Workers(ctx context.Context) ([]Worker, error)
 }
 
 // Ledger is a store with transactions over several keys. Errors of Commit match
--- a/sessions/gate_test.go
+++ b/sessions/gate_test.go
@@ -117,7 +117,7 @@
 
 type gatedWorker struct {
 	*gate
-	inner yuccapaddle.Worker
+	inner yuccapaddle.GangWorker
 }
 
 func (w gatedWorker) command(f func() error) error {
--- a/sessions/harness_test.go
+++ b/sessions/harness_test.go
@@ -103,7 +103,7 @@
 
 func (w *world) start(name string) {
 	h := &host{name: name, gate: newGate(), stop: make(chan struct{}), done: make(chan struct{})}
-	wrap := func(func(string) string, func(string, int, int)) yuccapaddle.Worker {
+	wrap := func(func(string) string, func(string, int, int)) yuccapaddle.GangWorker {
 		return gatedWorker{h.gate, w.worker}
 	}
 	w.mu.Lock()
--- a/soak/bed_test.go
+++ b/soak/bed_test.go
@@ -20,6 +20,7 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/standin/bookkeeper"
 	"yuccapaddle/internal/standin/laborer"
+	"yuccapaddle/platform/booter"
 	"yuccapaddle/platform/exposer"
 	"yuccapaddle/platform/wire"
 )
@@ -112,8 +113,8 @@
 
 func (b *bed) addWorker(i int) {
 	id := fmt.Sprintf("w%d", i)
-	self := yuccapaddle.Server{
-		ID: id, Service: "svc", Zone: fmt.Sprintf("z%d", i%2), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+	self := yuccapaddle.Worker{
+		ID: id, Service: "svc", Domain: fmt.Sprintf("z%d", i%2), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 		Capacity: yuccapaddle.Need{CPU: 64000, Memory: 262144, GPU: 8},
 	}
 	l := laborer.New(self, holdMaxMS, work, b.starts)
@@ -142,13 +143,13 @@
 		b.store.Drop("servers/" + w.id)
 		return
 	}
-	s := w.Server()
+	s := w.Worker()
 	address, state := w.proxy.address(), "ready"
 	if s.Draining {
 		state = "draining"
 	}
 	data, err := json.Marshal(wire.Entry{
-		Service: &s.Service, Address: &address, Zone: &s.Zone, State: &state, Labels: s.Labels, Clock: s.Clock, Born: s.Born,
+		Service: &s.Service, Address: &address, Zone: &s.Domain, State: &state, Labels: s.Labels, Clock: s.Clock, Born: s.Born,
 		Capacity: &wire.Capacity{CPU: s.Capacity.CPU, Memory: s.Capacity.Memory, GPU: s.Capacity.GPU},
 	})
 	b.c.Check(err, qt.IsNil)
@@ -196,7 +197,7 @@
 	h.callers = b.free()
 	h.settings = filepath.Join(b.dir, h.name+".json")
 	data, err := json.Marshal(map[string]any{
-		"host": h.name, "zone": fmt.Sprintf("z%d", i%2), "region": "r", "callers": h.callers, "ready": b.free(), "peers": b.free(),
+		"host": h.name, "domain": fmt.Sprintf("z%d", i%2), "region": "r", "callers": h.callers, "ready": b.free(), "peers": b.free(),
 		"metrics": b.free(), "store": h.store.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
 		"leaseLeastMs": 1000, "memoryMb": 284,
 		"bounds": map[string]any{
@@ -221,7 +222,7 @@
 
 func (b *bed) run(binary string, h *host) {
 	h.cmd = exec.Command(binary, "platform")
-	h.cmd.Env = []string{"YUCCAPADDLE_CONFIG=" + h.settings, "GOMAXPROCS=2"}
+	h.cmd.Env = []string{booter.Variable + "=" + h.settings, "GOMAXPROCS=2"}
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	b.c.Assert(h.cmd.Start(), qt.IsNil)
 	h.exited = make(chan struct{})
--- a/worker.go
+++ b/worker.go
@@ -119,9 +119,9 @@
 	Workers []WorkerCondition `json:"workers,omitempty"`
 }
 
-// Worker reaches the platform's workers through their upstreams; the messages
+// GangWorker reaches workers through their upstreams; the messages
 // name the upstream. Errors match ErrRefused or ErrNoAnswer.
-type Worker interface {
+type GangWorker interface {
 	Reserve(ctx context.Context, r Reservation) error
 	// Start releases the reserved tasks; it is idempotent for a lease.
 	Start(ctx context.Context, c LeaseCommand) error
