--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -20,7 +20,6 @@
 	"yuccapaddle/internal/guarder"
 	"yuccapaddle/internal/logger"
 	"yuccapaddle/internal/namer"
-	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/spooler"
 	"yuccapaddle/internal/timekeeper"
 	"yuccapaddle/platform/adviser"
@@ -85,7 +84,7 @@
 		},
 	}
 	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics}
-	bounds := executor.Bounds{HoldMax: s.Bounds.HoldMaxMS, Planner: planner.Limits{
+	bounds := executor.Bounds{HoldMax: s.Bounds.HoldMaxMS, Planner: yuccapaddle.PlanLimits{
 		Remote:     s.Bounds.RemotePenalty,
 		StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
 		Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
--- a/internal/executor/advice.go
+++ b/internal/executor/advice.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/planner"
 )
 
 const (
@@ -20,7 +19,7 @@
 
 // consult hands a question to the goroutine that asks them in turn. One that finds
 // no place there is answered at once: the planner asks again.
-func (e *Executor) consult(q planner.Question) {
+func (e *Executor) consult(q yuccapaddle.Question) {
 	if e.adviser == nil {
 		e.plan.Advised(&q, nil, fmt.Errorf("no advice service is set: %w", yuccapaddle.ErrNotTaken))
 		return
@@ -34,7 +33,7 @@
 
 func (e *Executor) followAdvice() error {
 	for {
-		var q planner.Question
+		var q yuccapaddle.Question
 		select {
 		case <-e.ctx.Done():
 			return e.ctx.Err()
@@ -47,7 +46,7 @@
 	}
 }
 
-func (e *Executor) sendPace(x planner.Pace) {
+func (e *Executor) sendPace(x yuccapaddle.RunPace) {
 	s, ok := e.plan.Worker(x.Worker)
 	if !ok {
 		return
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -43,7 +43,7 @@
 type Bounds struct {
 	// HoldMax is the longest lease that a worker gives, in milliseconds.
 	HoldMax int64
-	Planner planner.Limits
+	Planner yuccapaddle.PlanLimits
 }
 
 // Executor runs on the host that writes the records.
@@ -59,7 +59,7 @@
 	clock    yuccapaddle.Clock
 
 	inbox     chan func()
-	questions chan planner.Question
+	questions chan yuccapaddle.Question
 	done      chan struct{}
 	plan      *planner.Planner
 	group     *guarder.Guarder
@@ -105,7 +105,7 @@
 	e := &Executor{
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
-		links: map[string]*link{}, shown: map[string]shownJob{}, questions: make(chan planner.Question, mostQuestions),
+		links: map[string]*link{}, shown: map[string]shownJob{}, questions: make(chan yuccapaddle.Question, mostQuestions),
 		meter: yuccapaddle.NoMeter{},
 	}
 	for _, o := range opts {
@@ -262,7 +262,7 @@
 }
 
 // perform carries out a committed batch.
-func (e *Executor) perform(b *planner.Batch, waiters []chan struct{}, seen map[string]int64) {
+func (e *Executor) perform(b *yuccapaddle.Batch, waiters []chan struct{}, seen map[string]int64) {
 	for _, r := range b.Records {
 		e.shown[r.ID] = shownJob{r.Shown, r.Queue}
 	}
@@ -290,7 +290,7 @@
 	}
 }
 
-func (e *Executor) logNotes(b *planner.Batch) {
+func (e *Executor) logNotes(b *yuccapaddle.Batch) {
 	for i := range b.Notes {
 		n := &b.Notes[i]
 		e.meter.Tally("decisions", n.Event, 1)
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/planner"
 )
 
 // Figures of the calls to workers.
@@ -249,7 +248,7 @@
 	}
 }
 
-func (e *Executor) sendStart(st planner.Start) {
+func (e *Executor) sendStart(st yuccapaddle.RunStart) {
 	l := e.link(st.Worker)
 	s, ok := e.plan.Worker(st.Worker)
 	if !ok || !e.plan.Startable(st.Worker) || !e.informed() {
@@ -270,7 +269,7 @@
 	})
 }
 
-func (e *Executor) answered(l *link, st planner.Start, clock int64, sentAt time.Time, err error) {
+func (e *Executor) answered(l *link, st yuccapaddle.RunStart, clock int64, sentAt time.Time, err error) {
 	e.meter.Time("start", outcome(err), e.now.Sub(sentAt))
 	l.setClock(clock, sentAt)
 	var refusal *yuccapaddle.RefusalError
@@ -284,7 +283,7 @@
 	e.plan.Answered(st.Worker, st.Task, st.Run, err)
 }
 
-func (e *Executor) sendStop(st planner.Stop) {
+func (e *Executor) sendStop(st yuccapaddle.RunStop) {
 	l := e.link(st.Worker)
 	s, ok := e.plan.Worker(st.Worker)
 	if !ok || s.Address == "" {
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -22,7 +22,6 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/explainer"
-	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/standin/bookkeeper"
@@ -173,7 +172,7 @@
 	log = log.With(zap.String("host", name))
 	rules := ruler.New(r, yuccapaddle.SystemClock{}, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
-	bounds := executor.Bounds{HoldMax: holdMax, Planner: planner.Limits{
+	bounds := executor.Bounds{HoldMax: holdMax, Planner: yuccapaddle.PlanLimits{
 		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	}}
 	ctx, cancel := context.WithCancel(r.t.Context())
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -18,12 +18,6 @@
 	ticketSlack = 700 * time.Millisecond
 )
 
-// Question asks which of the workers may run a step.
-type Question struct {
-	Step    yuccapaddle.StepID
-	Workers []string
-}
-
 // advice is what is known of the workers for one step. Which workers may run it
 // does not change; tickets end.
 type advice struct {
@@ -90,17 +84,17 @@
 			cmp.Compare(x.ID, y.ID),
 		)
 	})
-	q := Question{Step: id}
+	q := yuccapaddle.Question{Step: id}
 	for _, s := range list[:min(len(list), askAtOnce)] {
 		q.Workers = append(q.Workers, s.ID)
 	}
 	a.open = true
 	p.batch.Questions = append(p.batch.Questions, q)
-	p.note(Note{Event: "advice asked", Job: id.Job, Detail: itoa(len(q.Workers)) + " workers"})
+	p.note(yuccapaddle.Note{Event: "advice asked", Job: id.Job, Detail: itoa(len(q.Workers)) + " workers"})
 }
 
 // Advised takes in the answer to a question; err means that there is none.
-func (p *Planner) Advised(q *Question, tickets []yuccapaddle.Ticket, err error) {
+func (p *Planner) Advised(q *yuccapaddle.Question, tickets []yuccapaddle.Ticket, err error) {
 	a := p.advice[q.Step]
 	if a == nil {
 		return
@@ -110,7 +104,7 @@
 	if err != nil {
 		a.again = p.now.Add(askAgain)
 		p.wakeBy(a.again)
-		p.note(Note{Event: "no advice", Job: q.Step.Job, Detail: err.Error()})
+		p.note(yuccapaddle.Note{Event: "no advice", Job: q.Step.Job, Detail: err.Error()})
 		return
 	}
 	for _, id := range q.Workers {
@@ -120,7 +114,7 @@
 		a.asked[t.Worker] = true
 		a.tickets[t.Worker] = t
 	}
-	p.note(Note{Event: "advice", Job: q.Step.Job, Detail: itoa(len(tickets)) + " workers are good"})
+	p.note(yuccapaddle.Note{Event: "advice", Job: q.Step.Job, Detail: itoa(len(tickets)) + " workers are good"})
 }
 
 // ticket is what a start of the unit on a worker carries.
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -18,14 +18,6 @@
 	fullPace = 100
 )
 
-// Pace is an order to let a run work at a percentage.
-type Pace struct {
-	Worker  string
-	Task    yuccapaddle.TaskID
-	Run     int
-	Percent int
-}
-
 // Shared reports whether tasks that fill run beside tasks with a target, so that
 // the worker has to be looked at often.
 func (p *Planner) Shared(id string) bool {
@@ -70,8 +62,8 @@
 			continue
 		}
 		m.pace = next
-		p.batch.Paces = append(p.batch.Paces, Pace{Worker: s.ID, Task: x.u.taskID(x.i), Run: x.u.run, Percent: next})
-		p.note(Note{
+		p.batch.Paces = append(p.batch.Paces, yuccapaddle.RunPace{Worker: s.ID, Task: x.u.taskID(x.i), Run: x.u.run, Percent: next})
+		p.note(yuccapaddle.Note{
 			Event: "pace", Job: x.u.job.in.ID, Task: x.u.taskID(x.i).String(), Worker: s.ID, Run: x.u.run,
 			Detail: itoa(next) + "% at " + itoa(int(100*worst)) + "% of the target",
 		})
@@ -79,7 +71,7 @@
 }
 
 // Unpaced takes in that it is not known at which pace a run works.
-func (p *Planner) Unpaced(x Pace) {
+func (p *Planner) Unpaced(x yuccapaddle.RunPace) {
 	at, ok := p.worker(x.Worker).runs[x.Task]
 	if ok && at.u.run == x.Run {
 		at.u.members[at.i].pace = unknownPace
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -104,7 +104,7 @@
 	case u.spec().Label != "":
 		why = "room on a worker with label " + u.spec().Label
 	}
-	p.note(Note{
+	p.note(yuccapaddle.Note{
 		Event: "waits", Job: u.job.in.ID, Task: u.taskID(0).String(), Run: u.run,
 		Detail: "for " + why + ": " + itoa(u.width()) + " tasks of " + itoa(need.CPU) + " cpu, " + itoa(need.Memory) + " MB, " + itoa(need.GPU) + " gpu",
 	})
@@ -228,7 +228,7 @@
 		u.members[i] = member{worker: id, movedAt: p.now, pace: fullPace}
 		s.add(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.start(u, id, i))
-		p.note(Note{
+		p.note(yuccapaddle.Note{
 			Event: "placed", Job: u.job.in.ID, Task: u.taskID(i).String(), Worker: id, Run: u.run,
 			Detail: "waited " + strconv.FormatInt(p.now.Sub(u.waitsFrom).Milliseconds(), 10) + " ms",
 		})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -14,10 +14,10 @@
 	rules   *yuccapaddle.Rules
 	jobs    map[string]*job
 	workers map[string]*worker
-	limits  Limits
+	limits  yuccapaddle.PlanLimits
 	now     time.Time
 	wall    time.Time
-	batch   Batch
+	batch   yuccapaddle.Batch
 	dirty   map[string]*job
 	removed []string
 	changed bool // something that placing depends on has changed
@@ -29,71 +29,14 @@
 	peaks   []peak         // falling, of the last while
 }
 
-// Limits are bounds that the settings give.
-type Limits struct {
-	// Remote is how many times longer a task takes away from its data.
-	Remote float64
-	// StopWithin is the longest time that a stop takes.
-	StopWithin time.Duration
-	// Restore is the time that a task takes to go on from a checkpoint.
-	Restore time.Duration
-	// Retention is how long a finished job can be asked for.
-	Retention time.Duration
-}
-
 // New returns a Planner without jobs.
-func New(limits Limits) *Planner {
+func New(limits yuccapaddle.PlanLimits) *Planner {
 	return &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, dirty: map[string]*job{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 }
 
-// Batch is what is to be done: the records first, the orders once these are
-// committed.
-type Batch struct {
-	Records   []Record
-	Removed   []string
-	Starts    []Start
-	Stops     []Stop
-	Questions []Question
-	Paces     []Pace
-	Notes     []Note
-}
-
-// Start is an order to start a run on a worker.
-type Start struct {
-	Worker  string
-	Task    yuccapaddle.TaskID
-	Run     int
-	Payload string
-	Saved   string
-	Ticket  string
-}
-
-// Stop is an order to end a run on a worker.
-type Stop struct {
-	Worker string
-	Task   yuccapaddle.TaskID
-	Run    int
-}
-
-// Note is a decision for the log.
-type Note struct {
-	Event  string
-	Job    string
-	Task   string
-	Worker string
-	Run    int
-	Detail string
-}
-
-// Empty reports whether there is nothing to do.
-func (b *Batch) Empty() bool {
-	return len(b.Records) == 0 && len(b.Removed) == 0 && len(b.Starts) == 0 && len(b.Stops) == 0 &&
-		len(b.Questions) == 0 && len(b.Paces) == 0 && len(b.Notes) == 0
-}
-
 // At sets the time of the events that follow. now is steady, wall is the time of
 // day, which only timetables read.
 func (p *Planner) At(now, wall time.Time) {
@@ -123,7 +66,7 @@
 	p.touch(j)
 	j.fresh = true
 	p.changed = true
-	p.note(Note{Event: "accepted", Job: in.ID, Detail: in.Queue})
+	p.note(yuccapaddle.Note{Event: "accepted", Job: in.ID, Detail: in.Queue})
 	p.open(j)
 	return false
 }
@@ -163,10 +106,10 @@
 }
 
 // Shown returns the states of all jobs as records without content.
-func (p *Planner) Shown() []Record {
-	list := make([]Record, 0, len(p.jobs))
+func (p *Planner) Shown() []yuccapaddle.JobRecord {
+	list := make([]yuccapaddle.JobRecord, 0, len(p.jobs))
 	for id, j := range p.jobs {
-		list = append(list, Record{ID: id, Queue: j.in.Queue, Shown: j.state})
+		list = append(list, yuccapaddle.JobRecord{ID: id, Queue: j.in.Queue, Shown: j.state})
 	}
 	return list
 }
@@ -177,19 +120,19 @@
 }
 
 // Take returns what has to be done since the last call.
-func (p *Planner) Take() Batch {
+func (p *Planner) Take() yuccapaddle.Batch {
 	b := p.batch
 	for _, j := range p.dirty {
 		b.Records = append(b.Records, j.record())
 		j.fresh = false
 	}
 	b.Removed = p.removed
-	p.batch, p.removed = Batch{}, nil
+	p.batch, p.removed = yuccapaddle.Batch{}, nil
 	clear(p.dirty)
 	return b
 }
 
-func (p *Planner) note(n Note) {
+func (p *Planner) note(n yuccapaddle.Note) {
 	p.batch.Notes = append(p.batch.Notes, n)
 }
 
@@ -203,7 +146,7 @@
 	j.endedAt = p.now
 	p.touch(j)
 	p.changed = true
-	p.note(Note{Event: string(state), Job: j.in.ID, Detail: j.why})
+	p.note(yuccapaddle.Note{Event: string(state), Job: j.in.ID, Detail: j.why})
 	p.forgetAdvice(j.in.ID)
 	for _, u := range j.units {
 		if u.state == unitPlaced {
@@ -221,8 +164,8 @@
 		if m.over || p.worker(m.worker).silent {
 			continue
 		}
-		p.batch.Stops = append(p.batch.Stops, Stop{Worker: m.worker, Task: u.taskID(i), Run: u.run})
-		p.note(Note{Event: "stop", Job: u.job.in.ID, Task: u.taskID(i).String(), Worker: m.worker, Run: u.run, Detail: why})
+		p.batch.Stops = append(p.batch.Stops, yuccapaddle.RunStop{Worker: m.worker, Task: u.taskID(i), Run: u.run})
+		p.note(yuccapaddle.Note{Event: "stop", Job: u.job.in.ID, Task: u.taskID(i).String(), Worker: m.worker, Run: u.run, Detail: why})
 	}
 }
 
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -7,17 +7,6 @@
 	"yuccapaddle"
 )
 
-// Record is the committed form of a job. Job is empty if it has not changed
-// since an earlier commit.
-type Record struct {
-	ID    string
-	Job   []byte
-	State []byte
-	// Queue and Shown are what callers see of it.
-	Queue string
-	Shown yuccapaddle.JobState
-}
-
 // stateRecord is the part of a job that changes.
 type stateRecord struct {
 	State  yuccapaddle.JobState `json:"s"`
@@ -45,8 +34,8 @@
 	Over   bool   `json:"o,omitempty"`
 }
 
-func (j *job) record() Record {
-	r := Record{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state}
+func (j *job) record() yuccapaddle.JobRecord {
+	r := yuccapaddle.JobRecord{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state}
 	if j.fresh {
 		r.Job = encode(j.in)
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -54,7 +54,7 @@
 // new life, and are settled like any other.
 func (p *Planner) reborn(s *worker, born int64) {
 	if s.lives != 0 {
-		p.note(Note{Event: "worker restarted", Worker: s.ID})
+		p.note(yuccapaddle.Note{Event: "worker restarted", Worker: s.ID})
 	}
 	s.lives, s.seen = born, 0
 }
@@ -72,10 +72,10 @@
 	x, ok := s.runs[r.Task]
 	if !ok || x.u.run != r.Run {
 		if _, known := s.strays[r.Task]; !known {
-			p.note(Note{Event: "stray run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
+			p.note(yuccapaddle.Note{Event: "stray run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
 		}
 		s.strays[r.Task] = *r
-		p.batch.Stops = append(p.batch.Stops, Stop{Worker: s.ID, Task: r.Task, Run: r.Run})
+		p.batch.Stops = append(p.batch.Stops, yuccapaddle.RunStop{Worker: s.ID, Task: r.Task, Run: r.Run})
 		return
 	}
 	m := &x.u.members[x.i]
@@ -115,7 +115,7 @@
 		if !m.sent || m.movedAt.Equal(sentAt) {
 			continue
 		}
-		p.note(Note{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: s.ID, Run: x.u.run})
+		p.note(yuccapaddle.Note{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: s.ID, Run: x.u.run})
 		p.over(s, x.u, x.i, "the worker does not list it")
 	}
 }
@@ -128,11 +128,11 @@
 	}
 	x, ok := s.runs[e.Task]
 	if !ok || x.u.run != e.Run {
-		p.note(Note{Event: "old run ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
+		p.note(yuccapaddle.Note{Event: "old run ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
 		return
 	}
 	u := x.u
-	p.note(Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
+	p.note(yuccapaddle.Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
 	if e.Saved != "" {
 		u.saved = e.Saved
 	}
@@ -234,7 +234,7 @@
 
 func (p *Planner) refused(s *worker, x seat, why yuccapaddle.Refusal) {
 	u := x.u
-	p.note(Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run, Detail: string(why)})
+	p.note(yuccapaddle.Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run, Detail: string(why)})
 	m := &u.members[x.i]
 	switch why {
 	case yuccapaddle.RefusedLate:
@@ -276,7 +276,7 @@
 
 func (p *Planner) unanswered(s *worker, x seat) {
 	u := x.u
-	p.note(Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run})
+	p.note(yuccapaddle.Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run})
 	if u.stopping {
 		return
 	}
@@ -308,7 +308,7 @@
 func (p *Planner) Lapsed(id string) {
 	s := p.worker(id)
 	if len(s.runs) > 0 {
-		p.note(Note{Event: "leases over", Worker: id})
+		p.note(yuccapaddle.Note{Event: "leases over", Worker: id})
 	}
 	for _, x := range s.seats() {
 		p.over(s, x.u, x.i, "the lease is over")
@@ -316,8 +316,8 @@
 	clear(s.strays)
 }
 
-func (p *Planner) start(u *unit, worker string, i int) Start {
-	return Start{
+func (p *Planner) start(u *unit, worker string, i int) yuccapaddle.RunStart {
+	return yuccapaddle.RunStart{
 		Worker: worker, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, worker),
 	}
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -97,7 +97,7 @@
 	first := !p.listed
 	p.listed = true
 	if first {
-		p.note(Note{Event: "workers listed", Detail: itoa(len(list)) + " for the first time"})
+		p.note(yuccapaddle.Note{Event: "workers listed", Detail: itoa(len(list)) + " for the first time"})
 	}
 	for i := range list {
 		e := &list[i]
@@ -106,7 +106,7 @@
 		if !s.listed || s.Draining != e.Draining || s.Born != e.Born || s.Capacity != e.Capacity {
 			p.changed = true
 			if !first || e.Draining {
-				p.note(Note{Event: "worker listed", Worker: e.ID, Detail: describe(e)})
+				p.note(yuccapaddle.Note{Event: "worker listed", Worker: e.ID, Detail: describe(e)})
 			}
 		}
 		s.Worker, s.listed, s.gone = *e, true, time.Time{}
@@ -117,7 +117,7 @@
 		}
 		if s.listed {
 			s.listed, s.gone = false, p.now
-			p.note(Note{Event: "worker gone", Worker: id})
+			p.note(yuccapaddle.Note{Event: "worker gone", Worker: id})
 		}
 		if !s.listed && len(s.runs) == 0 && len(s.strays) == 0 && p.now.Sub(s.gone) > forgetWorker {
 			delete(p.workers, id)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -116,7 +115,7 @@
 
 // Save commits records, in several transactions if they are many. It goes on
 // until they are committed, the context ends or another host has taken over.
-func (r *Recorder) Save(ctx context.Context, records []planner.Record, removed []string) error {
+func (r *Recorder) Save(ctx context.Context, records []yuccapaddle.JobRecord, removed []string) error {
 	for len(records) > 0 || len(removed) > 0 {
 		var t yuccapaddle.Transaction
 		records = fillSet(&t, records)
@@ -128,7 +127,7 @@
 	return nil
 }
 
-func fillSet(t *yuccapaddle.Transaction, records []planner.Record) []planner.Record {
+func fillSet(t *yuccapaddle.Transaction, records []yuccapaddle.JobRecord) []yuccapaddle.JobRecord {
 	for len(records) > 0 && len(t.Set) < mostChanges-1 {
 		x := records[0]
 		records = records[1:]
