claimer: leave the role to hosts with more processor time

Cause: on the grown sites a host with 0.192 of a core could become active as easily as one with 0.8. Change: a host waits 20 ms divided by its share before it claims.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -61,6 +61,7 @@
 	bounds   executor.Bounds
 	drain    time.Duration
 	lease    time.Duration
+	share    float64
 	nonce    string
 	log      *zap.Logger
 	rules    *ruler.Ruler
@@ -85,6 +86,11 @@
 	return func(a *Assembler) { a.lease = d }
 }
 
+// WithShare sets the share of a core that the host has.
+func WithShare(share float64) Option {
+	return func(a *Assembler) { a.share = share }
+}
+
 // New returns a host. nonce differs for every process.
 func New(place Place, outside Outside, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
 	a := &Assembler{place: place, outside: outside, bounds: bounds, nonce: nonce, log: log}
@@ -95,7 +101,7 @@
 	a.rules = ruler.New(outside.Rulebook, clock, log)
 	a.links = linker.New()
 	a.monitor = monitor.New(place.Host, a.isReady)
-	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log)
+	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log, claimer.WithShare(a.share))
 	return a
 }
 
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -37,6 +37,10 @@
 	// silentFor is how long the active host may send no heartbeat.
 	silentFor = 900 * time.Millisecond
 	dialTime  = 300 * time.Millisecond
+	// modestyTime is what a host with a whole core waits before it claims.
+	modestyTime = 20 * time.Millisecond
+	modestyMost = 200 * time.Millisecond
+	leastShare  = 0.01
 )
 
 // Build makes the executor of this host when it becomes active, and what else
@@ -55,6 +59,7 @@
 	address string
 	nonce   string
 	lease   time.Duration
+	share   float64
 
 	local    atomic.Pointer[executor.Executor]
 	leader   atomic.Pointer[leader]
@@ -74,15 +79,28 @@
 	heardAt time.Time
 }
 
+// Option changes a Claimer under construction.
+type Option func(*Claimer)
+
+// WithShare sets the share of a core that the host has: with less of it a host
+// leaves the role to others for a moment.
+func WithShare(share float64) Option {
+	return func(c *Claimer) { c.share = share }
+}
+
 // New returns a Claimer for a host that others reach at address. nonce differs
 // for every process; least is the shortest lease that the ledger gives.
 func New(ledger yuccapaddle.Ledger, rules *ruler.Ruler, links *linker.Linker, host, address, nonce string,
-	least time.Duration, build Build, clock yuccapaddle.Clock, log *zap.Logger,
+	least time.Duration, build Build, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Claimer {
-	return &Claimer{
+	c := &Claimer{
 		ledger: ledger, rules: rules, links: links, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
-		lease: max(leaseTime, least), known: map[string]time.Time{},
+		lease: max(leaseTime, least), known: map[string]time.Time{}, share: 1,
+	}
+	for _, o := range opts {
+		o(c)
 	}
+	return c
 }
 
 // Local returns the executor while this host is active, else nil.
@@ -156,13 +174,19 @@
 		}
 		c.log.Info("the active host's process is gone", zap.String("address", holder))
 	}
-	if c.yielding.Load() {
+	if c.yielding.Load() || sleeper.Sleep(ctx, c.modesty()) != nil {
 		return "", false
 	}
 	c.claim(ctx, lock.Revision)
 	return "", false
 }
 
+// modesty is how long this host waits before it claims, so that one with more
+// processor time comes first.
+func (c *Claimer) modesty() time.Duration {
+	return min(time.Duration(float64(modestyTime)/max(c.share, leastShare)), modestyMost)
+}
+
 // presence is what a connection to a host's address shows.
 type presence int
 
--- a/soak/bed_test.go
+++ b/soak/bed_test.go
@@ -199,7 +199,7 @@
 	data, err := json.Marshal(map[string]any{
 		"host": h.name, "domain": fmt.Sprintf("z%d", i%2), "region": "r", "callers": h.callers, "ready": b.free(), "peers": b.free(),
 		"metrics": b.free(), "store": h.store.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
-		"leaseLeastMs": 1000, "memoryMb": 284,
+		"leaseLeastMs": 1000, "memoryMb": 284, "processor": 1,
 		"bounds": map[string]any{
 			"holdMaxMs": holdMaxMS, "stopWithinMs": 400, "restoreMs": 600, "remotePenalty": 3, "statusS": 120, "graceS": 6,
 		},
