--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,30 +11,44 @@
 
 // Planner holds the state of all jobs. It is not safe for concurrent use.
 type Planner struct {
-	rules   *yuccapaddle.Rules
-	jobs    map[string]*job
-	workers map[string]*worker
-	limits  yuccapaddle.PlanLimits
-	now     time.Time
-	wall    time.Time
-	batch   yuccapaddle.Batch
-	dirty   map[string]*job
-	removed []string
-	changed bool // something that placing depends on has changed
-	wakeAt  time.Time
-	listed  bool // the registrations have been read
-	advice  map[yuccapaddle.StepID]*advice
-	needed  map[string]int // by workspace, for one round of placing
-	urgent  int            // accelerators that urgent work holds or waits for
-	peaks   []peak         // falling, of the last while
+	rules      *yuccapaddle.Rules
+	jobs       map[string]*job
+	workers    map[string]*worker
+	limits     yuccapaddle.PlanLimits
+	now        time.Time
+	wall       time.Time
+	batch      yuccapaddle.Batch
+	dirty      map[string]*job
+	removed    []string
+	changed    bool // something that placing depends on has changed
+	wakeAt     time.Time
+	unreserved bool // no workers are kept for urgent work
+	listed     bool // the registrations have been read
+	advice     map[yuccapaddle.StepID]*advice
+	needed     map[string]int // by workspace, for one round of placing
+	urgent     int            // accelerators that urgent work holds or waits for
+	peaks      []peak         // falling, of the last while
+}
+
+// Option changes a Planner under construction.
+type Option func(*Planner)
+
+// WithoutReserve keeps no workers free for urgent work. It is the baseline that
+// the reserve is measured against.
+func WithoutReserve() Option {
+	return func(p *Planner) { p.unreserved = true }
 }
 
 // New returns a Planner without jobs.
-func New(limits yuccapaddle.PlanLimits) *Planner {
-	return &Planner{
+func New(limits yuccapaddle.PlanLimits, opts ...Option) *Planner {
+	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, dirty: map[string]*job{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // At sets the time of the events that follow. now is steady, wall is the time of
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,109 @@
+package recorder_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/standin/bookkeeper"
+)
+
+func claim(t *testing.T, c *qt.C, store yuccapaddle.Ledger, host string) *recorder.Recorder {
+	t.Helper()
+	r, err := recorder.Claim(t.Context(), store, host, host, host, recorder.Lock{Key: "lock-" + host, Address: host})
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+func record(id, state string) []yuccapaddle.JobRecord {
+	return []yuccapaddle.JobRecord{{ID: id, Job: []byte("job " + id), State: []byte(state)}}
+}
+
+func load(t *testing.T, c *qt.C, r *recorder.Recorder) map[string]string {
+	t.Helper()
+	found := map[string]string{}
+	c.Assert(r.Load(t.Context(), func(job, state []byte) { found[string(job)] = string(state) }), qt.IsNil)
+	return found
+}
+
+// TestReplaced: a writer that has been replaced commits nothing any more.
+func TestReplaced(t *testing.T) {
+	c, store := qt.New(t), bookkeeper.New()
+	first := claim(t, c, store, "a")
+	c.Assert(first.Save(t.Context(), record("j", "1"), nil), qt.IsNil)
+	second := claim(t, c, store, "b")
+	c.Check(second.Epoch() > first.Epoch(), qt.IsTrue)
+	c.Check(first.Save(t.Context(), record("j", "2"), nil), qt.ErrorIs, recorder.ErrReplaced)
+	c.Check(load(t, c, second), qt.DeepEquals, map[string]string{"job j": "1"})
+}
+
+// TestAnswerLost: a commit that was applied without an answer is found out, and
+// not applied twice.
+func TestAnswerLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, store := qt.New(t), bookkeeper.New()
+		r := claim(t, c, store, "a")
+		before := store.Commits()
+		store.SetFault(bookkeeper.FaultLost)
+		var g errgroup.Group
+		g.Go(func() error { return r.Save(t.Context(), record("j", "1"), nil) })
+		time.Sleep(2 * time.Second)
+		store.SetFault(bookkeeper.FaultNone)
+		c.Assert(g.Wait(), qt.IsNil)
+		c.Check(store.Commits()-before, qt.Equals, 1)
+		c.Check(load(t, c, r), qt.DeepEquals, map[string]string{"job j": "1"})
+	})
+}
+
+// late keeps a copy of each commit, to be carried out again later.
+type late struct {
+	*bookkeeper.Bookkeeper
+	copies []yuccapaddle.Transaction
+}
+
+// Commit implements yuccapaddle.Ledger.
+func (l *late) Commit(ctx context.Context, t yuccapaddle.Transaction) (uint64, error) {
+	l.copies = append(l.copies, t)
+	return l.Bookkeeper.Commit(ctx, t)
+}
+
+// TestLateCopies: copies of earlier commits and claims that are carried out late
+// change nothing.
+func TestLateCopies(t *testing.T) {
+	c, store := qt.New(t), &late{Bookkeeper: bookkeeper.New()}
+	r := claim(t, c, store, "a")
+	for i := range 5 {
+		c.Assert(r.Save(t.Context(), record("j", fmt.Sprint(i)), nil), qt.IsNil)
+	}
+	for _, copied := range store.copies {
+		_, err := store.Bookkeeper.Commit(t.Context(), copied)
+		c.Check(err, qt.ErrorIs, yuccapaddle.ErrConflict)
+	}
+	c.Check(load(t, c, r), qt.DeepEquals, map[string]string{"job j": "4"})
+}
+
+// TestManyRecords: more records than one commit takes are all saved, and removed.
+func TestManyRecords(t *testing.T) {
+	c, store := qt.New(t), &late{Bookkeeper: bookkeeper.New()}
+	r := claim(t, c, store, "a")
+	var all []yuccapaddle.JobRecord
+	var ids []string
+	for i := range 100 {
+		id := fmt.Sprintf("j%03d", i)
+		all, ids = append(all, record(id, "1")...), append(ids, id)
+	}
+	c.Assert(r.Save(t.Context(), all, nil), qt.IsNil)
+	c.Check(load(t, c, r), qt.HasLen, 100)
+	c.Assert(r.Save(t.Context(), nil, ids), qt.IsNil)
+	c.Check(load(t, c, r), qt.HasLen, 0)
+	for _, x := range store.copies {
+		c.Check(len(x.Set)+len(x.Remove) <= 32, qt.IsTrue)
+	}
+}
