recorder: commit wide jobs in parts, and take intervals from the settings

Intervals of reading were constants that fit one site. Change: the state of 16 units is a part with a key of its own; registrations and rules are read at a share of the times that the settings give.

--- a/batch.go
+++ b/batch.go
@@ -18,7 +18,7 @@
 // committed.
 type Batch struct {
 	Records   []JobRecord
-	Removed   []string
+	Removed   []JobRecord
 	Starts    []RunStart
 	Stops     []RunStop
 	Questions []Question
@@ -74,11 +74,15 @@
 }
 
 // JobRecord is the committed form of a job. Job is empty if it has not changed
-// since an earlier commit.
+// since an earlier commit, and Parts holds only those parts that have.
 type JobRecord struct {
 	ID    string
 	Job   []byte
 	State []byte
+	// Parts are the states of the job's units, some in each part, by number.
+	Parts map[int][]byte
+	// PartCount is how many parts the job can have.
+	PartCount int
 	// Queue and Shown are what callers see of it.
 	Queue string
 	Shown JobState
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -84,12 +84,14 @@
 		},
 	}
 	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics}
-	bounds := executor.Bounds{HoldMax: s.Bounds.HoldMaxMS, Planner: yuccapaddle.PlanLimits{
-		Remote:     s.Bounds.RemotePenalty,
-		StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
-		Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
-		Retention:  time.Duration(s.Bounds.StatusS) * time.Second,
-	}}
+	bounds := executor.Bounds{
+		HoldMax: s.Bounds.HoldMaxMS, ApplyWithin: s.Bounds.ApplyMS, LeaveWithin: min(s.Bounds.DrainMS, s.Bounds.EvacuateMS),
+		Planner: yuccapaddle.PlanLimits{
+			Remote:     s.Bounds.RemotePenalty,
+			StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
+			Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
+			Retention:  time.Duration(s.Bounds.StatusS) * time.Second,
+		}}
 	host := assembler.New(place, outside, bounds, namer.Unique(s.Host), log,
 		assembler.WithDrain(time.Duration(drainShare*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithShare(s.Processor),
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -98,7 +98,7 @@
 		o(a)
 	}
 	var clock timekeeper.Timekeeper
-	a.rules = ruler.New(outside.Rulebook, clock, log)
+	a.rules = ruler.New(outside.Rulebook, bounds.ApplyWithin, clock, log)
 	a.links = linker.New()
 	a.monitor = monitor.New(place.Host, a.isReady)
 	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log, claimer.WithShare(a.share))
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -123,7 +123,7 @@
 	if c.local.Load() != nil {
 		return true
 	}
-	return c.clock.Now().Sub(c.rules.FreshAt()) > silentFor
+	return c.rules.Stale()
 }
 
 // Pending returns the number of jobs of a queue that have not begun.
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -90,10 +90,10 @@
 	h := &host{door: &door{Bookkeeper: store}, peers: grpc.NewServer()}
 	name, address := fmt.Sprintf("h%d", i), l.Addr().String()
 	clock := yuccapaddle.SystemClock{}
-	rules := ruler.New(book{}, clock, zap.NewNop())
+	rules := ruler.New(book{}, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
 	build := func(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
-		e := executor.New(book{}, nil, rules, rec, executor.Bounds{HoldMax: 6000}, clock, zap.NewNop())
+		e := executor.New(book{}, nil, rules, rec, executor.Bounds{HoldMax: 6000, LeaveWithin: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
 			return nil
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -61,7 +61,7 @@
 	now := c.clock.Now()
 	beat := &peer.Beat{
 		Epoch: e.Epoch(), Hosts: c.recent(),
-		Fresh:  now.Sub(c.rules.FreshAt()) < silentFor,
+		Fresh:  c.rules.Fresh(),
 		Leased: now.Sub(time.Unix(0, c.renewed.Load())) < c.lease,
 	}
 	if data, revision := c.rules.Data(); revision != *sent {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -21,13 +21,13 @@
 const (
 	// inboxLength is how many events may wait for the loop.
 	inboxLength = 4096
-	// listEvery is how often the workers' registrations are read: a draining one
-	// must be noticed well within the time that operators allow.
-	listEvery = 700 * time.Millisecond
-	listTime  = 600 * time.Millisecond
-	// knownFor is how old the registrations and rules may be when tasks are placed.
-	knownFor = 1800 * time.Millisecond
-	idleTick = 200 * time.Millisecond
+	// listShare is the part of the time that a leaving worker may still get work in
+	// which its registration is read again, and knownShare the part for which what
+	// was read may be placed by.
+	listShare  = 0.28
+	knownShare = 0.7
+	listTime   = 600 * time.Millisecond
+	idleTick   = 200 * time.Millisecond
 	// stallTime is how long a commit may take before new jobs are refused: long
 	// enough for a slow ledger, short against the time that callers wait.
 	stallTime = 700 * time.Millisecond
@@ -43,7 +43,13 @@
 type Bounds struct {
 	// HoldMax is the longest lease that a worker gives, in milliseconds.
 	HoldMax int64
-	Planner yuccapaddle.PlanLimits
+	// LeaveWithin is the time within which a worker that leaves, or a failure
+	// domain that is closed, gets no new work, in milliseconds.
+	LeaveWithin int64
+	// ApplyWithin is the time within which changed rules are in force, in
+	// milliseconds.
+	ApplyWithin int64
+	Planner     yuccapaddle.PlanLimits
 }
 
 // Executor runs on the host that writes the records.
@@ -144,8 +150,8 @@
 
 func (e *Executor) load() error {
 	n := 0
-	err := e.rec.Load(e.ctx, func(job, state []byte) {
-		if err := e.plan.Restore(job, state); err != nil {
+	err := e.rec.Load(e.ctx, func(job, state []byte, parts [][]byte) {
+		if err := e.plan.Restore(job, state, parts); err != nil {
 			e.log.Error("a record is passed over", zap.Error(err))
 			return
 		}
@@ -219,7 +225,12 @@
 // informed reports whether the registrations and the rules are fresh enough to
 // place tasks by them.
 func (e *Executor) informed() bool {
-	return e.now.Sub(e.listedAt) < knownFor && e.now.Sub(e.rules.FreshAt()) < knownFor
+	return e.now.Sub(e.listedAt) < e.share(knownShare) && e.now.Sub(e.rules.FreshAt()) < e.share(knownShare)
+}
+
+// share is a part of the time within which a leaving worker gets no new work.
+func (e *Executor) share(part float64) time.Duration {
+	return time.Duration(part * float64(e.bounds.LeaveWithin) * float64(time.Millisecond))
 }
 
 // post hands an event to the loop, unless the executor has ended.
@@ -266,8 +277,8 @@
 	for _, r := range b.Records {
 		e.shown[r.ID] = shownJob{r.Shown, r.Queue}
 	}
-	for _, id := range b.Removed {
-		delete(e.shown, id)
+	for _, r := range b.Removed {
+		delete(e.shown, r.ID)
 	}
 	for _, w := range waiters {
 		close(w)
@@ -323,7 +334,7 @@
 // followRegistry reads the workers' registrations.
 func (e *Executor) followRegistry() error {
 	for {
-		timer := time.NewTimer(listEvery)
+		timer := time.NewTimer(e.share(listShare))
 		select {
 		case <-e.ctx.Done():
 			timer.Stop()
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -170,9 +170,9 @@
 	out := zapcore.AddSync(io.MultiWriter(writer{r.t}, &r.logs))
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
 	log = log.With(zap.String("host", name))
-	rules := ruler.New(r, yuccapaddle.SystemClock{}, log)
+	rules := ruler.New(r, 2500, yuccapaddle.SystemClock{}, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
-	bounds := executor.Bounds{HoldMax: holdMax, Planner: yuccapaddle.PlanLimits{
+	bounds := executor.Bounds{HoldMax: holdMax, LeaveWithin: 2500, Planner: yuccapaddle.PlanLimits{
 		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	}}
 	ctx, cancel := context.WithCancel(r.t.Context())
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -12,7 +12,8 @@
 	in      *yuccapaddle.Job
 	state   yuccapaddle.JobState
 	units   []*unit
-	opened  int // occurrences whose units exist
+	touched map[int]bool // parts of the record that have changed
+	opened  int          // occurrences whose units exist
 	endedAt time.Time
 	taken   time.Time
 	why     string
@@ -33,6 +34,7 @@
 // unit is what is placed whole or not at all: a gang, or a single task.
 type unit struct {
 	job        *job
+	place      int // among the job's units
 	occurrence int
 	step       int
 	index      int // of the task, 0 for a gang
@@ -67,7 +69,7 @@
 }
 
 func newJob(in *yuccapaddle.Job, now time.Time) *job {
-	return &job{in: in, state: yuccapaddle.JobQueued, taken: now}
+	return &job{in: in, state: yuccapaddle.JobQueued, taken: now, touched: map[int]bool{}}
 }
 
 func (u *unit) spec() *yuccapaddle.Step {
@@ -200,7 +202,7 @@
 			n = 1
 		}
 		for i := range n {
-			j.units = append(j.units, &unit{job: j, occurrence: occurrence, step: s, index: i, waitsFrom: now})
+			j.units = append(j.units, &unit{job: j, place: len(j.units), occurrence: occurrence, step: s, index: i, waitsFrom: now})
 		}
 	}
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -77,6 +77,9 @@
 	p.needed = nil
 	stuck := map[stepKey]bool{}
 	for _, u := range p.waiting() {
+		if u.job.state.Final() || p.exhaust(u) {
+			continue
+		}
 		key := stepKey{u.job.in.ID, u.occurrence, u.step}
 		if stuck[key] && len(u.avoid) == 0 {
 			continue
@@ -233,7 +236,7 @@
 			Detail: "waited " + strconv.FormatInt(p.now.Sub(u.waitsFrom).Milliseconds(), 10) + " ms",
 		})
 	}
-	p.touch(u.job)
+	p.touchUnit(u)
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,7 +19,7 @@
 	wall       time.Time
 	batch      yuccapaddle.Batch
 	dirty      map[string]*job
-	removed    []string
+	removed    []yuccapaddle.JobRecord
 	changed    bool // something that placing depends on has changed
 	wakeAt     time.Time
 	unreserved bool // no workers are kept for urgent work
@@ -139,6 +139,7 @@
 	for _, j := range p.dirty {
 		b.Records = append(b.Records, j.record())
 		j.fresh = false
+		clear(j.touched)
 	}
 	b.Removed = p.removed
 	p.batch, p.removed = yuccapaddle.Batch{}, nil
@@ -150,10 +151,16 @@
 	p.batch.Notes = append(p.batch.Notes, n)
 }
 
+// touch has the state of a job committed, and touchUnit that of a unit as well.
 func (p *Planner) touch(j *job) {
 	p.dirty[j.in.ID] = j
 }
 
+func (p *Planner) touchUnit(u *unit) {
+	u.job.touched[u.place/partSize] = true
+	p.touch(u.job)
+}
+
 // finish settles a job and stops what it has in work.
 func (p *Planner) finish(j *job, state yuccapaddle.JobState) {
 	j.state = state
@@ -171,7 +178,10 @@
 
 // stop asks for the end of all runs of a unit that are not over.
 func (p *Planner) stop(u *unit, why string) {
-	u.stopping = true
+	if !u.stopping {
+		u.stopping = true
+		p.touchUnit(u)
+	}
 	u.stopAt = p.now
 	for i := range u.members {
 		m := &u.members[i]
@@ -189,7 +199,7 @@
 		if j.state.Final() && !j.busy() && p.now.Sub(j.endedAt) > p.limits.Retention {
 			delete(p.jobs, id)
 			delete(p.dirty, id)
-			p.removed = append(p.removed, id)
+			p.removed = append(p.removed, yuccapaddle.JobRecord{ID: id, PartCount: j.partCount()})
 		}
 	}
 }
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -11,7 +11,6 @@
 type stateRecord struct {
 	State  yuccapaddle.JobState `json:"s"`
 	Opened int                  `json:"o,omitempty"`
-	Units  []unitRecord         `json:"u,omitempty"`
 	Why    string               `json:"y,omitempty"`
 }
 
@@ -34,19 +33,38 @@
 	Over   bool   `json:"o,omitempty"`
 }
 
+// partSize is how many units share a part: an end changes one part, not the whole
+// of a wide job.
+const partSize = 16
+
 func (j *job) record() yuccapaddle.JobRecord {
-	r := yuccapaddle.JobRecord{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state}
+	r := yuccapaddle.JobRecord{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state, PartCount: j.partCount()}
 	if j.fresh {
 		r.Job = encode(j.in)
 	}
-	s := stateRecord{State: j.state, Opened: j.opened, Why: j.why}
-	for _, u := range j.units {
+	r.State = encode(&stateRecord{State: j.state, Opened: j.opened, Why: j.why})
+	if len(j.touched) > 0 {
+		r.Parts = make(map[int][]byte, len(j.touched))
+	}
+	for n := range j.touched {
+		r.Parts[n] = j.part(n)
+	}
+	return r
+}
+
+// part is the committed form of the units of a part that were ever placed.
+func (j *job) part(n int) []byte {
+	var list []unitRecord
+	for _, u := range j.units[n*partSize : min((n+1)*partSize, len(j.units))] {
 		if u.run > 0 {
-			s.Units = append(s.Units, u.record())
+			list = append(list, u.record())
 		}
 	}
-	r.State = encode(&s)
-	return r
+	return encode(list)
+}
+
+func (j *job) partCount() int {
+	return (len(j.units) + partSize - 1) / partSize
 }
 
 func (u *unit) record() unitRecord {
@@ -74,7 +92,7 @@
 }
 
 // Restore takes a committed job in.
-func (p *Planner) Restore(jobData, stateData []byte) error {
+func (p *Planner) Restore(jobData, stateData []byte, parts [][]byte) error {
 	in := &yuccapaddle.Job{}
 	if err := json.Unmarshal(jobData, in); err != nil {
 		return fmt.Errorf("decode a job: %w", err)
@@ -95,14 +113,29 @@
 		j.add(j.opened, p.now)
 		j.opened++
 	}
-	for i := range s.Units {
-		if err := p.restoreUnit(j, &s.Units[i]); err != nil {
+	for _, data := range parts {
+		if err := p.restorePart(j, data); err != nil {
 			return fmt.Errorf("job %q: %w", in.ID, err)
 		}
 	}
 	p.jobs[in.ID] = j
 	p.changed = true
 	p.open(j)
+	// The former writer may have been lost between the parts and the state.
+	p.settle(j)
+	return nil
+}
+
+func (p *Planner) restorePart(j *job, data []byte) error {
+	var list []unitRecord
+	if err := json.Unmarshal(data, &list); err != nil {
+		return fmt.Errorf("decode a part: %w", err)
+	}
+	for i := range list {
+		if err := p.restoreUnit(j, &list[i]); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -179,7 +179,7 @@
 	m.over = true
 	s.drop(u, i)
 	p.changed = true
-	p.touch(u.job)
+	p.touchUnit(u)
 	if u.live() {
 		if !u.done && !u.stopping && u.spec().Gang {
 			p.stop(u, "a member has ended: "+why)
@@ -196,11 +196,19 @@
 	if u.job.state.Final() {
 		return
 	}
+	p.exhaust(u)
+}
+
+// exhaust fails the job of a unit that has failed as often as it may, and reports
+// whether it has.
+func (p *Planner) exhaust(u *unit) bool {
 	q := p.rules.Queue(u.job.in.Queue)
-	if q != nil && u.fails >= q.Attempts && q.Attempts > 0 && !u.spec().Endless {
-		u.job.why = "task " + u.taskID(0).String() + " has failed " + itoa(u.fails) + " times"
-		p.finish(u.job, yuccapaddle.JobFailed)
+	if q == nil || q.Attempts <= 0 || u.fails < q.Attempts || u.spec().Endless {
+		return false
 	}
+	u.job.why = "task " + u.taskID(0).String() + " has failed " + itoa(u.fails) + " times"
+	p.finish(u.job, yuccapaddle.JobFailed)
+	return true
 }
 
 func (p *Planner) settleDone(u *unit) {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,8 +21,9 @@
 	headKey   = "yp/head"
 	jobPrefix = "yp/job/"
 	stateMark = "yp/run/"
-	// mostChanges is how many records one commit changes; the ledger takes 32
-	// entries, of which one is the head.
+	partMark  = "yp/part/"
+	// mostChanges is how many keys one commit changes: the ledger takes 32 entries,
+	// of which the head is two, as a condition and as a change.
 	mostChanges = 30
 )
 
@@ -92,7 +94,7 @@
 }
 
 // Load reads all records.
-func (r *Recorder) Load(ctx context.Context, each func(job, state []byte)) error {
+func (r *Recorder) Load(ctx context.Context, each func(job, state []byte, parts [][]byte)) error {
 	jobs, _, err := r.ledger.List(ctx, jobPrefix)
 	if err != nil {
 		return fmt.Errorf("read the jobs: %w", err)
@@ -101,13 +103,23 @@
 	if err != nil {
 		return fmt.Errorf("read the states of the jobs: %w", err)
 	}
+	units, _, err := r.ledger.List(ctx, partMark)
+	if err != nil {
+		return fmt.Errorf("read the parts of the jobs: %w", err)
+	}
 	byID := make(map[string][]byte, len(states))
 	for _, s := range states {
 		byID[strings.TrimPrefix(s.Key, stateMark)] = s.Value
 	}
+	parts := make(map[string][][]byte, len(states))
+	for _, u := range units {
+		id, _, _ := strings.Cut(strings.TrimPrefix(u.Key, partMark), "/")
+		parts[id] = append(parts[id], u.Value)
+	}
 	for _, j := range jobs {
-		if state := byID[strings.TrimPrefix(j.Key, jobPrefix)]; state != nil {
-			each(j.Value, state)
+		id := strings.TrimPrefix(j.Key, jobPrefix)
+		if state := byID[id]; state != nil {
+			each(j.Value, state, parts[id])
 		}
 	}
 	return nil
@@ -115,11 +127,14 @@
 
 // Save commits records, in several transactions if they are many. It goes on
 // until they are committed, the context ends or another host has taken over.
-func (r *Recorder) Save(ctx context.Context, records []yuccapaddle.JobRecord, removed []string) error {
-	for len(records) > 0 || len(removed) > 0 {
+func (r *Recorder) Save(ctx context.Context, records, removed []yuccapaddle.JobRecord) error {
+	set, remove := changes(records), keys(removed)
+	for len(set) > 0 || len(remove) > 0 {
 		var t yuccapaddle.Transaction
-		records = fillSet(&t, records)
-		removed = fillRemove(&t, removed)
+		n := min(len(set), mostChanges)
+		t.Set, set = set[:n:n], set[n:]
+		n = min(len(remove), mostChanges-len(t.Set))
+		t.Remove, remove = remove[:n], remove[n:]
 		if err := r.persist(ctx, t); err != nil {
 			return err
 		}
@@ -127,24 +142,37 @@
 	return nil
 }
 
-func fillSet(t *yuccapaddle.Transaction, records []yuccapaddle.JobRecord) []yuccapaddle.JobRecord {
-	for len(records) > 0 && len(t.Set) < mostChanges-1 {
-		x := records[0]
-		records = records[1:]
+// changes lists what the records set. The state of a job comes after the job and
+// its parts, so that a host which reads a state finds them.
+func changes(records []yuccapaddle.JobRecord) []yuccapaddle.Change {
+	var list []yuccapaddle.Change
+	for i := range records {
+		x := &records[i]
 		if x.Job != nil {
-			t.Set = append(t.Set, yuccapaddle.Change{Key: jobPrefix + x.ID, Value: x.Job})
+			list = append(list, yuccapaddle.Change{Key: jobPrefix + x.ID, Value: x.Job})
+		}
+		for n, data := range x.Parts {
+			list = append(list, yuccapaddle.Change{Key: partKey(x.ID, n), Value: data})
 		}
-		t.Set = append(t.Set, yuccapaddle.Change{Key: stateMark + x.ID, Value: x.State})
+		list = append(list, yuccapaddle.Change{Key: stateMark + x.ID, Value: x.State})
 	}
-	return records
+	return list
 }
 
-func fillRemove(t *yuccapaddle.Transaction, removed []string) []string {
-	for len(removed) > 0 && len(t.Set)+len(t.Remove) < mostChanges-1 {
-		t.Remove = append(t.Remove, jobPrefix+removed[0], stateMark+removed[0])
-		removed = removed[1:]
+func keys(removed []yuccapaddle.JobRecord) []string {
+	var list []string
+	for i := range removed {
+		x := &removed[i]
+		list = append(list, stateMark+x.ID, jobPrefix+x.ID)
+		for n := range x.PartCount {
+			list = append(list, partKey(x.ID, n))
+		}
 	}
-	return removed
+	return list
+}
+
+func partKey(id string, n int) string {
+	return partMark + id + "/" + strconv.Itoa(n)
 }
 
 // persist repeats a commit until its fate is known.
@@ -152,7 +180,7 @@
 	backoff := retryFirst
 	for {
 		err := r.commit(ctx, t)
-		if err == nil || errors.Is(err, ErrReplaced) {
+		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, yuccapaddle.ErrInvalid) {
 			return err
 		}
 		if sleeper.Jitter(ctx, backoff) != nil {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -29,7 +29,7 @@
 func load(t *testing.T, c *qt.C, r *recorder.Recorder) map[string]string {
 	t.Helper()
 	found := map[string]string{}
-	c.Assert(r.Load(t.Context(), func(job, state []byte) { found[string(job)] = string(state) }), qt.IsNil)
+	c.Assert(r.Load(t.Context(), func(job, state []byte, _ [][]byte) { found[string(job)] = string(state) }), qt.IsNil)
 	return found
 }
 
@@ -94,16 +94,16 @@
 	c, store := qt.New(t), &late{Bookkeeper: bookkeeper.New()}
 	r := claim(t, c, store, "a")
 	var all []yuccapaddle.JobRecord
-	var ids []string
+	var gone []yuccapaddle.JobRecord
 	for i := range 100 {
 		id := fmt.Sprintf("j%03d", i)
-		all, ids = append(all, record(id, "1")...), append(ids, id)
+		all, gone = append(all, record(id, "1")...), append(gone, yuccapaddle.JobRecord{ID: id, PartCount: 1})
 	}
 	c.Assert(r.Save(t.Context(), all, nil), qt.IsNil)
 	c.Check(load(t, c, r), qt.HasLen, 100)
-	c.Assert(r.Save(t.Context(), nil, ids), qt.IsNil)
+	c.Assert(r.Save(t.Context(), nil, gone), qt.IsNil)
 	c.Check(load(t, c, r), qt.HasLen, 0)
 	for _, x := range store.copies {
-		c.Check(len(x.Set)+len(x.Remove) <= 32, qt.IsTrue)
+		c.Check(len(x.If)+len(x.Set)+len(x.Remove) <= 32, qt.IsTrue)
 	}
 }
--- a/internal/ruler/ruler.go
+++ b/internal/ruler/ruler.go
@@ -14,10 +14,16 @@
 )
 
 const (
-	// readEvery is half of the shortest time in which operators ask changes to be
-	// in force, less the time of a call.
-	readEvery = 700 * time.Millisecond
-	readTime  = 600 * time.Millisecond
+	// readShare is the part of the time within which a change has to be in force
+	// after which the rules are read again.
+	readShare = 0.28
+	// freshShare is the part of it for which the active host vouches for the rules
+	// it has read, and staleShare the part after which a host that nobody vouches
+	// to reads for itself. With the pause they add up to less than the whole.
+	freshShare = 0.4
+	staleShare = 0.28
+	idlePause  = 150 * time.Millisecond
+	readTime   = 600 * time.Millisecond
 )
 
 // Ruler is safe for concurrent use.
@@ -28,6 +34,7 @@
 	current atomic.Pointer[state]
 	freshAt atomic.Int64 // Unix nanoseconds of the steady clock
 	away    bool
+	within  int64
 }
 
 type state struct {
@@ -35,9 +42,10 @@
 	data  []byte
 }
 
-// New returns a Ruler without rules.
-func New(book yuccapaddle.Rulebook, clock yuccapaddle.Clock, log *zap.Logger) *Ruler {
-	return &Ruler{book: book, clock: clock, log: log}
+// New returns a Ruler without rules. A change has to be in force within that many
+// milliseconds.
+func New(book yuccapaddle.Rulebook, within int64, clock yuccapaddle.Clock, log *zap.Logger) *Ruler {
+	return &Ruler{book: book, within: within, clock: clock, log: log}
 }
 
 // Current returns the rules in force, nil if there are none yet.
@@ -119,13 +127,34 @@
 	return nil
 }
 
+// Fresh reports whether the rules in force were read so lately that others may go
+// by them.
+func (r *Ruler) Fresh() bool {
+	return r.age() < r.part(freshShare)
+}
+
+// Stale reports whether this host should read the rules itself.
+func (r *Ruler) Stale() bool {
+	return r.age() > r.part(staleShare)
+}
+
+func (r *Ruler) age() time.Duration {
+	return r.clock.Now().Sub(r.FreshAt())
+}
+
+func (r *Ruler) part(share float64) time.Duration {
+	return time.Duration(share * float64(r.within) * float64(time.Millisecond))
+}
+
 // Run reads the rules while wanted says so.
 func (r *Ruler) Run(ctx context.Context, wanted func() bool) error {
 	for {
+		pause := idlePause
 		if wanted() {
 			r.noteRead(r.Refresh(ctx))
+			pause = r.part(readShare)
 		}
-		if sleeper.Sleep(ctx, readEvery) != nil {
+		if sleeper.Sleep(ctx, pause) != nil {
 			return nil
 		}
 	}
--- a/runner.go
+++ b/runner.go
@@ -248,5 +248,9 @@
 	Lease uint64
 }
 
+// ErrInvalid reports a call that the ledger does not understand, so that trying it
+// again is of no use.
+var ErrInvalid = errors.New("the ledger does not understand the call")
+
 // ErrLeaseOver reports a lease that has ended.
 var ErrLeaseOver = errors.New("the lease has ended")
