claimer: heartbeats leave out what has not changed

Change: addresses come in every twentieth and are at most 12, counts only when they differ, and heartbeats are fewer with many followers.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -61,10 +61,11 @@
 	lease   time.Duration
 	share   float64
 
-	local    atomic.Pointer[executor.Executor]
-	leader   atomic.Pointer[leader]
-	yielding atomic.Bool
-	renewed  atomic.Int64 // Unix nanoseconds of the steady clock, of the last renewal
+	local     atomic.Pointer[executor.Executor]
+	leader    atomic.Pointer[leader]
+	yielding  atomic.Bool
+	followers atomic.Int64
+	renewed   atomic.Int64 // Unix nanoseconds of the steady clock, of the last renewal
 
 	mu      sync.Mutex
 	known   map[string]time.Time // addresses of other hosts, and when last heard of
@@ -76,7 +77,7 @@
 type leader struct {
 	address string
 	epoch   uint64
-	heardAt time.Time
+	until   time.Time // it is taken to be active
 }
 
 // Option changes a Claimer under construction.
@@ -111,7 +112,7 @@
 // Leader returns the address of the active host, if another one is.
 func (c *Claimer) Leader() (string, bool) {
 	l := c.leader.Load()
-	if l == nil || c.clock.Now().Sub(l.heardAt) > silentFor {
+	if l == nil || c.clock.Now().After(l.until) {
 		return "", false
 	}
 	return l.address, true
@@ -252,7 +253,7 @@
 		reply.Address, reply.Epoch = c.address, e.Epoch()
 		return reply
 	}
-	if l := c.leader.Load(); l != nil && c.clock.Now().Sub(l.heardAt) < silentFor {
+	if l := c.leader.Load(); l != nil && c.clock.Now().Before(l.until) {
 		reply.Address, reply.Epoch = l.address, l.epoch
 	}
 	return reply
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,16 @@
 
 const (
 	beatEvery = 250 * time.Millisecond
+	// beatCost is what each follower adds to the time between two heartbeats, so
+	// that many followers do not take the active host's processor, up to beatMost.
+	beatCost = 2 * time.Millisecond
+	beatMost = 800 * time.Millisecond
+	// missedBeats is how many heartbeats may be missing.
+	missedBeats = 3
+	// hostsEvery is how many heartbeats there are to one with addresses, of at
+	// most mostHosts hosts.
+	hostsEvery = 20
+	mostHosts  = 12
 	// forgetHost is how long a host is remembered that is not heard of.
 	forgetHost = 30 * time.Second
 )
@@ -36,53 +47,69 @@
 	}
 }
 
+// follower is what has been sent to one host.
+type follower struct {
+	rules   uint64
+	pending map[string]int64
+	beats   int
+}
+
 // Follow sends heartbeats to a host that follows this one.
 func (c *Claimer) Follow(req *peer.FollowRequest, stream grpc.ServerStreamingServer[peer.Beat]) error {
 	e := c.local.Load()
 	if e == nil {
 		return errInactive
 	}
-	c.Meet(req.GetAddress())
-	sent := req.GetRulesRevision()
+	c.followers.Add(1)
+	defer c.followers.Add(-1)
+	f := &follower{rules: req.GetRulesRevision()}
 	for c.local.Load() == e {
-		beat := c.beat(e, &sent)
+		c.Meet(req.GetAddress())
+		beat := c.beat(e, f)
 		if err := stream.Send(beat); err != nil {
 			return err
 		}
-		c.Meet(req.GetAddress())
-		if sleeper.Sleep(stream.Context(), beatEvery) != nil {
+		if sleeper.Sleep(stream.Context(), time.Duration(beat.GetNextMs())*time.Millisecond) != nil {
 			return nil
 		}
 	}
 	return errInactive
 }
 
-func (c *Claimer) beat(e *executor.Executor, sent *uint64) *peer.Beat {
+// beat makes the next heartbeat; what has not changed is left out.
+func (c *Claimer) beat(e *executor.Executor, f *follower) *peer.Beat {
 	now := c.clock.Now()
+	every := min(max(beatEvery, beatCost*time.Duration(c.followers.Load())), beatMost)
 	beat := &peer.Beat{
-		Epoch: e.Epoch(), Hosts: c.recent(),
-		Fresh:  c.rules.Fresh(),
+		Epoch: e.Epoch(), Fresh: c.rules.Fresh(), NextMs: every.Milliseconds(),
 		Leased: now.Sub(time.Unix(0, c.renewed.Load())) < c.lease,
 	}
-	if data, revision := c.rules.Data(); revision != *sent {
-		beat.Rules = data
-		*sent = revision
+	if f.beats%hostsEvery == 0 {
+		beat.Hosts = c.recent()
+	}
+	f.beats++
+	if data, revision := c.rules.Data(); revision != f.rules {
+		beat.Rules, f.rules = data, revision
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	beat.Pending = c.pending
+	if f.pending == nil || !maps.Equal(f.pending, c.pending) {
+		beat.Pending, beat.Counted, f.pending = c.pending, true, c.pending
+	}
 	return beat
 }
 
+// recent lists some of the hosts that were heard of lately.
 func (c *Claimer) recent() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]string, 0, len(c.known))
 	for a, at := range c.known {
-		if c.clock.Now().Sub(at) < forgetHost {
-			list = append(list, a)
-		} else {
+		switch {
+		case c.clock.Now().Sub(at) > forgetHost:
 			delete(c.known, a)
+		case len(list) < mostHosts:
+			list = append(list, a)
 		}
 	}
 	return list
@@ -115,7 +142,7 @@
 			}
 			return
 		}
-		watch.Reset(silentFor)
+		watch.Reset(max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond))
 		if !heard {
 			c.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			heard = true
@@ -139,7 +166,9 @@
 // heard takes a heartbeat in.
 func (c *Claimer) heard(address string, beat *peer.Beat) {
 	now := c.clock.Now()
-	c.leader.Store(&leader{address: address, epoch: beat.GetEpoch(), heardAt: now})
+	c.leader.Store(&leader{
+		address: address, epoch: beat.GetEpoch(), until: now.Add(max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond)),
+	})
 	if err := c.learn(beat.GetRules()); err != nil {
 		c.log.Warn("the rules of the active host cannot be read", zap.Error(err))
 	}
@@ -150,7 +179,9 @@
 	for _, a := range beat.GetHosts() {
 		c.Meet(a)
 	}
-	c.mu.Lock()
-	c.pending = beat.GetPending()
-	c.mu.Unlock()
+	if beat.GetCounted() {
+		c.mu.Lock()
+		c.pending = beat.GetPending()
+		c.mu.Unlock()
+	}
 }
