planner: count what it used to search for

Cause: every event went through all units of all jobs (stands still, claims, steps before), which grows with the square of the size. Change: time is looked at ten times a second; undone units of a step, live members and claims are counted or kept.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -12,6 +12,9 @@
 	in      *yuccapaddle.Job
 	state   yuccapaddle.JobState
 	units   []*unit
+	left    map[stepAt]int // units that are not done
+	undone  int
+	live    int          // members that may run
 	touched map[int]bool // parts of the record that have changed
 	opened  int          // occurrences whose units exist
 	endedAt time.Time
@@ -69,7 +72,7 @@
 }
 
 func newJob(in *yuccapaddle.Job, now time.Time) *job {
-	return &job{in: in, state: yuccapaddle.JobQueued, taken: now, touched: map[int]bool{}}
+	return &job{in: in, state: yuccapaddle.JobQueued, taken: now, touched: map[int]bool{}, left: map[stepAt]int{}}
 }
 
 func (u *unit) spec() *yuccapaddle.Step {
@@ -135,40 +138,24 @@
 }
 
 func (j *job) busy() bool {
-	for _, u := range j.units {
-		if u.state == unitPlaced || u.live() {
-			return true
-		}
-	}
-	return false
+	return j.live > 0
 }
 
-// find returns the unit of a task.
-func (j *job) find(t yuccapaddle.TaskID) (*unit, int) {
-	for _, u := range j.units {
-		if u.occurrence != t.Occurrence || u.step != t.Step {
-			continue
-		}
-		if u.spec().Gang && t.Index < len(u.members) {
-			return u, t.Index
-		}
-		if !u.spec().Gang && u.index == t.Index {
-			return u, 0
-		}
-	}
-	return nil, 0
+// finished takes a unit off those that are not done.
+func (u *unit) finished() {
+	u.state, u.done = unitDone, true
+	u.job.left[stepAt{u.occurrence, u.step}]--
+	u.job.undone--
 }
 
 // stepDone reports whether all tasks of a step have ended as done.
 func (j *job) stepDone(occurrence, step int) bool {
-	for _, u := range j.units {
-		if u.occurrence == occurrence && u.step == step && !u.done {
-			return false
-		}
-	}
-	return true
+	return j.left[stepAt{occurrence, step}] == 0
 }
 
+// stepAt is a step of one occurrence.
+type stepAt struct{ occurrence, step int }
+
 // ready reports whether the steps before the unit's are done.
 func (u *unit) ready() bool {
 	for _, a := range u.spec().After {
@@ -202,6 +189,8 @@
 			n = 1
 		}
 		for i := range n {
+			j.left[stepAt{occurrence, s}]++
+			j.undone++
 			j.units = append(j.units, &unit{job: j, place: len(j.units), occurrence: occurrence, step: s, index: i, waitsFrom: now})
 		}
 	}
@@ -212,10 +201,8 @@
 	if j.state.Final() || j.opened < j.in.Occurrences() {
 		return
 	}
-	for _, u := range j.units {
-		if !u.done {
-			return
-		}
+	if j.undone > 0 {
+		return
 	}
 	p.finish(j, yuccapaddle.JobCompleted)
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -13,8 +13,8 @@
 const (
 	// stillTime is how long a run may show no progress before it is moved.
 	stillTime = 3500 * time.Millisecond
-	// tickEvery is the longest time between two looks at what time alone changes.
-	tickEvery = 500 * time.Millisecond
+	// tickEvery is the time between two looks at what time alone changes.
+	tickEvery = 100 * time.Millisecond
 )
 
 // Plan lets time pass and places what can be placed.
@@ -23,14 +23,9 @@
 		p.wakeAt = time.Time{}
 		p.changed = true
 	}
-	for _, j := range p.jobs {
-		if !j.state.Final() && j.opened < j.in.Occurrences() {
-			p.open(j)
-		}
-		p.watch(j)
+	if !p.now.Before(p.tickAt) {
+		p.tick()
 	}
-	p.forget()
-	p.wakeBy(p.now.Add(tickEvery))
 	if !p.changed {
 		return
 	}
@@ -39,6 +34,21 @@
 	p.place()
 }
 
+// tick looks at what time alone changes.
+func (p *Planner) tick() {
+	for _, j := range p.jobs {
+		if !j.state.Final() && j.opened < j.in.Occurrences() {
+			p.open(j)
+		}
+		if j.busy() {
+			p.watch(j)
+		}
+	}
+	p.forget()
+	p.tickAt = p.now.Add(tickEvery)
+	p.wakeBy(p.tickAt)
+}
+
 // watch repeats stops that have had no effect, and moves runs that stand still.
 func (p *Planner) watch(j *job) {
 	for _, u := range j.units {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,8 +22,10 @@
 	removed    []yuccapaddle.JobRecord
 	changed    bool // something that placing depends on has changed
 	wakeAt     time.Time
-	unreserved bool // no workers are kept for urgent work
-	listed     bool // the registrations have been read
+	tickAt     time.Time
+	claims     map[*unit]bool // units for which room is being freed
+	unreserved bool           // no workers are kept for urgent work
+	listed     bool           // the registrations have been read
 	advice     map[yuccapaddle.StepID]*advice
 	needed     map[string]int // by workspace, for one round of placing
 	urgent     int            // accelerators that urgent work holds or waits for
@@ -43,7 +45,7 @@
 func New(limits yuccapaddle.PlanLimits, opts ...Option) *Planner {
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
-		limits: limits, dirty: map[string]*job{}, advice: map[yuccapaddle.StepID]*advice{},
+		limits: limits, dirty: map[string]*job{}, claims: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -34,6 +34,7 @@
 		return false
 	}
 	u.claim, u.claimedAt = nil, p.now
+	p.claims[u] = true
 	for _, o := range best {
 		u.claim = append(u.claim, o.s.ID)
 		for _, v := range o.victims {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -144,7 +144,10 @@
 	if u == nil {
 		return fmt.Errorf("a unit of step %d is unknown", r.Step)
 	}
-	u.state, u.run, u.fails, u.saved, u.done, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Done, r.Stopping
+	u.state, u.run, u.fails, u.saved, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Stopping
+	if r.Done {
+		u.finished()
+	}
 	u.placedAt = p.now
 	for _, m := range r.Members {
 		u.members = append(u.members, member{worker: m.Worker, over: m.Over, movedAt: p.now, pace: fullPace, adopted: true})
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -213,7 +213,7 @@
 
 func (p *Planner) settleDone(u *unit) {
 	if u.done && u.state != unitDone {
-		u.state = unitDone
+		u.finished()
 		p.settle(u.job)
 	}
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -42,6 +42,7 @@
 func (s *worker) add(u *unit, i int) {
 	s.runs[u.taskID(i)] = seat{u, i}
 	s.used = s.used.Add(u.spec().Room())
+	u.job.live++
 }
 
 func (s *worker) drop(u *unit, i int) {
@@ -50,6 +51,7 @@
 	}
 	delete(s.runs, u.taskID(i))
 	s.used = s.used.Sub(u.spec().Room())
+	u.job.live--
 }
 
 func (s *worker) free() yuccapaddle.Need {
