--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -335,3 +336,35 @@
 		r.settles("before", "batch", yuccapaddle.JobCompleted, 15*time.Second)
 	})
 }
+
+// lossy loses the first start of a task on its way; everything else arrives.
+type lossy struct {
+	*rig
+	lost atomic.Bool
+}
+
+// Start implements yuccapaddle.Runner.
+func (l *lossy) Start(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.StartOrder) (int64, error) {
+	if o.Task.Job == "a" && o.Task.Index == 0 && o.Run == 1 {
+		l.lost.Store(true)
+		return 0, yuccapaddle.ErrNoAnswer
+	}
+	return l.rig.Start(ctx, s, o)
+}
+
+// TestLostStartOfGang: a start is lost and the stop of the run is confirmed; the
+// gang is placed anew as soon as that is known, not when a waiting list returns.
+func TestLostStartOfGang(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(30 * time.Second))
+		l := &lossy{rig: r}
+		r.runner = l
+		r.takeOver()
+		r.submit("before", "batch", yuccapaddle.Step{Count: 2, Need: one, Estimate: 30000})
+		time.Sleep(2500 * time.Millisecond)
+		r.submit("a", "quick", yuccapaddle.Step{Count: 4, Need: one, Gang: true, Estimate: 2000})
+		time.Sleep(1500 * time.Millisecond)
+		r.c.Check(l.lost.Load(), qt.IsTrue)
+		r.c.Check(r.running("a"), qt.Equals, 4)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -188,18 +188,36 @@
 		o.WaitMS = 0
 	}
 	l.holding, l.holdAt = true, e.now
-	sentAt := e.now
+	e.sendHold(&s, id, l, o, true)
+}
+
+// look asks a worker what it runs, beside a hold that may be waiting there.
+func (e *Executor) look(id string, l *link) {
+	s, ok := e.plan.Worker(id)
+	if !ok || s.Address == "" || l.silent {
+		return
+	}
+	e.sendHold(&s, id, l, yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed, Deadline: e.deadline(l)}, false)
+}
+
+// sendHold sends a hold; main is the one of which there is one at a time.
+func (e *Executor) sendHold(s *yuccapaddle.Worker, id string, l *link, o yuccapaddle.HoldOrder, main bool) {
+	to, sentAt := *s, e.now
 	e.group.Go("hold", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, time.Duration(o.WaitMS)*time.Millisecond+holdSlack)
 		defer cancel()
-		reply, err := e.runner.Hold(ctx, &s, o)
-		e.post(func() { e.held(id, l, o, sentAt, reply, err) })
+		reply, err := e.runner.Hold(ctx, &to, o)
+		e.post(func() {
+			if main {
+				l.holding = false
+			}
+			e.held(id, l, o, sentAt, reply, err)
+		})
 		return nil
 	})
 }
 
 func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, reply yuccapaddle.HoldReply, err error) {
-	l.holding = false
 	e.meter.Tally("looks", outcome(err), 1)
 	if err != nil {
 		e.noteSilence(id, l, err)
@@ -296,8 +314,8 @@
 		clock, err := e.runner.Stop(ctx, &s, o)
 		e.post(func() {
 			l.setClock(clock, e.now)
-			if err == nil {
-				e.plan.Stopped(st.Worker, st.Task, st.Run)
+			if err == nil && e.plan.Stopped(st.Worker, st.Task, st.Run) {
+				e.look(st.Worker, l)
 			}
 		})
 		return nil
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -45,6 +45,7 @@
 	exec    *executor.Executor
 	stop    context.CancelFunc
 	group   *errgroup.Group
+	runner  yuccapaddle.Runner // the rig itself, unless a test puts one before it
 	host    int
 	logs    logs
 }
@@ -175,8 +176,12 @@
 	bounds := executor.Bounds{HoldMax: holdMax, LeaveWithin: 2500, Planner: yuccapaddle.PlanLimits{
 		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	}}
+	runner := r.runner
+	if runner == nil {
+		runner = r
+	}
 	ctx, cancel := context.WithCancel(r.t.Context())
-	r.exec, r.stop = executor.New(r, r, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r)), cancel
+	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r)), cancel
 	exec := r.exec
 	r.group.Go(func() error { return rules.Run(ctx, func() bool { return true }) })
 	r.group.Go(func() error {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -298,18 +298,20 @@
 }
 
 // Stopped takes in that a worker has confirmed a stop: a start of the run that
-// has not been confirmed will not be carried out any more, unless it runs.
-func (p *Planner) Stopped(id string, t yuccapaddle.TaskID, run int) {
+// has not been confirmed will not be carried out any more, unless it runs. It
+// reports whether the worker should be looked at now to know that.
+func (p *Planner) Stopped(id string, t yuccapaddle.TaskID, run int) (look bool) {
 	s := p.worker(id)
 	x, ok := s.runs[t]
 	if !ok || x.u.run != run {
-		return
+		return false
 	}
 	m := &x.u.members[x.i]
-	if !m.sent {
-		// The next list tells whether it runs.
-		m.sent, m.movedAt = true, p.now
+	if m.sent {
+		return false
 	}
+	m.sent, m.movedAt = true, p.now
+	return true
 }
 
 // Lapsed takes in that every lease that a worker can have has run out.
