planner: count a list that was asked for in the moment of a stop

Cause: TestLostStartOfGang of the last commit failed also with its mend: the look is sent in the same step as the stop is noted, and a list of that very moment was passed over.

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -112,7 +112,7 @@
 			m.adopted = false
 			p.again(s, x)
 		}
-		if !m.sent || m.movedAt.Equal(sentAt) {
+		if !m.sent {
 			continue
 		}
 		p.note(yuccapaddle.Note{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: s.ID, Run: x.u.run})
