--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -91,7 +91,8 @@
 			StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
 			Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
 			Retention:  time.Duration(s.Bounds.StatusS) * time.Second,
-		}}
+		},
+	}
 	host := assembler.New(place, outside, bounds, namer.Unique(s.Host), log,
 		assembler.WithDrain(time.Duration(drainShare*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithShare(s.Processor),
