claimer: a host that the store refuses alone gives its role up

Ruled out: a shorter lease (the store slowed 94 times still answers a renewal in 0.4 s, and 1 s is the shortest that it gives). Change: after two refused renewals, 0.12 s apart, the host asks others whether the store answers them; if so it ends its heartbeats with a word, and a follower claims under the lock that it sees, without waiting for the lease. Lost answers do not count as refusals. Test: TestCede, with a lease of an hour.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -32,6 +32,8 @@
 	// leases end; a renewal costs a tenth of a read.
 	leaseTime  = 1200 * time.Millisecond
 	renewEvery = 350 * time.Millisecond
+	// renewAgain is when a refused renewal is tried again.
+	renewAgain = 120 * time.Millisecond
 	callTime   = 700 * time.Millisecond
 	seekEvery  = 150 * time.Millisecond
 	// silentFor is how long the active host may send no heartbeat.
@@ -64,6 +66,7 @@
 	local     atomic.Pointer[executor.Executor]
 	leader    atomic.Pointer[leader]
 	yielding  atomic.Bool
+	ceded     atomic.Bool // the last role was given up to others
 	followers atomic.Int64
 	renewed   atomic.Int64 // Unix nanoseconds of the steady clock, of the last renewal
 
@@ -149,8 +152,8 @@
 func (c *Claimer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		address, ok := c.seek(ctx)
-		if ok && address != "" {
-			c.follow(ctx, address)
+		if ok && address != "" && c.follow(ctx, address) && sleeper.Sleep(ctx, c.modesty()) == nil {
+			c.takeCeded(ctx, address)
 		}
 		_ = sleeper.Jitter(ctx, seekEvery) // the loop ends with the context
 	}
@@ -320,6 +323,7 @@
 	c.mu.Unlock()
 	e, beside := c.build(rec)
 	c.renewed.Store(c.clock.Now().UnixNano())
+	c.ceded.Store(false)
 	c.leader.Store(nil)
 	c.local.Store(e)
 	g, lost := guarder.New(lost, c.log)
@@ -354,19 +358,29 @@
 // renew keeps the lease. While the ledger does not answer, the role is kept
 // unless another host knows of a later writer.
 func (c *Claimer) renew(ctx context.Context, lease, epoch uint64) error {
-	renewed := c.clock.Now()
+	renewed, refused := c.clock.Now(), 0
 	for {
 		c.renewed.Store(renewed.UnixNano())
-		if sleeper.Sleep(ctx, renewEvery) != nil {
+		pause := renewEvery
+		if refused > 0 {
+			pause = renewAgain
+		}
+		if sleeper.Sleep(ctx, pause) != nil {
 			return nil
 		}
 		at := c.clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTime)
 		err := c.ledger.Renew(callCtx, lease)
 		cancel()
+		if refused++; !refusal(err) {
+			refused = 0
+		}
 		switch {
 		case err == nil:
 			renewed = at
+		case refused == refusals && c.refusedAlone(ctx):
+			c.ceded.Store(true)
+			return errCeded
 		case errors.Is(err, yuccapaddle.ErrLeaseOver):
 			return err
 		case at.Sub(renewed) > c.lease && c.superseded(ctx, epoch):
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -84,7 +84,7 @@
 // Workers implements yuccapaddle.Registry.
 func (book) Workers(context.Context) ([]yuccapaddle.Worker, error) { return nil, nil }
 
-func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int) *host {
+func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration) *host {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	h := &host{door: &door{Bookkeeper: store}, peers: grpc.NewServer()}
@@ -99,7 +99,7 @@
 			return nil
 		}
 	}
-	h.Claimer = claimer.New(h.door, rules, linker.New(), name, address, name, 0, build, clock, zap.NewNop())
+	h.Claimer = claimer.New(h.door, rules, linker.New(), name, address, name, lease, build, clock, zap.NewNop())
 	peer.RegisterJobsServer(h.peers, jobserver.New(h.Claimer))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
@@ -132,13 +132,13 @@
 	c.Fatalf("%s: not within %v", what, limit)
 }
 
-func play(t *testing.T, f func(c *qt.C, hosts []*host)) {
+func play(t *testing.T, lease time.Duration, f func(c *qt.C, hosts []*host)) {
 	t.Helper()
 	c, store := qt.New(t), bookkeeper.New()
 	var g errgroup.Group
 	var hosts []*host
 	for i := range 3 {
-		hosts = append(hosts, newHost(t, c, &g, store, i))
+		hosts = append(hosts, newHost(t, c, &g, store, i, lease))
 	}
 	defer func() {
 		for _, h := range hosts {
@@ -166,7 +166,7 @@
 // over, although heartbeats still come, and the first learns of it from the
 // others.
 func TestStoreRefusesOne(t *testing.T) {
-	play(t, func(c *qt.C, hosts []*host) {
+	play(t, 0, func(c *qt.C, hosts []*host) {
 		first := active(hosts)
 		first.door.shut.Store(true)
 		eventually(c, "another host is active", func() bool {
@@ -182,7 +182,7 @@
 
 // TestYield: a planned stop moves the role, and not back.
 func TestYield(t *testing.T) {
-	play(t, func(c *qt.C, hosts []*host) {
+	play(t, 0, func(c *qt.C, hosts []*host) {
 		first := active(hosts)
 		first.Yield()
 		eventually(c, "another host is active", func() bool {
@@ -195,7 +195,7 @@
 
 // TestProcessGone: the active host's process ends without a word.
 func TestProcessGone(t *testing.T) {
-	play(t, func(c *qt.C, hosts []*host) {
+	play(t, 0, func(c *qt.C, hosts []*host) {
 		first := active(hosts)
 		first.door.shut.Store(true) // its lease cannot be given back
 		first.peers.Stop()
@@ -206,3 +206,16 @@
 		})
 	})
 }
+
+// TestCede: a host that the store refuses alone gives its role up to one that it
+// answers, long before its lease ends.
+func TestCede(t *testing.T) {
+	play(t, time.Hour, func(c *qt.C, hosts []*host) {
+		first := active(hosts)
+		first.door.shut.Store(true)
+		eventually(c, "another host is active", func() bool {
+			next := active(hosts)
+			return next != nil && next != first
+		})
+	})
+}
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/peer"
@@ -73,6 +75,9 @@
 			return nil
 		}
 	}
+	if c.ceded.Load() {
+		return errCeded
+	}
 	return errInactive
 }
 
@@ -115,8 +120,9 @@
 	return list
 }
 
-// follow listens to the active host until it is silent.
-func (c *Claimer) follow(ctx context.Context, address string) {
+// follow listens to the active host until it is silent, and reports whether it
+// has given its role up.
+func (c *Claimer) follow(ctx context.Context, address string) (ceded bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer c.leader.Store(nil)
@@ -124,14 +130,14 @@
 	jobs, err := c.links.Jobs(address)
 	if err != nil {
 		c.log.Warn("the active host cannot be reached", zap.String("address", address), zap.Error(err))
-		return
+		return false
 	}
 	_, revision := c.rules.Data()
 	watch := time.AfterFunc(silentFor, cancel)
 	defer watch.Stop()
 	stream, err := jobs.Follow(ctx, &peer.FollowRequest{Host: c.host, Address: c.address, RulesRevision: revision})
 	if err != nil {
-		return
+		return false
 	}
 	heard := false
 	for {
@@ -140,7 +146,7 @@
 			if heard {
 				c.log.Info("the active host is lost", zap.String("address", address), zap.Error(err))
 			}
-			return
+			return status.Code(err) == codes.Aborted
 		}
 		watch.Reset(max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond))
 		if !heard {
@@ -150,7 +156,7 @@
 		c.heard(address, beat)
 		if !beat.GetLeased() && c.free(ctx) {
 			c.log.Info("the active host has lost its lease", zap.String("address", address))
-			return
+			return false
 		}
 	}
 }
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -67,6 +67,11 @@
 	return s.claimer.Who(), nil
 }
 
+// Reach implements peer.JobsServer.
+func (s *Jobserver) Reach(ctx context.Context, _ *peer.ReachRequest) (*peer.ReachReply, error) {
+	return &peer.ReachReply{Reached: s.claimer.Reaches(ctx)}, nil
+}
+
 // with runs f on the executor, if this host is active. An answer is inactive
 // only if nothing was done.
 func (s *Jobserver) with(f func(*executor.Executor) (*peer.JobAnswer, error)) (*peer.JobAnswer, error) {
