planner: the refusal of a repeat as old or late does not settle a run

Cause: a start was carried out and not answered, and the task was done before the start was sent again; the worker refused the repeat as old, the run was taken as over without an end, and the task was started a second time (TestDoneBeforeRepeat, which failed first). Change: after a refusal as old the worker is looked at, and its list tells how the run ended; a refusal as late says nothing of a copy before it.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -368,3 +368,22 @@
 		r.c.Check(r.running("a"), qt.Equals, 4)
 	})
 }
+
+// TestDoneBeforeRepeat: a start is carried out and not answered, and the task is
+// done before the start is sent again; the refusal of the repeat is no reason to
+// run it a second time.
+func TestDoneBeforeRepeat(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.took.Store(int64(300 * time.Millisecond))
+		for _, w := range r.workers {
+			w.SetFault(laborer.FaultMute)
+		}
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 300})
+		time.Sleep(400 * time.Millisecond)
+		for _, w := range r.workers {
+			w.SetFault(laborer.FaultNone)
+		}
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 5*time.Second)
+		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a"}), qt.HasLen, 1)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -298,7 +298,9 @@
 			return
 		}
 	}
-	e.plan.Answered(st.Worker, st.Task, st.Run, err)
+	if e.plan.Answered(st.Worker, st.Task, st.Run, err) {
+		e.look(st.Worker, l)
+	}
 }
 
 func (e *Executor) sendStop(st yuccapaddle.RunStop) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -219,25 +219,31 @@
 }
 
 // Answered takes in a worker's answer to a start: err is nil if the run is
-// there, a refusal, or ErrNoAnswer.
-func (p *Planner) Answered(id string, t yuccapaddle.TaskID, run int, err error) {
+// there, a refusal, or ErrNoAnswer. It reports whether the worker should be
+// looked at now.
+func (p *Planner) Answered(id string, t yuccapaddle.TaskID, run int, err error) (look bool) {
 	s := p.worker(id)
 	x, ok := s.runs[t]
 	if !ok || x.u.run != run || x.u.members[x.i].over {
-		return
+		return false
 	}
 	m := &x.u.members[x.i]
-	if err == nil {
+	var refusal *yuccapaddle.RefusalError
+	switch {
+	case err == nil:
 		m.sent, m.movedAt = true, p.now
 		p.begun(x.u)
-		return
-	}
-	var refusal *yuccapaddle.RefusalError
-	if errors.As(err, &refusal) {
+	case !errors.As(err, &refusal):
+		p.unanswered(s, x)
+	case refusal.Reason == yuccapaddle.RefusedOld:
+		// The run has been there; the next list tells how it ended.
+		p.note(yuccapaddle.Note{Event: "start refused", Job: t.Job, Task: t.String(), Worker: id, Run: run, Detail: string(refusal.Reason)})
+		m.sent, m.movedAt = true, p.now
+		return true
+	default:
 		p.refused(s, x, refusal.Reason)
-		return
 	}
-	p.unanswered(s, x)
+	return false
 }
 
 func (p *Planner) refused(s *worker, x seat, why yuccapaddle.Refusal) {
@@ -267,13 +273,9 @@
 }
 
 // settles reports whether a refusal says of earlier copies of the start, too,
-// that they will not be carried out.
+// that they have not been carried out and will not be: only if the worker is gone.
 func settles(why yuccapaddle.Refusal) bool {
-	switch why {
-	case yuccapaddle.RefusedOld, yuccapaddle.RefusedLate, yuccapaddle.RefusedReplaced:
-		return true
-	}
-	return false
+	return why == yuccapaddle.RefusedReplaced
 }
 
 // again sends a start once more: the run's number makes it idempotent.
