--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -45,16 +45,16 @@
 	leastShare  = 0.01
 )
 
-// Build makes the executor of this host when it becomes active, and what else
+// build makes the executor of this host when it becomes active, and what else
 // runs then.
-type Build func(rec *recorder.Recorder) (e *executor.Executor, beside func(ctx context.Context) error)
+type build = func(rec *recorder.Recorder) (e *executor.Executor, beside func(ctx context.Context) error)
 
 // Claimer is safe for concurrent use but for Run.
 type Claimer struct {
 	ledger  yuccapaddle.Ledger
 	rules   *ruler.Ruler
 	links   *linker.Linker
-	build   Build
+	build   build
 	log     *zap.Logger
 	clock   yuccapaddle.Clock
 	host    string
@@ -95,7 +95,7 @@
 // New returns a Claimer for a host that others reach at address. nonce differs
 // for every process; least is the shortest lease that the ledger gives.
 func New(ledger yuccapaddle.Ledger, rules *ruler.Ruler, links *linker.Linker, host, address, nonce string,
-	least time.Duration, build Build, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
+	least time.Duration, build build, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Claimer {
 	c := &Claimer{
 		ledger: ledger, rules: rules, links: links, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
@@ -293,7 +293,7 @@
 		c.log.Info("no lease to be had", zap.Error(err))
 		return
 	}
-	rec, err := recorder.Claim(callCtx, c.ledger, c.host, c.address, c.nonce, recorder.Lock{
+	rec, err := recorder.Claim(callCtx, c.ledger, c.host, c.address, c.nonce, yuccapaddle.Lock{
 		Key: lockKey, Revision: seen, Lease: lease, Address: c.address,
 	})
 	if err != nil {
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -166,7 +166,7 @@
 	}
 	r.host++
 	name := fmt.Sprintf("h%d", r.host)
-	rec, err := recorder.Claim(r.t.Context(), r.store, name, name, name, recorder.Lock{Key: "lock-" + name, Address: name})
+	rec, err := recorder.Claim(r.t.Context(), r.store, name, name, name, yuccapaddle.Lock{Key: "lock-" + name, Address: name})
 	r.c.Assert(err, qt.IsNil)
 	out := zapcore.AddSync(io.MultiWriter(writer{r.t}, &r.logs))
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -12,15 +12,15 @@
 type room struct {
 	s     *worker
 	free  yuccapaddle.Need
-	tasks int // that fit
+	tasks int  // that fit
+	rests bool // it has failed of late
 }
 
 // pick chooses a worker for each task of a unit, nil if there is no room.
 // reserved is room that is kept for others.
 func (p *Planner) pick(u *unit, reserved map[string]yuccapaddle.Need) []string {
-	rooms := p.rooms(u, reserved)
-	step := u.spec()
-	n := u.width()
+	step, n := u.spec(), u.width()
+	rooms := p.rooms(u, n, reserved)
 	if step.DataRack != "" {
 		if list := fill(inRack(rooms, step.DataRack), n); list != nil || p.patient(u, step.DataRack) {
 			return list
@@ -38,6 +38,21 @@
 	return fill(rooms, n)
 }
 
+// pickSome chooses workers for as many as it can of n single tasks like the unit.
+func (p *Planner) pickSome(u *unit, n int, reserved map[string]yuccapaddle.Need) []string {
+	rooms := p.rooms(u, n, reserved)
+	rack := u.spec().DataRack
+	if rack == "" {
+		return take(rooms, n)
+	}
+	list := take(inRack(rooms, rack), n)
+	if len(list) == n || p.patient(u, rack) {
+		return list
+	}
+	rest := slices.DeleteFunc(rooms, func(r room) bool { return r.s.Rack == rack })
+	return append(list, take(rest, n-len(list))...)
+}
+
 // patient reports whether a unit should go on waiting for a rack of its own
 // rather than run slowly now.
 func (p *Planner) patient(u *unit, rack string) bool {
@@ -59,7 +74,7 @@
 	count := map[string]int{}
 	for _, s := range p.workers {
 		if (rack == "" || s.Rack == rack) && p.usable(s) && p.suits(u, s) {
-			count[s.Rack] += tasksIn(u, s.Capacity, u.spec().PerWorker)
+			count[s.Rack] += tasksIn(u, u.width(), s.Capacity, u.spec().PerWorker)
 		}
 	}
 	for _, n := range count {
@@ -81,23 +96,22 @@
 	return s.Service == p.service(u.job) && (u.spec().Label == "" || s.label(u.spec().Label))
 }
 
-// rooms lists the workers with room for a task, those with the least room left
-// first; workers that have failed of late come last.
-func (p *Planner) rooms(u *unit, reserved map[string]yuccapaddle.Need) []room {
+// rooms lists the workers with room for some of n tasks, those with the least room
+// left first; workers that have failed of late come last.
+func (p *Planner) rooms(u *unit, n int, reserved map[string]yuccapaddle.Need) []room {
 	var list []room
 	for id, s := range p.workers {
 		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) {
 			continue
 		}
 		free := s.free().Sub(reserved[id])
-		n := tasksIn(u, free, p.perWorker(u, s))
-		if n > 0 {
-			list = append(list, room{s: s, free: free, tasks: n})
+		if fit := tasksIn(u, n, free, p.perWorker(u, s)); fit > 0 {
+			list = append(list, room{s: s, free: free, tasks: fit, rests: p.rests(s)})
 		}
 	}
 	slices.SortFunc(list, func(a, b room) int {
 		return cmp.Or(
-			compareBool(p.rests(a.s), p.rests(b.s)),
+			compareBool(a.rests, b.rests),
 			cmp.Compare(a.free.GPU, b.free.GPU),
 			cmp.Compare(a.free.CPU, b.free.CPU),
 			cmp.Compare(a.s.ID, b.s.ID),
@@ -124,9 +138,9 @@
 	return most
 }
 
-func tasksIn(u *unit, free yuccapaddle.Need, most int) int {
+// tasksIn is how many of n tasks fit into free room, at most most unless that is 0.
+func tasksIn(u *unit, n int, free yuccapaddle.Need, most int) int {
 	need := u.spec().Room()
-	n := u.width()
 	if most != 0 {
 		n = min(n, max(most, 0))
 	}
@@ -144,16 +158,24 @@
 
 // fill takes the first rooms, nil if they do not hold n tasks.
 func fill(rooms []room, n int) []string {
+	if list := take(rooms, n); len(list) == n {
+		return list
+	}
+	return nil
+}
+
+// take takes the first rooms, for up to n tasks.
+func take(rooms []room, n int) []string {
 	list := make([]string, 0, n)
 	for _, r := range rooms {
 		for range min(r.tasks, n-len(list)) {
 			list = append(list, r.s.ID)
 		}
 		if len(list) == n {
-			return list
+			break
 		}
 	}
-	return nil
+	return list
 }
 
 func inRack(rooms []room, rack string) []room {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -82,25 +82,61 @@
 	}
 }
 
-// place goes through the waiting units in order.
+// place goes through the waiting units in order. Single tasks of a step that stand
+// together are placed together: they ask for the same.
 func (p *Planner) place() {
 	p.needed = nil
 	stuck := map[stepKey]bool{}
-	for _, u := range p.waiting() {
+	list := p.waiting()
+	for i := 0; i < len(list); {
+		u := list[i]
+		n := alike(list[i:])
+		i += n
 		if u.job.state.Final() || p.exhaust(u) {
 			continue
 		}
-		key := stepKey{u.job.in.ID, u.occurrence, u.step}
-		if stuck[key] && len(u.avoid) == 0 {
+		if n > 1 {
+			p.placeAlike(list[i-n : i])
+			continue
+		}
+		if stuck[u.key()] && len(u.avoid) == 0 {
 			continue
 		}
 		if !p.tryPlace(u) {
-			stuck[key] = true
+			stuck[u.key()] = true
 			p.noteWait(u)
 		}
 	}
 }
 
+// alike is how many units at the head of a list are single tasks of one step that
+// may go to the same workers, at least 1.
+func alike(list []*unit) int {
+	plain := func(u *unit) bool {
+		return !u.spec().Gang && len(u.avoid) == 0 && u.claim == nil && u.fails == 0 && u.job.queue.priority != 0
+	}
+	n := 0
+	for n < len(list) && plain(list[n]) && list[n].key() == list[0].key() {
+		n++
+	}
+	return max(n, 1)
+}
+
+func (p *Planner) placeAlike(list []*unit) {
+	workers := p.pickSome(list[0], len(list), p.reserved())
+	for i, id := range workers {
+		p.assign(list[i], []string{id})
+	}
+	if len(workers) < len(list) {
+		p.ask(list[len(workers)])
+		p.noteWait(list[len(workers)])
+	}
+}
+
+func (u *unit) key() stepKey {
+	return stepKey{u.job.in.ID, u.occurrence, u.step}
+}
+
 // noteWait says once for each time that a unit waits what it waits for.
 func (p *Planner) noteWait(u *unit) {
 	if u.waitNoted {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -96,7 +96,7 @@
 	})
 	most := p.perWorker(u, s)
 	var list []offer
-	have := tasksIn(u, free, most)
+	have := tasksIn(u, u.width(), free, most)
 	for range have {
 		list = append(list, offer{s: s})
 	}
@@ -106,7 +106,7 @@
 		free = free.Add(v.spec().Room())
 		pending = append(pending, v)
 		cost += p.loss(v)
-		if n := tasksIn(u, free, most); n > have {
+		if n := tasksIn(u, u.width(), free, most); n > have {
 			list = append(list, offer{s: s, victims: pending, cost: cost})
 			for range n - have - 1 {
 				list = append(list, offer{s: s})
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -55,17 +55,8 @@
 	revision uint64
 }
 
-// Lock is a key that a lease binds to the writer. Revision is the one that the
-// claimer has seen, 0 for none.
-type Lock struct {
-	Key      string
-	Revision uint64
-	Lease    uint64
-	Address  string
-}
-
 // Claim makes this host the writer.
-func Claim(ctx context.Context, ledger yuccapaddle.Ledger, host, address, nonce string, lock Lock) (*Recorder, error) {
+func Claim(ctx context.Context, ledger yuccapaddle.Ledger, host, address, nonce string, lock yuccapaddle.Lock) (*Recorder, error) {
 	e, err := ledger.Get(ctx, headKey)
 	if err != nil {
 		return nil, fmt.Errorf("read the head of the records: %w", err)
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -17,7 +17,7 @@
 
 func claim(t *testing.T, c *qt.C, store yuccapaddle.Ledger, host string) *recorder.Recorder {
 	t.Helper()
-	r, err := recorder.Claim(t.Context(), store, host, host, host, recorder.Lock{Key: "lock-" + host, Address: host})
+	r, err := recorder.Claim(t.Context(), store, host, host, host, yuccapaddle.Lock{Key: "lock-" + host, Address: host})
 	c.Assert(err, qt.IsNil)
 	return r
 }
--- a/internal/upkeeper/upkeeper.go
+++ b/internal/upkeeper/upkeeper.go
@@ -21,15 +21,10 @@
 	emptyShare = 0.8
 )
 
-// Seats empties workers; the executor is one.
-type Seats interface {
-	Vacate(ctx context.Context, worker string, want bool) (empty, needed bool)
-}
-
 // Upkeeper runs on the active host.
 type Upkeeper struct {
 	fleet  yuccapaddle.Fleet
-	seats  Seats
+	seats  yuccapaddle.Seats
 	rules  func() *yuccapaddle.Rules
 	clock  yuccapaddle.Clock
 	log    *zap.Logger
@@ -51,7 +46,7 @@
 }
 
 // New returns an Upkeeper that gives orders in the name of holder under a token.
-func New(fleet yuccapaddle.Fleet, seats Seats, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
+func New(fleet yuccapaddle.Fleet, seats yuccapaddle.Seats, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
 	holder string, token uint64, log *zap.Logger,
 ) *Upkeeper {
 	return &Upkeeper{
--- a/runner.go
+++ b/runner.go
@@ -160,6 +160,14 @@
 	Report(ctx context.Context, wave int64, completed bool) error
 }
 
+// Seats empties workers. The executor does.
+type Seats interface {
+	// Vacate has a worker get no new runs for as long as want holds. It reports
+	// whether nothing runs there, and whether taking it down now would have too
+	// many tasks of a step away.
+	Vacate(ctx context.Context, worker string, want bool) (empty, needed bool)
+}
+
 var (
 	// ErrBusy reports a machine that cannot be taken down now.
 	ErrBusy = errors.New("the machine is not up, or leaves")
@@ -235,6 +243,15 @@
 	Remove []string
 }
 
+// Lock is a key that a lease binds to the writer of the records. Revision is the
+// one that the claimer has seen, 0 for none.
+type Lock struct {
+	Key      string
+	Revision uint64
+	Lease    uint64
+	Address  string
+}
+
 // Condition holds while the key has the revision (0: it does not exist).
 type Condition struct {
 	Key      string
