planner: keep the order of waiting jobs when the role moves

Cause: jobs waited in the order in which the active host had met them, which after a change of the role was that of their IDs. Change: they wait in the order of their acceptance, which is committed.

--- a/batch.go
+++ b/batch.go
@@ -6,8 +6,6 @@
 type PlanLimits struct {
 	// Remote is how many times longer a task takes away from its data.
 	Remote float64
-	// StopWithin is the longest time that a stop takes.
-	StopWithin time.Duration
 	// Restore is the time that a task takes to go on from a checkpoint.
 	Restore time.Duration
 	// Retention is how long a finished job can be asked for.
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -87,10 +87,9 @@
 	bounds := executor.Bounds{
 		HoldMax: s.Bounds.HoldMaxMS, ApplyWithin: s.Bounds.ApplyMS, LeaveWithin: min(s.Bounds.DrainMS, s.Bounds.EvacuateMS),
 		Planner: yuccapaddle.PlanLimits{
-			Remote:     s.Bounds.RemotePenalty,
-			StopWithin: time.Duration(s.Bounds.StopWithinMS) * time.Millisecond,
-			Restore:    time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
-			Retention:  time.Duration(s.Bounds.StatusS) * time.Second,
+			Remote:    s.Bounds.RemotePenalty,
+			Restore:   time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
+			Retention: time.Duration(s.Bounds.StatusS) * time.Second,
 		},
 	}
 	host := assembler.New(place, outside, bounds, namer.Unique(s.Host), log,
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -174,7 +174,7 @@
 	rules := ruler.New(r, 2500, yuccapaddle.SystemClock{}, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{HoldMax: holdMax, LeaveWithin: 2500, Planner: yuccapaddle.PlanLimits{
-		Remote: 3, StopWithin: 400 * time.Millisecond, Retention: 2 * time.Minute,
+		Remote: 3, Retention: 2 * time.Minute,
 	}}
 	runner := r.runner
 	if runner == nil {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -18,12 +18,10 @@
 	touched map[int]bool // parts of the record that have changed
 	opened  int          // occurrences whose units exist
 	endedAt time.Time
-	taken   time.Time
 	why     string
 	fresh   bool // not committed yet: the record needs the job itself
-	queue   struct {
-		priority int
-	}
+	// priority is that of its queue when work was last placed.
+	priority int
 }
 
 type unitState int
@@ -71,8 +69,8 @@
 	adopted bool // placed by a former host, and not seen yet
 }
 
-func newJob(in *yuccapaddle.Job, now time.Time) *job {
-	return &job{in: in, state: yuccapaddle.JobQueued, taken: now, touched: map[int]bool{}, left: map[stepAt]int{}}
+func newJob(in *yuccapaddle.Job) *job {
+	return &job{in: in, state: yuccapaddle.JobQueued, touched: map[int]bool{}, left: map[stepAt]int{}}
 }
 
 func (u *unit) spec() *yuccapaddle.Step {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -113,7 +113,7 @@
 // may go to the same workers, at least 1.
 func alike(list []*unit) int {
 	plain := func(u *unit) bool {
-		return !u.spec().Gang && len(u.avoid) == 0 && u.claim == nil && u.fails == 0 && u.job.queue.priority != 0
+		return !u.spec().Gang && len(u.avoid) == 0 && u.claim == nil && u.fails == 0 && u.job.priority != 0
 	}
 	n := 0
 	for n < len(list) && plain(list[n]) && list[n].key() == list[0].key() {
@@ -173,7 +173,7 @@
 		if j.state.Final() {
 			continue
 		}
-		j.queue.priority = p.priority(j)
+		j.priority = p.priority(j)
 		for _, u := range j.units {
 			if u.state == unitWaiting && u.ready() {
 				list = append(list, u)
@@ -182,8 +182,8 @@
 	}
 	slices.SortFunc(list, func(a, b *unit) int {
 		return cmp.Or(
-			cmp.Compare(a.job.queue.priority, b.job.queue.priority),
-			a.job.taken.Compare(b.job.taken),
+			cmp.Compare(a.job.priority, b.job.priority),
+			cmp.Compare(a.job.in.Accepted, b.job.in.Accepted),
 			cmp.Compare(a.job.in.ID, b.job.in.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step),
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -59,7 +59,7 @@
 	p.now, p.wall = now, wall
 }
 
-// Configure takes new rules, unless they are older than those in force.
+// Configure puts rules into force.
 func (p *Planner) Configure(r *yuccapaddle.Rules) {
 	p.rules = r
 	p.changed = true
@@ -77,7 +77,7 @@
 		return true
 	}
 	in.Accepted = p.wall.UnixMilli()
-	j := newJob(in, p.now)
+	j := newJob(in)
 	p.jobs[in.ID] = j
 	p.touch(j)
 	j.fresh = true
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -44,7 +44,7 @@
 func newWorld(t testing.TB, workers int, opts ...planner.Option) *world {
 	w := &world{
 		c: qt.New(t), now: time.Unix(1000, 0), ends: map[yuccapaddle.TaskID]end{}, run: map[string]int64{}, since: map[string]time.Time{},
-		p: planner.New(yuccapaddle.PlanLimits{Remote: 3, StopWithin: stopTime, Retention: time.Hour, Restore: 600 * time.Millisecond}, opts...),
+		p: planner.New(yuccapaddle.PlanLimits{Remote: 3, Retention: time.Hour, Restore: 600 * time.Millisecond}, opts...),
 	}
 	rules := &yuccapaddle.Rules{
 		Version: 1, Digest: 1,
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -26,7 +26,7 @@
 // preempt frees room for an urgent unit by stopping less urgent ones. It reports
 // whether the unit was placed, which is never at once.
 func (p *Planner) preempt(u *unit) bool {
-	if u.job.queue.priority != 0 || u.spec().Spare {
+	if u.job.priority != 0 || u.spec().Spare {
 		return false
 	}
 	best := p.cheapest(u)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -104,7 +104,7 @@
 	if err := json.Unmarshal(stateData, &s); err != nil {
 		return fmt.Errorf("decode the state of job %q: %w", in.ID, err)
 	}
-	j := newJob(in, p.now)
+	j := newJob(in)
 	j.state, j.why = s.State, s.Why
 	if j.state.Final() {
 		j.endedAt = p.now
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -88,7 +88,7 @@
 // spare takes from the rooms of a unit that can wait the empty workers that are
 // kept for urgent work.
 func (p *Planner) spare(u *unit, rooms []room) []room {
-	if p.unreserved || u.job.queue.priority == 0 || p.overdue(u) {
+	if p.unreserved || u.job.priority == 0 || p.overdue(u) {
 		return rooms
 	}
 	keep := p.reserve()
--- a/internal/planner/yield.go
+++ b/internal/planner/yield.go
@@ -7,7 +7,7 @@
 	if v.spec().Kept {
 		return p.kept(v)
 	}
-	if p.priority(v.job) > u.job.queue.priority {
+	if p.priority(v.job) > u.job.priority {
 		return true
 	}
 	return v.job != u.job && p.within(u.job) && !p.within(v.job)
--- a/rules.go
+++ b/rules.go
@@ -48,8 +48,6 @@
 	Digest     uint64
 	Queues     []Queue
 	Workspaces []WorkspaceGrant
-	// Guards holds the services whose workers refuse what does not fit.
-	Guards map[string]bool
 	// Closed holds the failure domains in which nothing may be started.
 	Closed map[string]bool
 	Waves  []Wave
--- a/soak/bed_test.go
+++ b/soak/bed_test.go
@@ -201,7 +201,7 @@
 		"metrics": b.free(), "store": h.store.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
 		"leaseLeastMs": 1000, "memoryMb": 284, "processor": 1,
 		"bounds": map[string]any{
-			"holdMaxMs": holdMaxMS, "stopWithinMs": 400, "drainMs": 2500, "evacuateMs": 5000, "applyMs": 2500, "restoreMs": 600, "remotePenalty": 3, "statusS": 120, "graceS": 6,
+			"holdMaxMs": holdMaxMS, "drainMs": 2500, "evacuateMs": 5000, "applyMs": 2500, "restoreMs": 600, "remotePenalty": 3, "statusS": 120, "graceS": 6,
 		},
 	})
 	b.c.Assert(err, qt.IsNil)
