--- a/soak/bed_test.go
+++ b/soak/bed_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -62,9 +63,14 @@
 	settings string
 	callers  string
 	store    *proxy
-	cmd      *exec.Cmd
 	log      *os.File
-	exited   chan struct{}
+	process  atomic.Pointer[process]
+}
+
+// process is one life of a host.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func newBed(t *testing.T, binary string, hosts int) *bed {
@@ -221,33 +227,39 @@
 }
 
 func (b *bed) run(binary string, h *host) {
-	h.cmd = exec.Command(binary, "platform")
-	h.cmd.Env = []string{booter.Variable + "=" + h.settings, "GOMAXPROCS=2"}
-	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
-	b.c.Assert(h.cmd.Start(), qt.IsNil)
-	h.exited = make(chan struct{})
-	cmd, exited := h.cmd, h.exited
+	cmd := exec.Command(binary, "platform")
+	cmd.Env = []string{booter.Variable + "=" + h.settings, "GOMAXPROCS=2"}
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	b.c.Assert(cmd.Start(), qt.IsNil)
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	h.process.Store(p)
 	b.group.Go(func() error {
 		_ = cmd.Wait() // killed processes end with an error
-		close(exited)
+		close(p.exited)
 		return nil
 	})
 }
 
 // signal sends a signal to a process that this test has started.
 func (h *host) signal(s syscall.Signal) {
+	p := h.process.Load()
 	select {
-	case <-h.exited:
+	case <-p.exited:
 	default:
-		_ = h.cmd.Process.Signal(s) // it may have ended meanwhile
+		_ = p.cmd.Process.Signal(s) // it may have ended meanwhile
 	}
 }
 
+// exited is closed once the host's process has ended.
+func (h *host) exited() chan struct{} {
+	return h.process.Load().exited
+}
+
 func (b *bed) stop() {
 	for _, h := range b.hosts {
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
-		<-h.exited
+		<-h.exited()
 	}
 	close(b.done)
 	for _, f := range b.closers {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -129,11 +129,11 @@
 func (b *bed) restart(binary string, h *host, s syscall.Signal, pause time.Duration) {
 	h.signal(s)
 	select {
-	case <-h.exited:
+	case <-h.exited():
 	case <-time.After(7 * time.Second):
 		b.c.Errorf("host %s has not ended 7 s after signal %v", h.name, s)
 		h.signal(syscall.SIGKILL)
-		<-h.exited
+		<-h.exited()
 	}
 	time.Sleep(pause)
 	b.run(binary, h)
@@ -152,7 +152,7 @@
 		h.store.set(modePass)
 		h.signal(syscall.SIGCONT)
 		select {
-		case <-h.exited:
+		case <-h.exited():
 			b.run(binary, h)
 		default:
 		}
