--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -79,7 +79,7 @@
 	outside := assembler.Outside{
 		Ledger: ledger, Registry: lister.New(ledger, log), Runner: runner.New(), Rulebook: reader.New(ledger),
 		Adviser: adviser.New(s.Advice, timekeeper.Timekeeper{}), Fleet: machinist.New(s.Machines, ledger),
-		Front: func(d yuccapaddle.Desk, m yuccapaddle.Meter) fasthttp.RequestHandler {
+		Front: func(d yuccapaddle.JobService, m yuccapaddle.Meter) fasthttp.RequestHandler {
 			return fronter.New(d, m, log).Handle
 		},
 	}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"yuccapaddle/internal/guarder"
 	"yuccapaddle/internal/jobserver"
 	"yuccapaddle/internal/linker"
+	"yuccapaddle/internal/maintainer"
 	"yuccapaddle/internal/monitor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
@@ -27,7 +28,6 @@
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/timekeeper"
-	"yuccapaddle/internal/upkeeper"
 	"yuccapaddle/internal/writer"
 )
 
@@ -51,7 +51,7 @@
 	Adviser  yuccapaddle.Adviser
 	Fleet    yuccapaddle.Fleet
 	// Front makes the handler for callers.
-	Front func(yuccapaddle.Desk, yuccapaddle.Meter) fasthttp.RequestHandler
+	Front func(yuccapaddle.JobService, yuccapaddle.Meter) fasthttp.RequestHandler
 }
 
 // Assembler is one host.
@@ -109,7 +109,7 @@
 	clock := timekeeper.Timekeeper{}
 	e := executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, clock, a.log,
 		executor.WithAdviser(a.outside.Adviser), executor.WithMeter(a.monitor))
-	keep := upkeeper.New(a.outside.Fleet, e, a.rules.Current, clock, a.place.Host, rec.Epoch(), a.log)
+	keep := maintainer.New(a.outside.Fleet, e, a.rules.Current, clock, a.place.Host, rec.Epoch(), a.log)
 	return e, keep.Run
 }
 
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -16,7 +16,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/executor"
-	"yuccapaddle/internal/guarder"
 	"yuccapaddle/internal/linker"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
@@ -39,10 +38,10 @@
 	// silentFor is how long the active host may send no heartbeat.
 	silentFor = 900 * time.Millisecond
 	dialTime  = 300 * time.Millisecond
-	// modestyTime is what a host with a whole core waits before it claims.
-	modestyTime = 20 * time.Millisecond
-	modestyMost = 200 * time.Millisecond
-	leastShare  = 0.01
+	// delayTime is what a host with a whole core waits before it claims.
+	delayTime  = 20 * time.Millisecond
+	delayMost  = 200 * time.Millisecond
+	leastShare = 0.01
 )
 
 // build makes the executor of this host when it becomes active, and what else
@@ -152,7 +151,7 @@
 func (c *Claimer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		address, ok := c.seek(ctx)
-		if ok && address != "" && c.follow(ctx, address) && sleeper.Sleep(ctx, c.modesty()) == nil {
+		if ok && address != "" && c.follow(ctx, address) && sleeper.Sleep(ctx, c.claimDelay()) == nil {
 			c.takeCeded(ctx, address)
 		}
 		_ = sleeper.Jitter(ctx, seekEvery) // the loop ends with the context
@@ -178,17 +177,17 @@
 		}
 		c.log.Info("the active host's process is gone", zap.String("address", holder))
 	}
-	if c.yielding.Load() || sleeper.Sleep(ctx, c.modesty()) != nil {
+	if c.yielding.Load() || sleeper.Sleep(ctx, c.claimDelay()) != nil {
 		return "", false
 	}
 	c.claim(ctx, lock.Revision)
 	return "", false
 }
 
-// modesty is how long this host waits before it claims, so that one with more
+// claimDelay is how long this host waits before it claims, so that one with more
 // processor time comes first.
-func (c *Claimer) modesty() time.Duration {
-	return min(time.Duration(float64(modestyTime)/max(c.share, leastShare)), modestyMost)
+func (c *Claimer) claimDelay() time.Duration {
+	return min(time.Duration(float64(delayTime)/max(c.share, leastShare)), delayMost)
 }
 
 // presence is what a connection to a host's address shows.
@@ -283,124 +282,3 @@
 	defer c.mu.Unlock()
 	c.known[address] = c.clock.Now()
 }
-
-// claim tries to make this host active. seen is the revision of the lock.
-func (c *Claimer) claim(ctx context.Context, seen uint64) {
-	callCtx, cancel := context.WithTimeout(ctx, 3*callTime)
-	defer cancel()
-	lease, err := c.ledger.Grant(callCtx, c.lease)
-	if err != nil {
-		c.log.Info("no lease to be had", zap.Error(err))
-		return
-	}
-	rec, err := recorder.Claim(callCtx, c.ledger, c.host, c.address, c.nonce, yuccapaddle.Lock{
-		Key: lockKey, Revision: seen, Lease: lease, Address: c.address,
-	})
-	if err != nil {
-		c.log.Info("the claim did not succeed", zap.Error(err))
-		c.release(ctx, lease)
-		return
-	}
-	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
-	c.lead(ctx, rec, lease)
-}
-
-func (c *Claimer) release(ctx context.Context, lease uint64) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
-	defer cancel()
-	if err := c.ledger.Release(ctx, lease); err != nil && !errors.Is(err, yuccapaddle.ErrLeaseOver) {
-		c.log.Info("a lease was not given back and will run out", zap.Uint64("lease", lease), zap.Error(err))
-	}
-}
-
-// lead runs the executor until the role is lost or given up. The lease is given
-// back as soon as that is known: calls in work may take seconds to end.
-func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64) {
-	lost, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c.mu.Lock()
-	c.stop = cancel
-	c.mu.Unlock()
-	e, beside := c.build(rec)
-	c.renewed.Store(c.clock.Now().UnixNano())
-	c.ceded.Store(false)
-	c.leader.Store(nil)
-	c.local.Store(e)
-	g, lost := guarder.New(lost, c.log)
-	g.Go("executor", func() error {
-		defer cancel()
-		return e.Run(lost)
-	})
-	g.Go("renewal", func() error {
-		defer cancel()
-		return c.renew(lost, lease, rec.Epoch())
-	})
-	g.Go("beside", func() error {
-		defer cancel()
-		return beside(lost)
-	})
-	g.Go("counts", func() error { return c.count(lost, e) })
-	g.Go("end", func() error {
-		<-lost.Done()
-		c.local.CompareAndSwap(e, nil)
-		c.release(ctx, lease)
-		c.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
-		return nil
-	})
-	if c.yielding.Load() {
-		cancel()
-	}
-	if err := g.Wait(); err != nil {
-		c.log.Info("the role ends", zap.Error(err))
-	}
-}
-
-// renew keeps the lease. While the ledger does not answer, the role is kept
-// unless another host knows of a later writer.
-func (c *Claimer) renew(ctx context.Context, lease, epoch uint64) error {
-	renewed, refused := c.clock.Now(), 0
-	for {
-		c.renewed.Store(renewed.UnixNano())
-		pause := renewEvery
-		if refused > 0 {
-			pause = renewAgain
-		}
-		if sleeper.Sleep(ctx, pause) != nil {
-			return nil
-		}
-		at := c.clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTime)
-		err := c.ledger.Renew(callCtx, lease)
-		cancel()
-		if refused++; !refusal(err) {
-			refused = 0
-		}
-		switch {
-		case err == nil:
-			renewed = at
-		case refused == refusals && c.refusedAlone(ctx):
-			c.ceded.Store(true)
-			return errCeded
-		case errors.Is(err, yuccapaddle.ErrLeaseOver):
-			return err
-		case at.Sub(renewed) > c.lease && c.superseded(ctx, epoch):
-			return recorder.ErrReplaced
-		}
-	}
-}
-
-func (c *Claimer) superseded(ctx context.Context, epoch uint64) bool {
-	for _, a := range c.others() {
-		jobs, err := c.links.Jobs(a)
-		if err != nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, dialTime)
-		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
-		cancel()
-		if err == nil && reply.GetEpoch() > epoch {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/claimer/lead.go
@@ -0,0 +1,135 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/sleeper"
+)
+
+// claim tries to make this host active. seen is the revision of the lock.
+func (c *Claimer) claim(ctx context.Context, seen uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, 3*callTime)
+	defer cancel()
+	lease, err := c.ledger.Grant(callCtx, c.lease)
+	if err != nil {
+		c.log.Info("no lease to be had", zap.Error(err))
+		return
+	}
+	rec, err := recorder.Claim(callCtx, c.ledger, c.host, c.address, c.nonce, yuccapaddle.Lock{
+		Key: lockKey, Revision: seen, Lease: lease, Address: c.address,
+	})
+	if err != nil {
+		c.log.Info("the claim did not succeed", zap.Error(err))
+		c.release(ctx, lease)
+		return
+	}
+	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
+	c.lead(ctx, rec, lease)
+}
+
+func (c *Claimer) release(ctx context.Context, lease uint64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
+	defer cancel()
+	if err := c.ledger.Release(ctx, lease); err != nil && !errors.Is(err, yuccapaddle.ErrLeaseOver) {
+		c.log.Info("a lease was not given back and will run out", zap.Uint64("lease", lease), zap.Error(err))
+	}
+}
+
+// lead runs the executor until the role is lost or given up. The lease is given
+// back as soon as that is known: calls in work may take seconds to end.
+func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64) {
+	lost, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.stop = cancel
+	c.mu.Unlock()
+	e, beside := c.build(rec)
+	c.renewed.Store(c.clock.Now().UnixNano())
+	c.ceded.Store(false)
+	c.leader.Store(nil)
+	c.local.Store(e)
+	g, lost := guarder.New(lost, c.log)
+	g.Go("executor", func() error {
+		defer cancel()
+		return e.Run(lost)
+	})
+	g.Go("renewal", func() error {
+		defer cancel()
+		return c.renew(lost, lease, rec.Epoch())
+	})
+	g.Go("beside", func() error {
+		defer cancel()
+		return beside(lost)
+	})
+	g.Go("counts", func() error { return c.count(lost, e) })
+	g.Go("end", func() error {
+		<-lost.Done()
+		c.local.CompareAndSwap(e, nil)
+		c.release(ctx, lease)
+		c.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
+		return nil
+	})
+	if c.yielding.Load() {
+		cancel()
+	}
+	if err := g.Wait(); err != nil {
+		c.log.Info("the role ends", zap.Error(err))
+	}
+}
+
+// renew keeps the lease. While the ledger does not answer, the role is kept
+// unless another host knows of a later writer.
+func (c *Claimer) renew(ctx context.Context, lease, epoch uint64) error {
+	renewed, refused := c.clock.Now(), 0
+	for {
+		c.renewed.Store(renewed.UnixNano())
+		pause := renewEvery
+		if refused > 0 {
+			pause = renewAgain
+		}
+		if sleeper.Sleep(ctx, pause) != nil {
+			return nil
+		}
+		at := c.clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		err := c.ledger.Renew(callCtx, lease)
+		cancel()
+		if refused++; !refusal(err) {
+			refused = 0
+		}
+		switch {
+		case err == nil:
+			renewed = at
+		case refused == refusals && c.refusedAlone(ctx):
+			c.ceded.Store(true)
+			return errCeded
+		case errors.Is(err, yuccapaddle.ErrLeaseOver):
+			return err
+		case at.Sub(renewed) > c.lease && c.superseded(ctx, epoch):
+			return recorder.ErrReplaced
+		}
+	}
+}
+
+func (c *Claimer) superseded(ctx context.Context, epoch uint64) bool {
+	for _, a := range c.others() {
+		jobs, err := c.links.Jobs(a)
+		if err != nil {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, dialTime)
+		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
+		cancel()
+		if err == nil && reply.GetEpoch() > epoch {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/upkeeper/upkeeper.go
+++ b/internal/maintainer/maintainer.go
@@ -1,6 +1,6 @@
-// Package upkeeper takes machines down for their service, as operators order it
+// Package maintainer takes machines down for their maintenance, as operators order it
 // in waves: each in time, not too many at once, and empty ones first.
-package upkeeper
+package maintainer
 
 import (
 	"context"
@@ -21,16 +21,16 @@
 	emptyShare = 0.8
 )
 
-// Upkeeper runs on the active host.
-type Upkeeper struct {
-	fleet  yuccapaddle.Fleet
-	seats  yuccapaddle.Seats
-	rules  func() *yuccapaddle.Rules
-	clock  yuccapaddle.Clock
-	log    *zap.Logger
-	holder string
-	token  uint64
-	waves  map[int64]*wave
+// Maintainer runs on the active host.
+type Maintainer struct {
+	fleet   yuccapaddle.Fleet
+	drainer yuccapaddle.Drainer
+	rules   func() *yuccapaddle.Rules
+	clock   yuccapaddle.Clock
+	log     *zap.Logger
+	holder  string
+	token   uint64
+	waves   map[int64]*wave
 }
 
 // wave is the progress of one order.
@@ -45,17 +45,17 @@
 	completed bool
 }
 
-// New returns an Upkeeper that gives orders in the name of holder under a token.
-func New(fleet yuccapaddle.Fleet, seats yuccapaddle.Seats, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
+// New returns an Maintainer that gives orders in the name of holder under a token.
+func New(fleet yuccapaddle.Fleet, drainer yuccapaddle.Drainer, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
 	holder string, token uint64, log *zap.Logger,
-) *Upkeeper {
-	return &Upkeeper{
-		fleet: fleet, seats: seats, rules: rules, clock: clock, holder: holder, token: token, log: log, waves: map[int64]*wave{},
+) *Maintainer {
+	return &Maintainer{
+		fleet: fleet, drainer: drainer, rules: rules, clock: clock, holder: holder, token: token, log: log, waves: map[int64]*wave{},
 	}
 }
 
 // Run works on the waves until the context ends or a later host gives orders.
-func (u *Upkeeper) Run(ctx context.Context) error {
+func (u *Maintainer) Run(ctx context.Context) error {
 	for {
 		if err := u.step(ctx); errors.Is(err, yuccapaddle.ErrOutdated) {
 			return err
@@ -69,7 +69,7 @@
 }
 
 // step brings every wave that is not completed forward.
-func (u *Upkeeper) step(ctx context.Context) error {
+func (u *Maintainer) step(ctx context.Context) error {
 	open := u.open()
 	if len(open) == 0 {
 		return nil
@@ -92,7 +92,7 @@
 }
 
 // open lists the waves to work on.
-func (u *Upkeeper) open() []*wave {
+func (u *Maintainer) open() []*wave {
 	rules := u.rules()
 	if rules == nil {
 		return nil
@@ -115,7 +115,7 @@
 	return list
 }
 
-func (u *Upkeeper) advance(ctx context.Context, w *wave, machines map[string]*yuccapaddle.Machine) error {
+func (u *Maintainer) advance(ctx context.Context, w *wave, machines map[string]*yuccapaddle.Machine) error {
 	if !w.announced {
 		if err := u.report(ctx, w, false); err != nil {
 			return err
@@ -148,23 +148,23 @@
 	return nil
 }
 
-// settle notes which machines are back from their service.
-func (u *Upkeeper) settle(ctx context.Context, w *wave, machines map[string]*yuccapaddle.Machine) {
+// settle notes which machines are back from their maintenance.
+func (u *Maintainer) settle(ctx context.Context, w *wave, machines map[string]*yuccapaddle.Machine) {
 	for name, at := range w.down {
 		m := machines[name]
-		// A machine that is up soon after the order had its service before.
+		// A machine that is up soon after the order had its maintenance before.
 		back := m == nil || m.State == yuccapaddle.MachineUp
 		if !back || u.clock.Now().Sub(at) < lookEvery {
 			continue
 		}
 		delete(w.down, name)
 		w.done[name] = true
-		u.seats.Vacate(ctx, w.workers[name], false)
+		u.drainer.Drain(ctx, w.workers[name], false)
 	}
 }
 
 // takeDown orders a machine down once nothing runs on it, or its time is up.
-func (u *Upkeeper) takeDown(ctx context.Context, w *wave, m *yuccapaddle.Machine, name string) error {
+func (u *Maintainer) takeDown(ctx context.Context, w *wave, m *yuccapaddle.Machine, name string) error {
 	now := u.clock.Now()
 	if m == nil {
 		w.done[name] = true // it has left for good
@@ -173,21 +173,21 @@
 	if w.vacated[name].IsZero() {
 		w.vacated[name], w.workers[name] = now, m.Worker
 	}
-	empty, needed := u.seats.Vacate(ctx, m.Worker, true)
+	empty, needed := u.drainer.Drain(ctx, m.Worker, true)
 	if !empty && (needed || now.Before(u.patience(w, name))) {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	err := u.fleet.Service(callCtx, name, w.Number, u.holder, u.token)
-	u.log.Info("service ordered", zap.String("machine", name), zap.Int64("wave", w.Number), zap.String("worker", m.Worker),
+	err := u.fleet.Maintain(callCtx, name, w.Number, u.holder, u.token)
+	u.log.Info("maintenance ordered", zap.String("machine", name), zap.Int64("wave", w.Number), zap.String("worker", m.Worker),
 		zap.Bool("empty", empty), zap.Int64("waited_ms", now.Sub(w.vacated[name]).Milliseconds()), zap.Error(err))
 	switch {
 	case err == nil:
 		w.down[name], w.workers[name] = now, m.Worker
 	case errors.Is(err, yuccapaddle.ErrNotOfWave):
 		w.done[name] = true
-		u.seats.Vacate(ctx, m.Worker, false)
+		u.drainer.Drain(ctx, m.Worker, false)
 	case errors.Is(err, yuccapaddle.ErrOutdated):
 		return err
 	}
@@ -196,7 +196,7 @@
 
 // patience is until when a machine may wait for its tasks: its share of the time
 // that the wave has, at as many at once as are allowed.
-func (u *Upkeeper) patience(w *wave, name string) time.Time {
+func (u *Maintainer) patience(w *wave, name string) time.Time {
 	left := 0
 	for _, m := range w.Machines {
 		if !w.done[m] {
@@ -208,7 +208,7 @@
 	return w.vacated[name].Add(time.Duration(emptyShare * float64(share)))
 }
 
-func (u *Upkeeper) report(ctx context.Context, w *wave, completed bool) error {
+func (u *Maintainer) report(ctx context.Context, w *wave, completed bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	if err := u.fleet.Report(ctx, w.Number, completed); err != nil {
--- a/internal/upkeeper/upkeeper_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -1,4 +1,4 @@
-package upkeeper_test
+package maintainer_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/upkeeper"
+	"yuccapaddle/internal/maintainer"
 )
 
 const downTime = 2 * time.Second
@@ -35,7 +35,7 @@
 
 func (f *fleet) state(name string) yuccapaddle.MachineState {
 	if time.Now().Before(f.backAt[name]) {
-		return yuccapaddle.MachineUpkeep
+		return yuccapaddle.MachineMaintained
 	}
 	return yuccapaddle.MachineUp
 }
@@ -49,8 +49,8 @@
 	return list, nil
 }
 
-// Service implements yuccapaddle.Fleet.
-func (f *fleet) Service(_ context.Context, machine string, _ int64, _ string, _ uint64) error {
+// Maintain implements yuccapaddle.Fleet.
+func (f *fleet) Maintain(_ context.Context, machine string, _ int64, _ string, _ uint64) error {
 	if f.outdated {
 		return yuccapaddle.ErrOutdated
 	}
@@ -59,7 +59,7 @@
 	}
 	down := 0
 	for _, n := range names {
-		if f.state(n) == yuccapaddle.MachineUpkeep {
+		if f.state(n) == yuccapaddle.MachineMaintained {
 			down++
 		}
 	}
@@ -80,8 +80,8 @@
 	return nil
 }
 
-// Vacate implements upkeeper.Seats.
-func (f *fleet) Vacate(context.Context, string, bool) (empty, needed bool) {
+// Drain implements yuccapaddle.Drainer.
+func (f *fleet) Drain(context.Context, string, bool) (empty, needed bool) {
 	return time.Now().After(f.busyUntil), false
 }
 
@@ -91,7 +91,7 @@
 		fl := newFleet(qt.New(t), most)
 		f(fl)
 		rules := &yuccapaddle.Rules{Waves: []yuccapaddle.Wave{{Number: 1, Machines: names, DurationS: 20, Most: most}}}
-		u := upkeeper.New(fl, fl, func() *yuccapaddle.Rules { return rules }, yuccapaddle.SystemClock{}, "h", 7, zap.NewNop())
+		u := maintainer.New(fl, fl, func() *yuccapaddle.Rules { return rules }, yuccapaddle.SystemClock{}, "h", 7, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		var g errgroup.Group
 		g.Go(func() error { return u.Run(ctx) })
@@ -107,13 +107,13 @@
 	})
 }
 
-// TestWave: all machines have their service, never more at once than allowed.
+// TestWave: all machines have their maintenance, never more at once than allowed.
 func TestWave(t *testing.T) {
 	play(t, 2, func(*fleet) {}, func(fl *fleet) { fl.c.Check(fl.completed, qt.IsTrue) })
 }
 
 // TestBusy: machines on which tasks run for longer than the wave may take have
-// their service in time all the same.
+// their maintenance in time all the same.
 func TestBusy(t *testing.T) {
 	play(t, 2, func(fl *fleet) { fl.busyUntil = time.Now().Add(time.Hour) }, func(fl *fleet) { fl.c.Check(fl.completed, qt.IsTrue) })
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		p.strike(s)
-		p.shun(u, m.worker)
+		p.avoid(u, m.worker)
 		p.stop(u, "task "+u.taskID(i).String()+" stands still")
 		return
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -25,8 +25,8 @@
 // was sent at sentAt.
 func (p *Planner) Report(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
 	s := p.worker(id)
-	if s.lives != r.Born {
-		p.reborn(s, r.Born)
+	if s.listedBorn != r.Born {
+		p.restarted(s, r.Born)
 	}
 	for i := range r.Ended {
 		if r.Ended[i].Number <= s.seen {
@@ -40,27 +40,27 @@
 		running[r.Running[i].Task] = true
 		p.running(s, &r.Running[i])
 	}
-	for t := range s.strays {
+	for t := range s.orphans {
 		if !running[t] {
-			delete(s.strays, t)
+			delete(s.orphans, t)
 		}
 	}
 	p.missing(s, running, sentAt)
 	p.balance(s, r.Running)
 }
 
-// reborn notes that a worker has started anew. Runs that it had confirmed and does
+// restarted notes that a worker has started anew. Runs that it had confirmed and does
 // not list any more are gone, as missing finds; starts on their way may meet the
 // new life, and are settled like any other.
-func (p *Planner) reborn(s *worker, born int64) {
-	if s.lives != 0 {
+func (p *Planner) restarted(s *worker, born int64) {
+	if s.listedBorn != 0 {
 		p.note(yuccapaddle.Note{Event: "worker restarted", Worker: s.ID})
 	}
-	s.lives, s.seen = born, 0
+	s.listedBorn, s.seen = born, 0
 }
 
-func (s *worker) seats() []seat {
-	list := make([]seat, 0, len(s.runs))
+func (s *worker) assignments() []assignment {
+	list := make([]assignment, 0, len(s.runs))
 	for _, x := range s.runs {
 		list = append(list, x)
 	}
@@ -71,10 +71,10 @@
 func (p *Planner) running(s *worker, r *yuccapaddle.Run) {
 	x, ok := s.runs[r.Task]
 	if !ok || x.u.run != r.Run {
-		if _, known := s.strays[r.Task]; !known {
-			p.note(yuccapaddle.Note{Event: "stray run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
+		if _, known := s.orphans[r.Task]; !known {
+			p.note(yuccapaddle.Note{Event: "orphan run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
 		}
-		s.strays[r.Task] = *r
+		s.orphans[r.Task] = *r
 		p.batch.Stops = append(p.batch.Stops, yuccapaddle.RunStop{Worker: s.ID, Task: r.Task, Run: r.Run})
 		return
 	}
@@ -155,7 +155,7 @@
 		u.fails++
 	}
 	p.strike(s)
-	p.shun(u, s.ID)
+	p.avoid(u, s.ID)
 }
 
 func (p *Planner) strike(s *worker) {
@@ -163,7 +163,7 @@
 	s.restedAt = p.now.Add(min(restAfterFailure*time.Duration(s.strikes), restMost))
 }
 
-func (p *Planner) shun(u *unit, id string) {
+func (p *Planner) avoid(u *unit, id string) {
 	if u.avoid == nil {
 		u.avoid = map[string]time.Time{}
 	}
@@ -246,7 +246,7 @@
 	return false
 }
 
-func (p *Planner) refused(s *worker, x seat, why yuccapaddle.Refusal) {
+func (p *Planner) refused(s *worker, x assignment, why yuccapaddle.Refusal) {
 	u := x.u
 	p.note(yuccapaddle.Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run, Detail: string(why)})
 	m := &u.members[x.i]
@@ -279,12 +279,12 @@
 }
 
 // again sends a start once more: the run's number makes it idempotent.
-func (p *Planner) again(s *worker, x seat) {
+func (p *Planner) again(s *worker, x assignment) {
 	x.u.members[x.i].tries++
 	p.batch.Starts = append(p.batch.Starts, p.start(x.u, s.ID, x.i))
 }
 
-func (p *Planner) unanswered(s *worker, x seat) {
+func (p *Planner) unanswered(s *worker, x assignment) {
 	u := x.u
 	p.note(yuccapaddle.Note{Event: "start unanswered", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run})
 	if u.stopping {
@@ -322,10 +322,10 @@
 	if len(s.runs) > 0 {
 		p.note(yuccapaddle.Note{Event: "leases over", Worker: id})
 	}
-	for _, x := range s.seats() {
+	for _, x := range s.assignments() {
 		p.over(s, x.u, x.i, "the lease is over")
 	}
-	clear(s.strays)
+	clear(s.orphans)
 }
 
 func (p *Planner) start(u *unit, worker string, i int) yuccapaddle.RunStart {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -9,22 +9,22 @@
 // worker is what the planner knows of one worker.
 type worker struct {
 	yuccapaddle.Worker
-	listed   bool
-	used     yuccapaddle.Need
-	runs     map[yuccapaddle.TaskID]seat
-	strays   map[yuccapaddle.TaskID]yuccapaddle.Run // runs that nothing here wants
-	seen     int64                                  // the highest end that has been applied
-	lives    int64                                  // born, as its lists of runs say
-	strikes  int
-	restedAt time.Time // it is avoided until then
-	gone     time.Time // since when it has not been listed
-	unfit    time.Time // orders to it failed until then
-	silent   bool      // it does not answer
-	resting  bool      // it is kept empty for its service
-}
-
-// seat is a member's place.
-type seat struct {
+	listed     bool
+	used       yuccapaddle.Need
+	runs       map[yuccapaddle.TaskID]assignment
+	orphans    map[yuccapaddle.TaskID]yuccapaddle.Run // runs that nothing here wants
+	seen       int64                                  // the highest end that has been applied
+	listedBorn int64                                  // born, as its lists of runs say
+	strikes    int
+	restedAt   time.Time // it is avoided until then
+	gone       time.Time // since when it has not been listed
+	unfit      time.Time // orders to it failed until then
+	silent     bool      // it does not answer
+	emptied    bool      // it is kept empty for its machine's maintenance
+}
+
+// assignment is a member of a unit on a worker.
+type assignment struct {
 	u *unit
 	i int
 }
@@ -32,7 +32,7 @@
 func (p *Planner) worker(id string) *worker {
 	s := p.workers[id]
 	if s == nil {
-		s = &worker{runs: map[yuccapaddle.TaskID]seat{}, strays: map[yuccapaddle.TaskID]yuccapaddle.Run{}}
+		s = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]yuccapaddle.Run{}}
 		s.ID = id
 		p.workers[id] = s
 	}
@@ -40,7 +40,7 @@
 }
 
 func (s *worker) add(u *unit, i int) {
-	s.runs[u.taskID(i)] = seat{u, i}
+	s.runs[u.taskID(i)] = assignment{u, i}
 	s.used = s.used.Add(u.spec().Room())
 	u.job.live++
 }
@@ -62,7 +62,7 @@
 // has not been noted.
 func (p *Planner) Busy(id string) bool {
 	s := p.workers[id]
-	return s != nil && (len(s.runs) > 0 || len(s.strays) > 0)
+	return s != nil && (len(s.runs) > 0 || len(s.orphans) > 0)
 }
 
 // Holders lists the workers on which something may run.
@@ -121,7 +121,7 @@
 			s.listed, s.gone = false, p.now
 			p.note(yuccapaddle.Note{Event: "worker gone", Worker: id})
 		}
-		if !s.listed && len(s.runs) == 0 && len(s.strays) == 0 && p.now.Sub(s.gone) > forgetWorker {
+		if !s.listed && len(s.runs) == 0 && len(s.orphans) == 0 && p.now.Sub(s.gone) > forgetWorker {
 			delete(p.workers, id)
 		}
 	}
@@ -139,15 +139,15 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (p *Planner) usable(s *worker) bool {
-	return s.listed && !s.silent && !s.resting && !s.Draining && !p.rules.Closed[s.Domain] && !p.now.Before(s.unfit)
+	return s.listed && !s.silent && !s.emptied && !s.Draining && !p.rules.Closed[s.Domain] && !p.now.Before(s.unfit)
 }
 
-// Keep has a worker get no new runs, or ends that, for the service of its
-// machine, and reports whether nothing runs there.
-func (p *Planner) Keep(id string, empty bool) bool {
+// Empty has a worker get no new runs, or ends that, for the maintenance
+// of its machine, and reports whether nothing runs there.
+func (p *Planner) Empty(id string, empty bool) bool {
 	s := p.worker(id)
-	if s.resting != empty {
-		s.resting = empty
+	if s.emptied != empty {
+		s.emptied = empty
 		p.changed = true
 	}
 	return len(s.runs) == 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,31 +30,31 @@
 	searchTime = 1300 * time.Millisecond
 )
 
-// Router implements yuccapaddle.Desk.
+// Router implements yuccapaddle.JobService.
 type Router struct {
 	rules   *ruler.Ruler
 	claimer *claimer.Claimer
 	links   *linker.Linker
 }
 
-var _ yuccapaddle.Desk = (*Router)(nil)
+var _ yuccapaddle.JobService = (*Router)(nil)
 
 // New returns a Router.
 func New(rules *ruler.Ruler, c *claimer.Claimer, links *linker.Linker) *Router {
 	return &Router{rules: rules, claimer: c, links: links}
 }
 
-// Rules implements yuccapaddle.Desk.
+// Rules implements yuccapaddle.JobService.
 func (r *Router) Rules() *yuccapaddle.Rules {
 	return r.rules.Current()
 }
 
-// Pending implements yuccapaddle.Desk.
+// Pending implements yuccapaddle.JobService.
 func (r *Router) Pending(queue string) int64 {
 	return r.claimer.Pending(queue)
 }
 
-// Submit implements yuccapaddle.Desk.
+// Submit implements yuccapaddle.JobService.
 func (r *Router) Submit(ctx context.Context, j *yuccapaddle.Job) error {
 	data, err := json.Marshal(j)
 	if err != nil {
@@ -70,7 +70,7 @@
 	return err
 }
 
-// Cancel implements yuccapaddle.Desk.
+// Cancel implements yuccapaddle.JobService.
 func (r *Router) Cancel(ctx context.Context, id, queue string) (bool, error) {
 	answer, err := r.try(ctx,
 		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
@@ -83,7 +83,7 @@
 	return answer.GetFound(), err
 }
 
-// Show implements yuccapaddle.Desk.
+// Show implements yuccapaddle.JobService.
 func (r *Router) Show(ctx context.Context, id, queue string) (yuccapaddle.JobState, bool, error) {
 	answer, err := r.try(ctx,
 		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
--- a/desk.go
+++ b/jobservice.go
@@ -5,9 +5,9 @@
 	"errors"
 )
 
-// Desk is what callers can ask of the system at any host. Errors of Submit,
+// JobService is what callers can ask of the system at any host. Errors of Submit,
 // Cancel and Show match ErrNotTaken or ErrUnknown.
-type Desk interface {
+type JobService interface {
 	// Rules returns the operators' rules in force here, nil if there are none yet.
 	Rules() *Rules
 	// Submit returns once the job is committed.
--- a/rules.go
+++ b/rules.go
@@ -22,7 +22,7 @@
 	Advised bool
 }
 
-// Wave is the operators' order to service machines, at most Most at once and all
+// Wave is the operators' order to maintain machines, at most Most at once and all
 // within DurationS seconds.
 type Wave struct {
 	Number    int64
--- a/runner.go
+++ b/runner.go
@@ -134,10 +134,10 @@
 
 // States of a machine.
 const (
-	MachineUp     MachineState = "up"
-	MachineMoving MachineState = "moving"
-	MachineUpkeep MachineState = "upkeep"
-	MachineDown   MachineState = "down"
+	MachineUp         MachineState = "up"
+	MachineMoving     MachineState = "moving"
+	MachineMaintained MachineState = "maintained"
+	MachineDown       MachineState = "down"
 )
 
 // Machine is the hardware below a worker. Worker is empty while it has none.
@@ -148,24 +148,24 @@
 	Worker string
 }
 
-// Fleet orders the service of machines. Holder and token shut out orders of
+// Fleet orders the maintenance of machines. Holder and token shut out orders of
 // hosts that have been replaced.
 type Fleet interface {
 	Machines(ctx context.Context) ([]Machine, error)
-	// Service takes a machine down for its service in a wave; what runs there
+	// Maintain takes a machine down for its maintenance in a wave; what runs there
 	// ends. It is idempotent. ErrBusy means that it cannot be taken down now, and
 	// ErrNotOfWave that the wave does not hold it any more.
-	Service(ctx context.Context, machine string, wave int64, holder string, token uint64) error
+	Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error
 	// Report tells the operators how far a wave is.
 	Report(ctx context.Context, wave int64, completed bool) error
 }
 
-// Seats empties workers. The executor does.
-type Seats interface {
-	// Vacate has a worker get no new runs for as long as want holds. It reports
+// Drainer empties workers. The executor does.
+type Drainer interface {
+	// Drain has a worker get no new runs for as long as want holds. It reports
 	// whether nothing runs there, and whether taking it down now would have too
 	// many tasks of a step away.
-	Vacate(ctx context.Context, worker string, want bool) (empty, needed bool)
+	Drain(ctx context.Context, worker string, want bool) (empty, needed bool)
 }
 
 var (
