--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -27,7 +27,7 @@
 
 // Times of the lease and of the search.
 const (
-	// leaseTime is short, so that a lost host is replaced well before the servers'
+	// leaseTime is short, so that a lost host is replaced well before the workers'
 	// leases end; a renewal costs a tenth of a read.
 	leaseTime  = 1200 * time.Millisecond
 	renewEvery = 350 * time.Millisecond
@@ -150,8 +150,8 @@
 // Run follows the active host, or is it, until the context ends.
 func (c *Claimer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		address, ok := c.seek(ctx)
-		if ok && address != "" && c.follow(ctx, address) && sleeper.Sleep(ctx, c.claimDelay()) == nil {
+		address := c.seek(ctx)
+		if address != "" && c.follow(ctx, address) && sleeper.Sleep(ctx, c.claimDelay()) == nil {
 			c.takeCeded(ctx, address)
 		}
 		_ = sleeper.Jitter(ctx, seekEvery) // the loop ends with the context
@@ -159,8 +159,9 @@
 	return nil
 }
 
-// seek returns the address of the active host, or claims the role.
-func (c *Claimer) seek(ctx context.Context) (string, bool) {
+// seek returns the address of the active host, or claims the role and returns
+// nothing, as it does if it finds neither.
+func (c *Claimer) seek(ctx context.Context) string {
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	lock, err := c.ledger.Get(callCtx, lockKey)
@@ -171,17 +172,16 @@
 	if lock.Revision != 0 && holder != c.address {
 		switch c.probe(holder) {
 		case reachable:
-			return holder, true
+			return holder
 		case unreachable:
-			return "", false // its lease will tell
+			return "" // its lease will tell
 		}
 		c.log.Info("the active host's process is gone", zap.String("address", holder))
 	}
-	if c.yielding.Load() || sleeper.Sleep(ctx, c.claimDelay()) != nil {
-		return "", false
+	if !c.yielding.Load() && sleeper.Sleep(ctx, c.claimDelay()) == nil {
+		c.claim(ctx, lock.Revision)
 	}
-	c.claim(ctx, lock.Revision)
-	return "", false
+	return ""
 }
 
 // claimDelay is how long this host waits before it claims, so that one with more
@@ -214,7 +214,7 @@
 }
 
 // ask asks the other hosts which one is active, when the ledger does not answer.
-func (c *Claimer) ask(ctx context.Context) (string, bool) {
+func (c *Claimer) ask(ctx context.Context) string {
 	var best *peer.WhoReply
 	for _, a := range c.others() {
 		jobs, err := c.links.Jobs(a)
@@ -234,10 +234,10 @@
 			best = reply
 		}
 	}
-	if best == nil || best.GetAddress() == c.address {
-		return "", false
+	if best.GetAddress() == c.address {
+		return ""
 	}
-	return best.GetAddress(), true
+	return best.GetAddress()
 }
 
 func (c *Claimer) learn(data []byte) error {
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -148,7 +148,7 @@
 			}
 			return status.Code(err) == codes.Aborted
 		}
-		watch.Reset(max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond))
+		watch.Reset(patience(beat))
 		if !heard {
 			c.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			heard = true
@@ -169,11 +169,16 @@
 	return err == nil && lock.Revision == 0
 }
 
+// patience is how long the active host may be silent after a heartbeat.
+func patience(beat *peer.Beat) time.Duration {
+	return max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond)
+}
+
 // heard takes a heartbeat in.
 func (c *Claimer) heard(address string, beat *peer.Beat) {
 	now := c.clock.Now()
 	c.leader.Store(&leader{
-		address: address, epoch: beat.GetEpoch(), until: now.Add(max(silentFor, missedBeats*time.Duration(beat.GetNextMs())*time.Millisecond)),
+		address: address, epoch: beat.GetEpoch(), until: now.Add(patience(beat)),
 	})
 	if err := c.learn(beat.GetRules()); err != nil {
 		c.log.Warn("the rules of the active host cannot be read", zap.Error(err))
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -247,11 +247,11 @@
 func (e *Executor) flush() {
 	b := e.plan.Take()
 	waiters := e.waiters
-	if b.Empty() && len(waiters) == 0 && !e.owed() {
+	seen := e.seen()
+	if b.Empty() && len(waiters) == 0 && len(seen) == 0 {
 		return
 	}
 	e.waiters = nil
-	seen := e.seen()
 	if len(b.Records) == 0 && len(b.Removed) == 0 {
 		e.perform(&b, waiters, seen)
 		return
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// seen lists the ends whose effects the next commit contains.
+// seen lists the ends that have been applied and that no commit has covered yet.
 func (e *Executor) seen() map[string]int64 {
 	var seen map[string]int64
 	for id, l := range e.links {
@@ -127,16 +127,6 @@
 	return seen
 }
 
-// owed reports whether ends have been applied that no commit has covered yet.
-func (e *Executor) owed() bool {
-	for id, l := range e.links {
-		if e.plan.Seen(id) > l.committed {
-			return true
-		}
-	}
-	return false
-}
-
 // keepLinks renews leases and asks for ends where something may run.
 func (e *Executor) keepLinks() {
 	for id, l := range e.links {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -252,14 +252,13 @@
 // reserved is the room on each worker that waits for claims.
 func (p *Planner) reserved() map[string]yuccapaddle.Need {
 	held := map[string]yuccapaddle.Need{}
-	for _, j := range p.jobs {
-		if j.state.Final() {
+	for u := range p.claims {
+		if u.claim == nil || u.job.state.Final() {
+			delete(p.claims, u)
 			continue
 		}
-		for _, u := range j.units {
-			for _, id := range u.claim {
-				held[id] = held[id].Add(u.spec().Room())
-			}
+		for _, id := range u.claim {
+			held[id] = held[id].Add(u.spec().Room())
 		}
 	}
 	return held
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -71,18 +71,16 @@
 func (p *Planner) running(s *worker, r *yuccapaddle.Run) {
 	x, ok := s.runs[r.Task]
 	if !ok || x.u.run != r.Run {
-		if _, known := s.orphans[r.Task]; !known {
+		if !s.orphans[r.Task] {
 			p.note(yuccapaddle.Note{Event: "orphan run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
 		}
-		s.orphans[r.Task] = *r
+		s.orphans[r.Task] = true
 		p.batch.Stops = append(p.batch.Stops, yuccapaddle.RunStop{Worker: s.ID, Task: r.Task, Run: r.Run})
 		return
 	}
 	m := &x.u.members[x.i]
 	m.seen, m.adopted = true, false
-	if !m.sent {
-		m.sent = true
-	}
+	m.sent = true
 	if r.Percent != m.percent {
 		m.percent, m.movedAt = r.Percent, p.now
 	}
@@ -235,26 +233,27 @@
 		p.begun(x.u)
 	case !errors.As(err, &refusal):
 		p.unanswered(s, x)
-	case refusal.Reason == yuccapaddle.RefusedOld:
-		// The run has been there; the next list tells how it ended.
-		p.note(yuccapaddle.Note{Event: "start refused", Job: t.Job, Task: t.String(), Worker: id, Run: run, Detail: string(refusal.Reason)})
-		m.sent, m.movedAt = true, p.now
-		return true
 	default:
-		p.refused(s, x, refusal.Reason)
+		return p.refused(s, x, refusal.Reason)
 	}
 	return false
 }
 
-func (p *Planner) refused(s *worker, x assignment, why yuccapaddle.Refusal) {
+// refused settles a start that was refused, and reports whether the worker should
+// be looked at to know more.
+func (p *Planner) refused(s *worker, x assignment, why yuccapaddle.Refusal) (look bool) {
 	u := x.u
 	p.note(yuccapaddle.Note{Event: "start refused", Job: u.job.in.ID, Task: u.taskID(x.i).String(), Worker: s.ID, Run: u.run, Detail: string(why)})
 	m := &u.members[x.i]
 	switch why {
+	case yuccapaddle.RefusedOld:
+		// The run has been there; the next list tells how it ended.
+		m.sent, m.movedAt = true, p.now
+		return true
 	case yuccapaddle.RefusedLate:
 		if m.tries < startTries {
 			p.again(s, x)
-			return
+			return false
 		}
 	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedRoom, yuccapaddle.RefusedReplaced:
 		s.unfit = p.now.Add(unfitTime)
@@ -267,9 +266,10 @@
 	if m.tries > 0 && !settles(why) {
 		// An earlier copy has had no answer and may still be carried out.
 		p.stop(u, "a start was refused after one without an answer")
-		return
+		return false
 	}
 	p.over(s, u, x.i, "the start was refused: "+string(why))
+	return false
 }
 
 // settles reports whether a refusal says of earlier copies of the start, too,
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -12,9 +12,9 @@
 	listed     bool
 	used       yuccapaddle.Need
 	runs       map[yuccapaddle.TaskID]assignment
-	orphans    map[yuccapaddle.TaskID]yuccapaddle.Run // runs that nothing here wants
-	seen       int64                                  // the highest end that has been applied
-	listedBorn int64                                  // born, as its lists of runs say
+	orphans    map[yuccapaddle.TaskID]bool // runs that nothing here wants
+	seen       int64                       // the highest end that has been applied
+	listedBorn int64                       // born, as its lists of runs say
 	strikes    int
 	restedAt   time.Time // it is avoided until then
 	gone       time.Time // since when it has not been listed
@@ -32,7 +32,7 @@
 func (p *Planner) worker(id string) *worker {
 	s := p.workers[id]
 	if s == nil {
-		s = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]yuccapaddle.Run{}}
+		s = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]bool{}}
 		s.ID = id
 		p.workers[id] = s
 	}
