scheduler: send a start that had to wait for the permit

The next host hears of the share that is only reserved before its permit stands. It noted the share as reserved, sent nothing and set no time for a retry; reports list only changes, so the share was not named again, and 8 s later the gang was stopped: it ran, and is not repeatable. Beside load the permit comes later than the first report; alone it mostly comes first.

Ruled out: lost starts (the share's message is repeated) and a start that the upstream took for late (it would have been told as refused).

Change: such a share is due at once, so that the next tick with a permit starts it. TestReleasedTakenUp plays it without processes; before: no start, after: the start to the second upstream.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -109,10 +109,15 @@
 		// A former host committed the release but its start did not arrive.
 		sh.phase, sh.ackAt = phaseReserved, s.now
 	}
-	if sh.phase == phaseReserved && lg.released() && !lg.stopping && sh.retryAt.Before(s.now) && s.mayStart(lg.gang) {
-		sh.maybe = true
-		s.sendStart(lg, sh)
+	if sh.phase != phaseReserved || !lg.released() || lg.stopping || !sh.retryAt.Before(s.now) {
+		return
+	}
+	sh.maybe = true
+	if !s.mayStart(lg.gang) {
+		sh.retryAt = s.now // the report does not come again: tickLaunch sends the start
+		return
 	}
+	s.sendStart(lg, sh)
 }
 
 func (s *Scheduler) taskDone(lg *liveGang, t *yuccapaddle.TaskReport) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -211,3 +211,47 @@
 	_, gangs := s.State().Len()
 	qt.Assert(t, gangs, qt.Equals, 6)
 }
+
+// TestReleasedTakenUp: a host dies after it has released a gang and started one
+// of its two shares. The next host hears of the share that waits before it may
+// start anything; it starts it as soon as it may.
+func TestReleasedTakenUp(t *testing.T) {
+	site := yuccapaddle.Site{
+		Domains: []yuccapaddle.Domain{{Name: "d", Upstreams: []yuccapaddle.Upstream{
+			{Name: "u1", Racks: []yuccapaddle.Rack{{Name: "r1", Workers: 1, Accelerators: 8}}},
+			{Name: "u2", Racks: []yuccapaddle.Rack{{Name: "r2", Workers: 1, Accelerators: 8}}},
+		}}},
+		Workspaces: []yuccapaddle.Workspace{{Name: "w"}},
+		Limits:     yuccapaddle.Limits{WaitingPerWorkspace: 10},
+	}
+	configured := yuccapaddle.Configured{Config: &yuccapaddle.Config{Revision: 1, Site: site}}
+	report := func(upstream string, at time.Time, tasks ...yuccapaddle.TaskReport) yuccapaddle.Event {
+		return yuccapaddle.Reported{SentAt: at, Report: yuccapaddle.Report{Upstream: upstream, Boot: "b", Seq: 1, Tasks: tasks}}
+	}
+	state := keeper.New()
+	first := New(state, placer.New(), 1, begin)
+	r := request("gang", begin.Add(time.Hour))
+	r.Tasks, r.Span = 2, yuccapaddle.SpanDomain
+	feed(first, begin, configured, report("u1", begin), report("u2", begin),
+		yuccapaddle.Permitted{Until: begin.Add(time.Hour)}, yuccapaddle.Submitted{Request: r})
+	const lease = "w/gang/1"
+	feed(first, begin, yuccapaddle.Reserved{Upstream: "u1", Lease: lease}, yuccapaddle.Reserved{Upstream: "u2", Lease: lease})
+	qt.Assert(t, state.Gang("w/gang").State, qt.Equals, yuccapaddle.GangReleased)
+
+	later := begin.Add(3 * time.Second)
+	next := New(state, placer.New(), 2, later)
+	task := func(rank int, worker string, state yuccapaddle.TaskState) yuccapaddle.TaskReport {
+		return yuccapaddle.TaskReport{Lease: lease, Rank: rank, Worker: worker, State: state}
+	}
+	feed(next, later, configured)
+	feed(next, later, report("u1", later, task(0, "r1-00", yuccapaddle.TaskRunning)),
+		report("u2", later, task(1, "r2-00", yuccapaddle.TaskReserved)))
+	actions := feed(next, later.Add(time.Second), yuccapaddle.Permitted{Until: later.Add(time.Hour)}, yuccapaddle.Ticked{})
+	started := ""
+	for _, a := range actions {
+		if start, ok := a.(yuccapaddle.StartAction); ok {
+			started = start.Command.Upstream
+		}
+	}
+	qt.Assert(t, started, qt.Equals, "u2")
+}
