executor: send no start of a run that is over

Cause: a start without an answer is to be sent again; while a commit hangs that order waits in the batch. If the worker's leases run out meanwhile, the run is over and the task is placed anew, and the batch that follows sends both starts: the old run and the new one. On two workers that is one task twice. The start was only checked against the worker, not against the run.

Change: a start goes out only while its run is the current one and is not being stopped.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -387,3 +387,28 @@
 		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a"}), qt.HasLen, 1)
 	})
 }
+
+// TestNoStartAfterLapse: a start without an answer is to be sent again while a
+// commit hangs; before it is, the worker's leases run out. The old start must not
+// go out beside that of the next run.
+func TestNoStartAfterLapse(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		for _, w := range r.workers {
+			w.SetFault(laborer.FaultCut)
+		}
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 300})
+		r.store.SetFault(bookkeeper.FaultSilent)
+		r.group.Go(func() error {
+			_ = r.exec.Submit(r.t.Context(), &yuccapaddle.Job{ID: "b", Queue: "batch", Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: one}}})
+			return nil // nobody asks what becomes of it
+		})
+		time.Sleep(8 * time.Second)
+		for _, w := range r.workers {
+			w.SetFault(laborer.FaultNone)
+		}
+		time.Sleep(time.Second)
+		r.store.SetFault(bookkeeper.FaultNone)
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 10*time.Second)
+		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a"}), qt.HasLen, 1)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -259,7 +259,7 @@
 func (e *Executor) sendStart(st yuccapaddle.RunStart) {
 	l := e.link(st.Worker)
 	s, ok := e.plan.Worker(st.Worker)
-	if !ok || !e.plan.Startable(st.Worker) || !e.informed() {
+	if !ok || !e.plan.Startable(&st) || !e.informed() {
 		e.plan.Answered(st.Worker, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
 		return
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -181,10 +181,15 @@
 	p.changed = true
 }
 
-// Startable reports whether a start may be sent to the worker now.
-func (p *Planner) Startable(id string) bool {
-	s := p.workers[id]
-	return s != nil && p.usable(s)
+// Startable reports whether a start may be sent now: the worker gets new work, and
+// the run is not over or being stopped, as it may be since the start was decided.
+func (p *Planner) Startable(st *yuccapaddle.RunStart) bool {
+	s := p.workers[st.Worker]
+	if s == nil || !p.usable(s) {
+		return false
+	}
+	x, ok := s.runs[st.Task]
+	return ok && x.u.run == st.Run && !x.u.stopping
 }
 
 // rests reports whether the worker has failed of late and should be avoided.
