--- a/batch.go
+++ b/batch.go
@@ -83,5 +83,5 @@
 	PartCount int
 	// Queue and Shown are what callers see of it.
 	Queue string
-	Shown JobState
+	Shown JobReport
 }
--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"yuccapaddle/internal/standin/exposer"
+	"yuccapaddle/internal/standin/lister"
+	"yuccapaddle/internal/standin/storer"
+)
+
+// The rates of the brief, in calls a second.
+const (
+	writeRate = 400
+	readRate  = 2000
+)
+
+func init() {
+	register(platformCommand)
+}
+
+func platformCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "platform", Short: "Serves the key-value service and the host list"}
+	address := cmd.Flags().String("address", "127.0.0.1:7100", "IP:port to serve")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		s := storer.New()
+		s.SetFaults(storer.Faults{WriteRate: writeRate, ReadRate: readRate})
+		return exposer.New(s, lister.New(), nil).Serve(cmd.Context(), *address)
+	}
+	return cmd
+}
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -83,7 +83,10 @@
 			return fronter.New(d, m, log).Handle
 		},
 	}
-	place := assembler.Place{Host: s.Host, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics}
+	place := assembler.Place{
+		Host: s.Host, Domain: s.Domain, Region: s.Region,
+		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics, Requests: s.Requests,
+	}
 	bounds := executor.Bounds{
 		HoldMax: s.Bounds.HoldMaxMS, ApplyWithin: s.Bounds.ApplyMS, LeaveWithin: min(s.Bounds.DrainMS, s.Bounds.EvacuateMS),
 		Planner: yuccapaddle.PlanLimits{
--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -35,7 +35,7 @@
 	forward *forwarder.Forwarder
 	store   yuccapaddle.Store
 	host    *loader.Host
-	state   func() []byte
+	state   func() yuccapaddle.HostStatus
 	log     *zap.Logger
 	notify  func(cfg *yuccapaddle.Config)
 }
@@ -48,9 +48,9 @@
 	return func(a *Administrator) { a.notify = f }
 }
 
-// New returns an Administrator; state describes this host in JSON.
+// New returns an Administrator; state describes this host.
 func New(auth *authenticator.Authenticator, apply *applier.Applier, watch *watcher.Watcher, forward *forwarder.Forwarder,
-	store yuccapaddle.Store, host *loader.Host, state func() []byte, log *zap.Logger, opts ...Option,
+	store yuccapaddle.Store, host *loader.Host, state func() yuccapaddle.HostStatus, log *zap.Logger, opts ...Option,
 ) *Administrator {
 	a := &Administrator{
 		auth: auth, apply: apply, watch: watch, forward: forward, store: store, host: host, state: state, log: log,
@@ -62,13 +62,6 @@
 	return a
 }
 
-// HostState is the state of one host, or the error of asking for it.
-type HostState struct {
-	Host  string          `json:"host"`
-	State json.RawMessage `json:"state,omitempty"`
-	Error string          `json:"error,omitempty"`
-}
-
 // Handle serves one HTTP request.
 func (a *Administrator) Handle(ctx *fasthttp.RequestCtx) {
 	operator, ok := a.auth.Operator(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
@@ -183,19 +176,20 @@
 }
 
 func (a *Administrator) states(ctx *fasthttp.RequestCtx) {
-	out := []HostState{{Host: a.host.Name, State: a.state()}}
+	own := a.state()
+	out := []yuccapaddle.HostReply{{Host: a.host.Name, Status: &own}}
 	for _, p := range a.host.Peers {
 		if p.Name == a.host.Name {
 			continue
 		}
-		s := HostState{Host: p.Name}
-		data, err := a.forward.State(context.Background(), p.Address)
+		r := yuccapaddle.HostReply{Host: p.Name}
+		status, err := a.forward.State(context.Background(), p.Address)
 		if err != nil {
-			s.Error = err.Error()
+			r.Error = err.Error()
 		} else {
-			s.State = data
+			r.Status = status
 		}
-		out = append(out, s)
+		out = append(out, r)
 	}
 	writer.JSON(ctx, fasthttp.StatusOK, out)
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -18,12 +18,18 @@
 	"yuccapaddle/internal/claimer"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/guarder"
+	"yuccapaddle/internal/inspector"
+	"yuccapaddle/internal/jobmaker"
 	"yuccapaddle/internal/jobserver"
+	"yuccapaddle/internal/keyholder"
+	"yuccapaddle/internal/limiter"
 	"yuccapaddle/internal/linker"
+	"yuccapaddle/internal/loader"
 	"yuccapaddle/internal/maintainer"
 	"yuccapaddle/internal/monitor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/responder"
 	"yuccapaddle/internal/router"
 	"yuccapaddle/internal/ruler"
 	"yuccapaddle/internal/sleeper"
@@ -37,9 +43,11 @@
 	idleTime    = 60 * time.Second
 )
 
-// Place says where a host listens. Addresses are host:port.
+// Place says where a host is and where it listens. Addresses are host:port.
+// Requests may be empty: then the project's own interface is not served.
 type Place struct {
-	Host, Callers, Ready, Peers, Metrics string
+	Host, Domain, Region                     string
+	Callers, Ready, Peers, Metrics, Requests string
 }
 
 // Outside is what a host meets outside of the system.
@@ -66,9 +74,13 @@
 	log      *zap.Logger
 	rules    *ruler.Ruler
 	links    *linker.Linker
+	jobs     yuccapaddle.JobService
 	claimer  *claimer.Claimer
 	monitor  *monitor.Monitor
 	front    *fasthttp.Server
+	limit    *limiter.Limiter
+	respond  *responder.Responder
+	inspect  *inspector.Inspector
 	stopping atomic.Bool
 	serving  atomic.Int64
 }
@@ -101,7 +113,13 @@
 	a.rules = ruler.New(outside.Rulebook, bounds.ApplyWithin, clock, log)
 	a.links = linker.New()
 	a.monitor = monitor.New(place.Host, a.isReady)
+	settings := loader.Defaults()
+	settings.Region = place.Region
+	a.limit = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
 	a.claimer = claimer.New(outside.Ledger, a.rules, a.links, place.Host, place.Peers, nonce, a.lease, a.build, clock, log, claimer.WithShare(a.share))
+	a.jobs = router.New(a.rules, a.claimer, a.links)
+	a.respond = responder.New(keyholder.New(a.rules.Current), jobmaker.New(a.jobs), a.limit, &settings, log, a.monitor.Observe)
+	a.inspect = inspector.New(a.status, a.claimer, a.links, a.monitor.Handle)
 	return a
 }
 
@@ -118,16 +136,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := guarder.New(ctx, a.log)
-	handle := a.outside.Front(router.New(a.rules, a.claimer, a.links), a.monitor)
+	handle := a.outside.Front(a.jobs, a.monitor)
 	a.front = server(a.counted(handle))
-	ready, metrics := server(a.ready), server(a.monitor.Handle)
+	ready, metrics, requests := server(a.ready), server(a.inspect.Handle), server(a.counted(a.respond.Handle))
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage))
-	peer.RegisterJobsServer(peers, jobserver.New(a.claimer))
+	peer.RegisterJobsServer(peers, jobserver.New(a.claimer, a.status))
 	serve := []struct {
 		address string
 		serve   func(net.Listener) error
-	}{{a.place.Peers, peers.Serve}, {a.place.Ready, ready.Serve}, {a.place.Metrics, metrics.Serve}, {a.place.Callers, a.front.Serve}}
+	}{{a.place.Peers, peers.Serve}, {a.place.Ready, ready.Serve}, {a.place.Metrics, metrics.Serve}, {a.place.Requests, requests.Serve}, {a.place.Callers, a.front.Serve}}
 	for _, s := range serve {
+		if s.address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return fmt.Errorf("address %s cannot be served: %w", s.address, err)
@@ -144,7 +165,7 @@
 		}
 		cancel()
 		peers.Stop()
-		return errors.Join(a.front.Shutdown(), ready.Shutdown(), metrics.Shutdown())
+		return errors.Join(a.front.Shutdown(), ready.Shutdown(), metrics.Shutdown(), requests.Shutdown())
 	})
 	a.log.Info("started", zap.String("callers", a.place.Callers), zap.String("peers", a.place.Peers))
 	err := g.Wait()
@@ -192,10 +213,34 @@
 	return true, ""
 }
 
+// status is what this host tells operators of itself.
+func (a *Assembler) status(ctx context.Context) (yuccapaddle.HostStatus, error) {
+	st := yuccapaddle.HostStatus{
+		Host: a.place.Host, Domain: a.place.Domain, InFlight: a.serving.Load(), Stopping: a.stopping.Load(),
+		Heard: time.Now().Add(-timekeeper.Timekeeper{}.Now().Sub(a.rules.FreshAt())).UTC(),
+	}
+	if rules := a.rules.Current(); rules != nil {
+		st.Revision = uint64(rules.Version)
+	}
+	e := a.claimer.Local()
+	if e == nil {
+		st.Leader, _ = a.claimer.Leader()
+		return st, nil
+	}
+	st.Active, st.Leader = true, a.place.Host
+	engine, err := e.Status(ctx)
+	if err != nil {
+		return st, err
+	}
+	st.Engine = &engine
+	return st, nil
+}
+
 // drainCallers gives the role up and serves on while callers still come.
 func (a *Assembler) drainCallers(ctx context.Context) {
 	a.log.Info("stopping", zap.Int64("requests", a.serving.Load()))
 	a.stopping.Store(true)
+	a.respond.Drain()
 	a.claimer.Yield()
 	if sleeper.Sleep(ctx, a.drain) != nil {
 		return
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -100,7 +100,7 @@
 		}
 	}
 	h.Claimer = claimer.New(h.door, rules, linker.New(), name, address, name, lease, build, clock, zap.NewNop())
-	peer.RegisterJobsServer(h.peers, jobserver.New(h.Claimer))
+	peer.RegisterJobsServer(h.peers, jobserver.New(h.Claimer, nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
 	g.Go(func() error { return h.peers.Serve(l) })
--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -1,15 +1,12 @@
 package commander
 
 import (
-	"encoding/json"
 	"strconv"
 
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
-	"yuccapaddle/internal/administrator"
-	"yuccapaddle/internal/driver"
-	"yuccapaddle/internal/server"
+	"yuccapaddle"
 )
 
 func init() {
@@ -32,9 +29,9 @@
 	return cmd
 }
 
-func stateRow(h administrator.HostState) []string {
-	var s server.State
-	if h.Error != "" || json.Unmarshal(h.State, &s) != nil {
+func stateRow(h yuccapaddle.HostReply) []string {
+	s := h.Status
+	if s == nil {
 		return []string{h.Host, "", "", "", "", "", "", "", "", h.Error}
 	}
 	row := []string{h.Host, strconv.FormatBool(s.Active), s.Leader, strconv.FormatUint(s.Revision, 10)}
@@ -45,8 +42,8 @@
 	return append(row, "", "", "", "", "", "")
 }
 
-func (c *Commander) states() ([]administrator.HostState, error) {
-	var hosts []administrator.HostState
+func (c *Commander) states() ([]yuccapaddle.HostReply, error) {
+	var hosts []yuccapaddle.HostReply
 	if err := c.call(fasthttp.MethodGet, "/v1/state", nil, &hosts); err != nil {
 		return nil, statusText(err)
 	}
@@ -54,15 +51,14 @@
 }
 
 // engine returns the state of the active host.
-func (c *Commander) engine() (*driver.Status, error) {
+func (c *Commander) engine() (*yuccapaddle.EngineStatus, error) {
 	hosts, err := c.states()
 	if err != nil {
 		return nil, err
 	}
 	for _, h := range hosts {
-		var s server.State
-		if json.Unmarshal(h.State, &s) == nil && s.Engine != nil {
-			return s.Engine, nil
+		if h.Status != nil && h.Status.Engine != nil {
+			return h.Status.Engine, nil
 		}
 	}
 	return nil, exit(codeUnavailable, "no host is active now, look at: yuccapaddle state")
--- a/internal/commander/submit.go
+++ b/internal/commander/submit.go
@@ -29,6 +29,7 @@
 	flags.StringVar(&s.ID, "id", "", "idempotency key; a new one is made if it is not given")
 	flags.StringVar(&s.Team, "team", "", "team whose quota is used")
 	flags.StringVar(&s.Class, "class", "batch", "quick or batch")
+	flags.StringVar(&s.Queue, "queue", "", "queue of the operators' rules, on the users' platform; without it, one that fits the class")
 	flags.IntVar(&s.Tasks, "tasks", 1, "tasks that run together")
 	flags.IntVar(&s.Accelerators, "accelerators", 1, "accelerators of each task")
 	flags.StringVar(&s.Span, "span", "domain", "widest spread of the tasks: worker, rack, domain")
--- a/internal/commander/workers.go
+++ b/internal/commander/workers.go
@@ -8,7 +8,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/applier"
-	"yuccapaddle/internal/driver"
 	"yuccapaddle/internal/mapper"
 )
 
@@ -20,11 +19,14 @@
 	cmd := &cobra.Command{Use: "workers", Short: "Shows workers, drains them and brings them back"}
 	list := &cobra.Command{Use: "list", Short: "Lists the workers with their use", Args: cobra.NoArgs}
 	list.RunE = func(cmd *cobra.Command, _ []string) error {
-		cfg, err := c.config()
+		engine, err := c.engine()
 		if err != nil {
 			return err
 		}
-		engine, err := c.engine()
+		if len(engine.Workers) > 0 { // they register themselves
+			return c.print(cmd, engine.Workers, registeredRows(engine.Workers))
+		}
+		cfg, err := c.config()
 		if err != nil {
 			return err
 		}
@@ -39,8 +41,18 @@
 	return cmd
 }
 
-func workerRows(site *yuccapaddle.Site, engine *driver.Status) [][]string {
-	rows := [][]string{{"WORKER", "RACK", "DOMAIN", "USED", "ACCELERATORS", "STATE"}}
+var workerColumns = []string{"WORKER", "RACK", "DOMAIN", "USED", "ACCELERATORS", "STATE"}
+
+func registeredRows(workers []yuccapaddle.WorkerStatus) [][]string {
+	rows := [][]string{workerColumns}
+	for _, w := range workers {
+		rows = append(rows, []string{w.ID, w.Rack, w.Domain, strconv.Itoa(w.Used), strconv.Itoa(w.Accelerators), w.State})
+	}
+	return rows
+}
+
+func workerRows(site *yuccapaddle.Site, engine *yuccapaddle.EngineStatus) [][]string {
+	rows := [][]string{workerColumns}
 	for _, w := range mapper.New(site).Workers() {
 		state := "in"
 		switch {
--- a/internal/converter/converter.go
+++ b/internal/converter/converter.go
@@ -86,3 +86,13 @@
 	}
 	return time.UnixMilli(ms).UTC()
 }
+
+// JobAnswer makes the answer that tells of a job.
+func JobAnswer(r yuccapaddle.JobReport, found bool) *peer.JobAnswer {
+	return &peer.JobAnswer{Found: found, State: string(r.State), Ran: r.Ran, Runs: int64(r.Runs), Why: r.Why}
+}
+
+// JobReport reads an answer that tells of a job.
+func JobReport(m *peer.JobAnswer) yuccapaddle.JobReport {
+	return yuccapaddle.JobReport{State: yuccapaddle.JobState(m.GetState()), Ran: m.GetRan(), Runs: int(m.GetRuns()), Why: m.GetWhy()}
+}
--- a/internal/driver/serve.go
+++ b/internal/driver/serve.go
@@ -173,26 +173,9 @@
 	d.log.Warn("records were not committed before the stop", zap.Bool("stalled", stalled))
 }
 
-// Status is a summary for operators.
-type Status struct {
-	Epoch       uint64             `json:"epoch"`
-	Journal     uint64             `json:"journal"`
-	Jobs        int                `json:"jobs"`
-	Gangs       int                `json:"gangs"`
-	Waiting     int                `json:"waiting"`
-	Stalled     bool               `json:"stalled"`
-	Quarantined []string           `json:"quarantined,omitempty"`
-	Shortages   []string           `json:"shortages,omitempty"`
-	Homes       []yuccapaddle.Home `json:"homes,omitempty"`
-	Used        map[string]int     `json:"used,omitempty"`
-	Unusable    []string           `json:"unusable,omitempty"`
-	Commits     uint64             `json:"commits"`
-	Records     uint64             `json:"records"`
-}
-
 // Status returns the summary, false if this host is not active.
-func (d *Driver) Status() (Status, bool) {
-	var st Status
+func (d *Driver) Status() (yuccapaddle.EngineStatus, bool) {
+	var st yuccapaddle.EngineStatus
 	if !d.running.Load() {
 		return st, false
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -78,6 +78,7 @@
 	arriving    []submission
 	links       map[string]*link
 	shown       map[string]shownJob
+	watchers    map[string][]chan struct{} // by job, closed once its end is committed
 	digest      uint64
 	away        bool // the registrations cannot be read
 	listedAt    time.Time
@@ -85,9 +86,9 @@
 	now         time.Time
 }
 
-// shownJob is the committed state of a job, as callers see it.
+// shownJob is what is committed of a job, as callers see it.
 type shownJob struct {
-	state yuccapaddle.JobState
+	yuccapaddle.JobReport
 	queue string
 }
 
@@ -111,7 +112,7 @@
 	e := &Executor{
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
-		links: map[string]*link{}, shown: map[string]shownJob{}, questions: make(chan yuccapaddle.Question, mostQuestions),
+		links: map[string]*link{}, shown: map[string]shownJob{}, watchers: map[string][]chan struct{}{}, questions: make(chan yuccapaddle.Question, mostQuestions),
 		meter: yuccapaddle.NoMeter{},
 	}
 	for _, o := range opts {
@@ -276,6 +277,9 @@
 func (e *Executor) perform(b *yuccapaddle.Batch, waiters []chan struct{}, seen map[string]int64) {
 	for _, r := range b.Records {
 		e.shown[r.ID] = shownJob{r.Shown, r.Queue}
+		if r.Shown.State.Final() {
+			e.wake(r.ID)
+		}
 	}
 	for _, r := range b.Removed {
 		delete(e.shown, r.ID)
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -412,3 +412,38 @@
 		r.c.Check(r.starts.Of(yuccapaddle.TaskID{Job: "a"}), qt.HasLen, 1)
 	})
 }
+
+// TestShowWaits: a caller who waits is answered when the job ends, or when its time
+// is over, and leaves nothing behind.
+func TestShowWaits(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 2000})
+		begun := time.Now()
+		report, found, err := r.exec.Show(r.t.Context(), "a", "", begun.Add(500*time.Millisecond))
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(found, qt.IsTrue)
+		r.c.Check(report.State, qt.Equals, yuccapaddle.JobRunning)
+		r.c.Check(time.Since(begun), qt.Equals, 500*time.Millisecond)
+		report, _, err = r.exec.Show(r.t.Context(), "a", "", begun.Add(10*time.Second))
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(report, qt.DeepEquals, yuccapaddle.JobReport{State: yuccapaddle.JobCompleted, Ran: true, Runs: 1})
+		r.c.Check(time.Since(begun) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+	})
+}
+
+// TestHopelessRefused: a strict job that no workers could hold is refused at once
+// and leaves no record; another job of its size waits.
+func TestHopelessRefused(t *testing.T) {
+	play(t, 2, func(r *rig) {
+		time.Sleep(100 * time.Millisecond) // until the workers are known
+		wide := yuccapaddle.Step{Count: 3, Need: yuccapaddle.Need{GPU: 8}, Gang: true}
+		job := &yuccapaddle.Job{ID: "a", Queue: "batch", Service: "svc", Steps: []yuccapaddle.Step{wide}, Strict: true}
+		err := r.exec.Submit(r.t.Context(), job)
+		r.c.Check(err, qt.ErrorIs, yuccapaddle.ErrNotTaken)
+		_, found, err := r.exec.Show(r.t.Context(), "a", "", time.Time{})
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(found, qt.IsFalse)
+		r.submit("b", "batch", wide)
+		r.c.Check(r.state("b", "batch"), qt.Equals, yuccapaddle.JobQueued)
+	})
+}
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,24 +11,24 @@
 )
 
 // submission is a job that waits for the commit in work to end. Its channel
-// tells whether it has been taken in.
+// gets nil once it has been taken in, or why it is not.
 type submission struct {
 	job   *yuccapaddle.Job
-	taken chan bool
+	taken chan error
 }
 
 // Submit takes a job in and returns once it is committed. While commits do not
 // get through it is refused, which is true of it: only jobs that have been taken
 // in are ever part of a commit.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
-	s := submission{job: j, taken: make(chan bool, 1)}
+	s := submission{job: j, taken: make(chan error, 1)}
 	if !e.post(func() { e.receive(s) }) {
 		return yuccapaddle.ErrNotTaken
 	}
 	select {
-	case ok := <-s.taken:
-		if !ok {
-			return ErrRefused
+	case err := <-s.taken:
+		if err != nil {
+			return err
 		}
 	case <-ctx.Done():
 		return yuccapaddle.ErrUnknown
@@ -46,8 +48,15 @@
 }
 
 func (e *Executor) takeIn(s submission) {
+	if s.job.Strict {
+		if why := e.plan.Hopeless(s.job); why != "" {
+			e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", why))
+			s.taken <- &yuccapaddle.HopelessError{Why: why}
+			return
+		}
+	}
 	e.plan.Submit(s.job)
-	s.taken <- true
+	s.taken <- nil
 }
 
 // stalled reports whether the commit in work takes so long that the ledger is
@@ -59,7 +68,7 @@
 func (e *Executor) turnAway(s submission) {
 	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", "the ledger does not answer"),
 		zap.Int64("commit_ms_ago", e.now.Sub(e.committedAt).Milliseconds()))
-	s.taken <- false
+	s.taken <- ErrRefused
 }
 
 // admit settles the jobs that have waited for a commit.
@@ -82,7 +91,7 @@
 func (e *Executor) Cancel(ctx context.Context, id, queue string) (bool, error) {
 	found := false
 	err := e.ask(ctx, func() {
-		if _, q, ok := e.plan.State(id); ok && q == queue {
+		if _, q, ok := e.plan.Report(id); ok && (queue == "" || q == queue) {
 			found = e.plan.Cancel(id)
 		}
 	})
@@ -117,48 +126,122 @@
 	}
 }
 
-// Show returns the committed state of a job.
-func (e *Executor) Show(ctx context.Context, id, queue string) (yuccapaddle.JobState, bool, error) {
+// Show returns what is committed of a job, once it is final or at until.
+func (e *Executor) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
+	for {
+		report, found, ended, err := e.shownNow(ctx, id, queue, until)
+		if err != nil || ended == nil {
+			return report, found, err
+		}
+		timer := time.NewTimer(time.Until(until))
+		select {
+		case <-ended:
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-e.done:
+		}
+		timer.Stop()
+		e.post(func() { e.leave(id, ended) })
+	}
+}
+
+// leave forgets a waiter for the end of a job, if it still waits.
+func (e *Executor) leave(id string, ended chan struct{}) {
+	list := slices.DeleteFunc(e.watchers[id], func(c chan struct{}) bool { return c == ended })
+	if len(list) == 0 {
+		delete(e.watchers, id)
+		return
+	}
+	e.watchers[id] = list
+}
+
+// shownNow returns what is committed of a job, and a channel that is closed when
+// that is final, unless it is or there is no time left to wait.
+func (e *Executor) shownNow(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, chan struct{}, error) {
 	type answer struct {
-		state yuccapaddle.JobState
-		ok    bool
+		shown shownJob
+		found bool
+		ended chan struct{}
 	}
 	answers := make(chan answer, 1)
+	wait := time.Now().Before(until)
 	sent := e.post(func() {
 		s, ok := e.shown[id]
 		if !ok {
 			var q string
-			_, q, ok = e.plan.State(id)
-			s = shownJob{yuccapaddle.JobQueued, q}
+			_, q, ok = e.plan.Report(id)
+			s = shownJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, q}
+		}
+		a := answer{shown: s, found: ok && (queue == "" || s.queue == queue)}
+		if a.found && wait && !s.State.Final() {
+			a.ended = make(chan struct{})
+			e.watchers[id] = append(e.watchers[id], a.ended)
 		}
-		answers <- answer{s.state, ok && s.queue == queue}
+		answers <- a
 	})
 	if !sent {
-		return "", false, yuccapaddle.ErrNotTaken
+		return yuccapaddle.JobReport{}, false, nil, yuccapaddle.ErrNotTaken
 	}
 	select {
 	case a := <-answers:
-		return a.state, a.ok, nil
+		return a.shown.JobReport, a.found, a.ended, nil
 	case <-ctx.Done():
-		return "", false, yuccapaddle.ErrUnknown
 	case <-e.done:
-		return "", false, yuccapaddle.ErrUnknown
 	}
+	return yuccapaddle.JobReport{}, false, nil, yuccapaddle.ErrUnknown
 }
 
-// Pending returns the number of jobs of each queue that have not begun.
-func (e *Executor) Pending(ctx context.Context) map[string]int64 {
-	answers := make(chan map[string]int64, 1)
-	if !e.post(func() { answers <- e.plan.Pending() }) {
-		return nil
+// wake tells those who wait for the end of a job.
+func (e *Executor) wake(id string) {
+	for _, ended := range e.watchers[id] {
+		close(ended)
+	}
+	delete(e.watchers, id)
+}
+
+// View returns what operators are told of a job.
+func (e *Executor) View(ctx context.Context, id string) (yuccapaddle.JobView, bool, error) {
+	var view yuccapaddle.JobView
+	found := false
+	err := e.read(ctx, func() { view, found = e.plan.View(id) })
+	return view, found, err
+}
+
+// Status returns a summary for operators.
+func (e *Executor) Status(ctx context.Context) (yuccapaddle.EngineStatus, error) {
+	var st yuccapaddle.EngineStatus
+	err := e.read(ctx, func() {
+		st = e.plan.Status()
+		st.Epoch, st.Stalled = e.rec.Epoch(), e.stalled()
+	})
+	return st, err
+}
+
+// read has the loop run f, which changes nothing.
+func (e *Executor) read(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	if !e.post(func() {
+		f()
+		close(ran)
+	}) {
+		return yuccapaddle.ErrNotTaken
 	}
 	select {
-	case m := <-answers:
-		return m
+	case <-ran:
+		return nil
 	case <-ctx.Done():
 	case <-e.done:
 	}
-	return nil
+	return yuccapaddle.ErrUnknown
+}
+
+// Pending returns the number of jobs of each queue that have not begun.
+func (e *Executor) Pending(ctx context.Context) map[string]int64 {
+	var counts map[string]int64
+	if err := e.read(ctx, func() { counts = e.plan.Pending() }); err != nil {
+		return nil
+	}
+	return counts
 }
 
 // Epoch is the number of this writer.
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -227,7 +227,7 @@
 	}
 	l.setClock(reply.Clock, sentAt)
 	l.told, l.met = max(l.told, o.Seen), true
-	e.plan.Report(id, &reply, sentAt)
+	e.plan.Heard(id, &reply, sentAt)
 }
 
 func (e *Executor) noteSilence(id string, l *link, err error) {
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -226,9 +226,9 @@
 
 // state is the committed state of a job.
 func (r *rig) state(id, queue string) yuccapaddle.JobState {
-	s, _, err := r.exec.Show(r.t.Context(), id, queue)
+	report, _, err := r.exec.Show(r.t.Context(), id, queue, time.Time{})
 	r.c.Assert(err, qt.IsNil)
-	return s
+	return report.State
 }
 
 // settles waits until the job has the state, checking all the while that no
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -91,6 +92,12 @@
 // told whether the request was accepted, the verdict is unknown; if no host can
 // have accepted it, the verdict is refused.
 func (f *Forwarder) Submit(ctx context.Context, r *yuccapaddle.Request, deadline time.Time) yuccapaddle.Outcome {
+	if r.Queue != "" {
+		return yuccapaddle.Outcome{
+			ID: r.ID, Workspace: r.Workspace, Verdict: yuccapaddle.VerdictRefused,
+			Reason: "not run: there are no queues here, only the classes quick and batch",
+		}
+	}
 	o, sent, err := f.try(ctx, deadline, func(ctx context.Context, local Local, remote peer.PeerClient) (yuccapaddle.Outcome, error) {
 		if local != nil {
 			return local.Submit(ctx, r)
@@ -247,8 +254,8 @@
 	return m.GetRevision(), nil
 }
 
-// State returns the state of another host, in JSON.
-func (f *Forwarder) State(ctx context.Context, address string) ([]byte, error) {
+// State returns the state of another host.
+func (f *Forwarder) State(ctx context.Context, address string) (*yuccapaddle.HostStatus, error) {
 	remote, err := f.dial(address)
 	if err != nil {
 		return nil, err
@@ -259,7 +266,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask host %s for its state: %w", address, err)
 	}
-	return m.GetState(), nil
+	var st yuccapaddle.HostStatus
+	if err := json.Unmarshal(m.GetState(), &st); err != nil {
+		return nil, fmt.Errorf("decode the state of host %s: %w", address, err)
+	}
+	return &st, nil
 }
 
 // Close ends the connections.
--- /dev/null
+++ b/internal/jobmaker/jobmaker_test.go
@@ -0,0 +1,116 @@
+package jobmaker_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/jobmaker"
+)
+
+// jobs is a JobService that remembers one job and answers as it is told.
+type jobs struct {
+	rules  *yuccapaddle.Rules
+	job    *yuccapaddle.Job
+	report yuccapaddle.JobReport
+	err    error
+}
+
+// Rules implements yuccapaddle.JobService.
+func (s *jobs) Rules() *yuccapaddle.Rules { return s.rules }
+
+// Submit implements yuccapaddle.JobService.
+func (s *jobs) Submit(_ context.Context, j *yuccapaddle.Job) error {
+	s.job = j
+	return s.err
+}
+
+// Cancel implements yuccapaddle.JobService.
+func (s *jobs) Cancel(_ context.Context, id, _ string) (bool, error) {
+	return s.job != nil && s.job.ID == id, s.err
+}
+
+// Show implements yuccapaddle.JobService.
+func (s *jobs) Show(_ context.Context, id, _ string, _ time.Time) (yuccapaddle.JobReport, bool, error) {
+	return s.report, s.job != nil && s.job.ID == id, s.err
+}
+
+// Pending implements yuccapaddle.JobService.
+func (s *jobs) Pending(string) int64 { return 0 }
+
+var rules = (&yuccapaddle.Rules{Queues: []yuccapaddle.Queue{
+	{Name: "sweeps", Service: "s", Priority: 2}, {Name: "checks", Service: "s", Priority: 0},
+}}).Index()
+
+func request(class yuccapaddle.Class, queue string) *yuccapaddle.Request {
+	return &yuccapaddle.Request{
+		ID: "r1", Workspace: "w", Class: class, Queue: queue, Tasks: 3, Accelerators: 2, Span: yuccapaddle.SpanRack, Payload: []byte(`{"a":1}`),
+	}
+}
+
+// TestJob: a request becomes a job of one step, in the queue that it names or that
+// is as urgent as its class.
+func TestJob(t *testing.T) {
+	c := qt.New(t)
+	s := &jobs{rules: rules}
+	m := jobmaker.New(s)
+	limit := time.Now().Add(time.Minute)
+	o := m.Submit(t.Context(), request(yuccapaddle.ClassQuick, ""), limit)
+	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictWaiting)
+	c.Check(s.job, qt.DeepEquals, &yuccapaddle.Job{
+		ID: jobmaker.ID("w/r1"), Key: "w/r1", Queue: "checks", Service: "s", Workspace: "w", Payload: `{"a":1}`, Once: true, Strict: true,
+		Steps: []yuccapaddle.Step{{Count: 3, Need: yuccapaddle.Need{GPU: 2}, Gang: true, Span: yuccapaddle.SpanRack}},
+	})
+	m.Submit(t.Context(), request(yuccapaddle.ClassQuick, "sweeps"), limit)
+	c.Check(s.job.Queue, qt.Equals, "sweeps")
+	o = m.Submit(t.Context(), request(yuccapaddle.ClassBatch, "none"), limit)
+	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictRefused)
+	c.Check(o.Reason, qt.Equals, `not run: there is no queue "none"`)
+	c.Check(o.RetryAfter.IsZero(), qt.IsTrue, qt.Commentf("it will not be taken later either"))
+}
+
+// TestTruth: what is not known to be refused is not told as refused.
+func TestTruth(t *testing.T) {
+	c := qt.New(t)
+	s := &jobs{rules: rules, err: fmt.Errorf("away: %w", yuccapaddle.ErrNotTaken)}
+	m := jobmaker.New(s)
+	limit := time.Now().Add(time.Minute)
+	o := m.Submit(t.Context(), request(yuccapaddle.ClassBatch, ""), limit)
+	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictRefused)
+	c.Check(o.RetryAfter.IsZero(), qt.IsFalse)
+	s.err = fmt.Errorf("%w: %w", yuccapaddle.ErrNotTaken, &yuccapaddle.HopelessError{Why: "for more room"})
+	o = m.Submit(t.Context(), request(yuccapaddle.ClassBatch, ""), limit)
+	c.Check(o.Reason, qt.Equals, "not run: no workers could hold it: it would wait for more room")
+	s.err = yuccapaddle.ErrUnknown
+	c.Check(m.Submit(t.Context(), request(yuccapaddle.ClassBatch, ""), limit).Verdict, qt.Equals, yuccapaddle.VerdictUnknown)
+	_, err := m.Await(t.Context(), "w/r1", time.Time{})
+	c.Check(err, qt.ErrorIs, yuccapaddle.ErrUnknown)
+}
+
+// TestOutcome: the states of jobs as callers of requests are told of them.
+func TestOutcome(t *testing.T) {
+	c := qt.New(t)
+	s := &jobs{rules: rules}
+	m := jobmaker.New(s)
+	o, err := m.Await(t.Context(), "w/r1", time.Time{})
+	c.Assert(err, qt.IsNil)
+	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictNotFound)
+	m.Submit(t.Context(), request(yuccapaddle.ClassBatch, ""), time.Now().Add(time.Minute))
+	for state, verdict := range map[yuccapaddle.JobState]yuccapaddle.Verdict{
+		yuccapaddle.JobQueued: yuccapaddle.VerdictWaiting, yuccapaddle.JobRunning: yuccapaddle.VerdictRunning,
+		yuccapaddle.JobCompleted: yuccapaddle.VerdictDone, yuccapaddle.JobFailed: yuccapaddle.VerdictFailed,
+	} {
+		s.report = yuccapaddle.JobReport{State: state, Ran: true, Runs: 2, Why: "why"}
+		o, err = m.Await(t.Context(), "w/r1", time.Time{})
+		c.Assert(err, qt.IsNil)
+		c.Check(o, qt.DeepEquals, yuccapaddle.Outcome{ID: "r1", Workspace: "w", Verdict: verdict, Ran: true, Attempts: 2, Reason: "why"})
+	}
+	s.report = yuccapaddle.JobReport{State: yuccapaddle.JobCanceled}
+	o, err = m.Cancel(t.Context(), "w/r1", time.Now().Add(time.Minute))
+	c.Assert(err, qt.IsNil)
+	c.Check(o.Reason, qt.Equals, "cancelled before it started")
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -12,6 +13,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/claimer"
+	"yuccapaddle/internal/converter"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/peer"
 )
@@ -20,11 +22,15 @@
 type Jobserver struct {
 	peer.UnimplementedJobsServer
 	claimer *claimer.Claimer
+	self    func(ctx context.Context) (yuccapaddle.HostStatus, error)
 }
 
-// New returns a Jobserver.
-func New(c *claimer.Claimer) *Jobserver {
-	return &Jobserver{claimer: c}
+// mostWait is the longest that a call waits for the end of a job.
+const mostWait = 10 * time.Second
+
+// New returns a Jobserver; self describes this host.
+func New(c *claimer.Claimer, self func(ctx context.Context) (yuccapaddle.HostStatus, error)) *Jobserver {
+	return &Jobserver{claimer: c, self: self}
 }
 
 // Submit implements peer.JobsServer.
@@ -51,12 +57,41 @@
 
 // Show implements peer.JobsServer.
 func (s *Jobserver) Show(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
+	until := time.Now().Add(min(time.Duration(max(req.GetWaitMs(), 0))*time.Millisecond, mostWait))
 	return s.with(func(e *executor.Executor) (*peer.JobAnswer, error) {
-		state, found, err := e.Show(ctx, req.GetId(), req.GetQueue())
-		return &peer.JobAnswer{Found: found, State: string(state)}, err
+		report, found, err := e.Show(ctx, req.GetId(), req.GetQueue(), until)
+		return converter.JobAnswer(report, found), err
 	})
 }
 
+// Inspect implements peer.JobsServer.
+func (s *Jobserver) Inspect(ctx context.Context, req *peer.InspectRequest) (*peer.InspectReply, error) {
+	e := s.claimer.Local()
+	if e == nil {
+		return &peer.InspectReply{Inactive: true}, nil
+	}
+	view, err := s.view(ctx, e, req.GetJob())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &peer.InspectReply{View: view}, nil
+}
+
+func (s *Jobserver) view(ctx context.Context, e *executor.Executor, job string) ([]byte, error) {
+	if job == "" {
+		st, err := s.self(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(&st)
+	}
+	view, found, err := e.View(ctx, job)
+	if err != nil || !found {
+		return nil, err
+	}
+	return json.Marshal(&view)
+}
+
 // Follow implements peer.JobsServer.
 func (s *Jobserver) Follow(req *peer.FollowRequest, stream grpc.ServerStreamingServer[peer.Beat]) error {
 	return s.claimer.Follow(req, stream)
@@ -80,7 +115,10 @@
 		return &peer.JobAnswer{Inactive: true}, nil
 	}
 	answer, err := f(e)
+	var hopeless *yuccapaddle.HopelessError
 	switch {
+	case errors.As(err, &hopeless):
+		return &peer.JobAnswer{Refused: true, Why: hopeless.Why}, nil
 	case errors.Is(err, executor.ErrRefused):
 		return &peer.JobAnswer{Refused: true}, nil
 	case errors.Is(err, yuccapaddle.ErrNotTaken):
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -53,13 +53,16 @@
 	claim      []string // workers on which room is being freed for it
 	claimedAt  time.Time
 	failed     bool // the current run has counted as a failure
+	began      bool // a former run may have started
 	waitNoted  bool
+	lastEnd    string // how the former run ended
 }
 
 // member is one task of the current run on its worker.
 type member struct {
 	worker  string
 	sent    bool // the worker has confirmed the start
+	unborn  bool // it has certainly not started
 	over    bool // it has ended, or certainly will not begin
 	percent int
 	movedAt time.Time // the last progress
@@ -135,6 +138,39 @@
 	return least
 }
 
+// mayHaveBegun reports whether a member of the current run may have started.
+func (u *unit) mayHaveBegun() bool {
+	for i := range u.members {
+		if !u.members[i].unborn {
+			return true
+		}
+	}
+	return false
+}
+
+// ran reports whether a task of the job may have started.
+func (j *job) ran() bool {
+	for _, u := range j.units {
+		if u.done || u.began || u.mayHaveBegun() {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) report() yuccapaddle.JobReport {
+	return yuccapaddle.JobReport{State: j.state, Ran: j.ran(), Runs: j.runs(), Why: j.why}
+}
+
+// runs is the highest number of runs of any task.
+func (j *job) runs() int {
+	most := 0
+	for _, u := range j.units {
+		most = max(most, u.run)
+	}
+	return most
+}
+
 func (j *job) busy() bool {
 	return j.live > 0
 }
--- /dev/null
+++ b/internal/planner/once_test.go
@@ -0,0 +1,158 @@
+package planner_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+)
+
+// gang submits a gang of two tasks that may run once, and returns its starts.
+func (w *world) gang(once bool, span yuccapaddle.Span) []yuccapaddle.RunStart {
+	step := yuccapaddle.Step{Count: 2, Need: yuccapaddle.Need{GPU: 4}, Gang: true, Span: span}
+	w.p.Submit(&yuccapaddle.Job{ID: "once", Queue: queueBatch, Service: "svc", Steps: []yuccapaddle.Step{step}, Once: once})
+	return w.starts()
+}
+
+// starts are those that would be sent now.
+func (w *world) starts() []yuccapaddle.RunStart {
+	w.p.Plan()
+	return slices.DeleteFunc(w.p.Take().Starts, func(s yuccapaddle.RunStart) bool { return !w.p.Startable(&s) })
+}
+
+// end reports the ends of runs on their workers.
+func (w *world) end(cause yuccapaddle.EndCause, runs ...yuccapaddle.RunStart) {
+	for _, s := range runs {
+		w.run[s.Worker]++
+		w.p.Heard(s.Worker, &yuccapaddle.HoldReply{Born: 1, Ended: []yuccapaddle.End{
+			{Number: w.run[s.Worker], Task: s.Task, Run: s.Run, Cause: cause},
+		}}, w.now)
+	}
+}
+
+func (w *world) report1() yuccapaddle.JobReport {
+	report, _, ok := w.p.Report("once")
+	w.c.Assert(ok, qt.IsTrue)
+	return report
+}
+
+// TestOnce: a job that may run once is placed again only if none of its tasks can
+// have started.
+func TestOnce(t *testing.T) {
+	refusal := &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedRoom}
+	tests := []struct {
+		name  string
+		play  func(w *world, starts []yuccapaddle.RunStart)
+		state yuccapaddle.JobState
+		ran   bool
+	}{
+		{"refused", func(w *world, starts []yuccapaddle.RunStart) {
+			for _, s := range starts {
+				w.p.Answered(s.Worker, s.Task, s.Run, refusal)
+			}
+		}, yuccapaddle.JobQueued, false},
+		{"one refused", func(w *world, starts []yuccapaddle.RunStart) {
+			w.p.Answered(starts[0].Worker, starts[0].Task, starts[0].Run, nil)
+			w.p.Answered(starts[1].Worker, starts[1].Task, starts[1].Run, refusal)
+			w.end(yuccapaddle.EndStopped, starts[0])
+		}, yuccapaddle.JobFailed, true},
+		{"failed", func(w *world, starts []yuccapaddle.RunStart) {
+			w.end(yuccapaddle.EndFailed, starts...)
+		}, yuccapaddle.JobFailed, true},
+		{"no answer, lease over", func(w *world, starts []yuccapaddle.RunStart) {
+			for _, s := range starts {
+				w.p.Answered(s.Worker, s.Task, s.Run, yuccapaddle.ErrNoAnswer)
+				w.p.Lapsed(s.Worker)
+			}
+		}, yuccapaddle.JobFailed, true},
+		{"done", func(w *world, starts []yuccapaddle.RunStart) {
+			w.end(yuccapaddle.EndDone, starts...)
+		}, yuccapaddle.JobCompleted, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 4)
+			starts := w.gang(true, "")
+			w.c.Assert(starts, qt.HasLen, 2)
+			tt.play(w, starts)
+			w.now = w.now.Add(time.Second)
+			w.p.At(w.now, w.now)
+			again := len(w.starts())
+			report := w.report1()
+			w.c.Check(report.State, qt.Equals, tt.state, qt.Commentf("%s", report.Why))
+			w.c.Check(again > 0, qt.Equals, !tt.state.Final())
+			if tt.state.Final() {
+				w.c.Check(report.Ran, qt.Equals, tt.ran)
+			}
+		})
+	}
+}
+
+// TestOnceTakenUp: the host dies when the end of the only run is committed and the
+// end of the job is not. The next host does not run it again.
+func TestOnceTakenUp(t *testing.T) {
+	w := newWorld(t, 4)
+	job, state := []byte(`{"id":"once","q":"batch","v":"svc","once":true,"t":[{"n":1,"d":{"g":1}}]}`), []byte(`{"s":"running","o":1}`)
+	w.c.Assert(w.p.Restore(job, state, [][]byte{[]byte(`[{"r":1,"b":true}]`)}), qt.IsNil)
+	w.c.Check(w.starts(), qt.HasLen, 0)
+	w.c.Check(w.report1().State, qt.Equals, yuccapaddle.JobFailed)
+}
+
+// TestSpan: a gang stays within the span that its caller gives, also when room is
+// freed for it, and waits if there is none.
+func TestSpan(t *testing.T) {
+	place := map[yuccapaddle.Span]func(s *yuccapaddle.Worker) string{
+		yuccapaddle.SpanWorker: func(s *yuccapaddle.Worker) string { return s.ID },
+		yuccapaddle.SpanRack:   func(s *yuccapaddle.Worker) string { return s.Rack },
+	}
+	for span, of := range place {
+		t.Run(string(span), func(t *testing.T) {
+			w := newWorld(t, 2*perRack)
+			// Single tasks leave five accelerators on each worker.
+			for i := range 2 * perRack {
+				w.submit(string(rune('a'+i)), queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 40000, GPU: 3}, Estimate: 60000})
+			}
+			w.advance(100 * time.Millisecond)
+			step := yuccapaddle.Step{Count: 2, Need: yuccapaddle.Need{GPU: 4}, Gang: true, Span: span, Estimate: 5000}
+			w.submit("gang", queueQuick, step)
+			w.advance(time.Second)
+			places := map[string]bool{}
+			for task, e := range w.ends {
+				if task.Job == "gang" {
+					s, _ := w.p.Worker(e.worker)
+					places[of(&s)] = true
+				}
+			}
+			w.c.Check(places, qt.HasLen, 1)
+		})
+	}
+	w := newWorld(t, 2)
+	w.submit("wide", queueBatch, yuccapaddle.Step{Count: 3, Need: yuccapaddle.Need{GPU: 4}, Gang: true, Span: yuccapaddle.SpanWorker})
+	w.advance(time.Second)
+	report, _, _ := w.p.Report("wide")
+	w.c.Check(report.State, qt.Equals, yuccapaddle.JobQueued)
+	view, _ := w.p.View("wide")
+	w.c.Check(view.Steps[0].Waits, qt.Equals, "for room on one worker: 3 tasks of 0 cpu, 0 MB, 4 gpu: 2 of 2 suited workers get new work")
+}
+
+// TestHopeless: a job that the empty cluster could not hold is told apart from one
+// that has to wait.
+func TestHopeless(t *testing.T) {
+	w := newWorld(t, 2)
+	ask := func(count int, span yuccapaddle.Span, need yuccapaddle.Need) string {
+		step := yuccapaddle.Step{Count: count, Need: need, Gang: true, Span: span}
+		return w.p.Hopeless(&yuccapaddle.Job{ID: "j", Queue: queueBatch, Steps: []yuccapaddle.Step{step}})
+	}
+	w.submit("full", queueBatch, yuccapaddle.Step{Count: 2, Need: yuccapaddle.Need{GPU: 8}, Estimate: 60000})
+	w.advance(time.Second)
+	w.c.Check(ask(2, "", yuccapaddle.Need{GPU: 8}), qt.Equals, "")
+	w.c.Check(ask(2, yuccapaddle.SpanWorker, yuccapaddle.Need{GPU: 8}), qt.Equals,
+		"for room on one worker: 2 tasks of 0 cpu, 0 MB, 8 gpu; the registered workers hold 1 such tasks")
+	w.c.Check(ask(3, "", yuccapaddle.Need{GPU: 8}), qt.Not(qt.Equals), "")
+	w.c.Check(ask(1, "", yuccapaddle.Need{GPU: 9}), qt.Not(qt.Equals), "")
+	empty := newWorld(t, 0)
+	w.c.Check(empty.p.Hopeless(&yuccapaddle.Job{ID: "j", Steps: []yuccapaddle.Step{{Count: 1}}}), qt.Equals, "", qt.Commentf("no worker is known yet"))
+}
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -26,6 +26,9 @@
 			return list
 		}
 	}
+	if step.Span != "" {
+		return inSpan(rooms, step.Span, n)
+	}
 	if step.Gang && n > 1 {
 		if list := oneRack(rooms, n); list != nil {
 			return list
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -58,7 +58,7 @@
 			if p.now.Sub(u.stopAt) > stopAgain {
 				p.stop(u, "the stop has had no effect yet")
 			}
-		case u.state == unitPlaced && !u.spec().Endless:
+		case u.state == unitPlaced && !u.spec().Endless && !u.job.in.Once:
 			p.moveStill(u)
 		}
 	}
@@ -143,19 +143,8 @@
 		return
 	}
 	u.waitNoted = true
-	need := u.spec().Need
-	why := "room"
-	switch {
-	case u.claim != nil:
-		why = "room that is being freed"
-	case p.advised(u):
-		why = "room on a worker with a ticket"
-	case u.spec().Label != "":
-		why = "room on a worker with label " + u.spec().Label
-	}
 	p.note(yuccapaddle.Note{
-		Event: "waits", Job: u.job.in.ID, Task: u.taskID(0).String(), Run: u.run,
-		Detail: "for " + why + ": " + itoa(u.width()) + " tasks of " + itoa(need.CPU) + " cpu, " + itoa(need.Memory) + " MB, " + itoa(need.GPU) + " gpu",
+		Event: "waits", Job: u.job.in.ID, Task: u.taskID(0).String(), Run: u.run, Detail: p.lacks(u),
 	})
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 package planner
 
 import (
+	"strings"
 	"time"
 
 	"yuccapaddle"
@@ -82,7 +83,7 @@
 	p.touch(j)
 	j.fresh = true
 	p.changed = true
-	p.note(yuccapaddle.Note{Event: "accepted", Job: in.ID, Detail: in.Queue})
+	p.note(yuccapaddle.Note{Event: "accepted", Job: in.ID, Detail: strings.TrimSpace(in.Queue + " " + in.Key)})
 	p.open(j)
 	return false
 }
@@ -100,13 +101,13 @@
 	return true
 }
 
-// State returns the state of a job.
-func (p *Planner) State(id string) (yuccapaddle.JobState, string, bool) {
+// Report returns what callers are told of a job, and its queue.
+func (p *Planner) Report(id string) (report yuccapaddle.JobReport, queue string, ok bool) {
 	j := p.jobs[id]
 	if j == nil {
-		return "", "", false
+		return yuccapaddle.JobReport{}, "", false
 	}
-	return j.state, j.in.Queue, true
+	return j.report(), j.in.Queue, true
 }
 
 // Pending returns for each queue the number of jobs of which no task has
@@ -125,7 +126,7 @@
 func (p *Planner) Shown() []yuccapaddle.JobRecord {
 	list := make([]yuccapaddle.JobRecord, 0, len(p.jobs))
 	for id, j := range p.jobs {
-		list = append(list, yuccapaddle.JobRecord{ID: id, Queue: j.in.Queue, Shown: j.state})
+		list = append(list, yuccapaddle.JobRecord{ID: id, Queue: j.in.Queue, Shown: j.report()})
 	}
 	return list
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -131,7 +131,7 @@
 				running = append(running, yuccapaddle.Run{Task: task, Run: e.run, Percent: int(w.now.Sub(e.begun).Milliseconds())})
 			}
 		}
-		w.p.Report(id, &yuccapaddle.HoldReply{Born: 1, Ended: ends, Running: running}, w.now)
+		w.p.Heard(id, &yuccapaddle.HoldReply{Born: 1, Ended: ends, Running: running}, w.now)
 	}
 }
 
@@ -217,6 +217,6 @@
 	w.submit("b-gang", queueBatch, yuccapaddle.Step{Count: 8, Need: yuccapaddle.Need{CPU: 8000, GPU: 1}, Estimate: 5000, Gang: true})
 	w.submit("b-small", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 8000, GPU: 1}, Estimate: 500})
 	w.advance(time.Second)
-	state, _, _ := w.p.State("b-small")
-	w.c.Check(state, qt.Equals, yuccapaddle.JobCompleted)
+	report, _, _ := w.p.Report("b-small")
+	w.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
 }
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -61,6 +61,9 @@
 		byRack[s.Rack] = append(byRack[s.Rack], list...)
 		all = append(all, list...)
 	}
+	if span := u.spec().Span; span != "" {
+		return offersInSpan(all, span, u.width())
+	}
 	var best []offer
 	if u.spec().DataRack != "" || u.spec().OneRack && u.width() > 1 {
 		for name, list := range byRack {
@@ -160,8 +163,15 @@
 	if u.spec().Saves {
 		run = min(run, p.limits.Restore.Seconds())
 	}
+	if u.job.in.Once {
+		run += onceLoss
+	}
 	return (run + stopLoss) * cores
 }
 
+// onceLoss is what the stop of a task that may not run again counts beside its
+// work, in seconds of the room: others are stopped first.
+const onceLoss = 3600
+
 // stopLoss is what each stop costs beside the lost work, in seconds of the room.
 const stopLoss = 0.5
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -25,6 +25,7 @@
 	Saved      string         `json:"c,omitempty"`
 	Done       bool           `json:"d,omitempty"`
 	Stopping   bool           `json:"x,omitempty"`
+	Began      bool           `json:"b,omitempty"`
 	Members    []memberRecord `json:"m,omitempty"`
 }
 
@@ -38,7 +39,7 @@
 const partSize = 16
 
 func (j *job) record() yuccapaddle.JobRecord {
-	r := yuccapaddle.JobRecord{ID: j.in.ID, Queue: j.in.Queue, Shown: j.state, PartCount: j.partCount()}
+	r := yuccapaddle.JobRecord{ID: j.in.ID, Queue: j.in.Queue, Shown: j.report(), PartCount: j.partCount()}
 	if j.fresh {
 		r.Job = encode(j.in)
 	}
@@ -70,7 +71,7 @@
 func (u *unit) record() unitRecord {
 	r := unitRecord{
 		Occurrence: u.occurrence, Step: u.step, Index: u.index, State: u.state,
-		Run: u.run, Fails: u.fails, Saved: u.saved, Done: u.done, Stopping: u.stopping,
+		Run: u.run, Fails: u.fails, Saved: u.saved, Done: u.done, Stopping: u.stopping, Began: u.began,
 	}
 	if !u.live() {
 		return r
@@ -144,7 +145,7 @@
 	if u == nil {
 		return fmt.Errorf("a unit of step %d is unknown", r.Step)
 	}
-	u.state, u.run, u.fails, u.saved, u.stopping = r.State, r.Run, r.Fails, r.Saved, r.Stopping
+	u.state, u.run, u.fails, u.saved, u.stopping, u.began = r.State, r.Run, r.Fails, r.Saved, r.Stopping, r.Began
 	if r.Done {
 		u.finished()
 	}
@@ -156,6 +157,7 @@
 		}
 	}
 	if u.state == unitPlaced && !u.live() {
+		u.began = true
 		u.state, u.members = unitWaiting, nil
 	}
 	return nil
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -21,9 +21,9 @@
 	stopAgain = 700 * time.Millisecond
 )
 
-// Report takes in what a worker has in work and what has ended there. The call
+// Heard takes in what a worker has in work and what has ended there. The call
 // was sent at sentAt.
-func (p *Planner) Report(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
+func (p *Planner) Heard(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
 	s := p.worker(id)
 	if s.listedBorn != r.Born {
 		p.restarted(s, r.Born)
@@ -189,17 +189,24 @@
 	if u.done {
 		return
 	}
+	u.began = u.began || u.mayHaveBegun()
 	u.state, u.stopping, u.failed, u.members = unitWaiting, false, false, nil
 	u.waitsFrom = p.now
 	if u.job.state.Final() {
 		return
 	}
+	u.lastEnd = why
 	p.exhaust(u)
 }
 
-// exhaust fails the job of a unit that has failed as often as it may, and reports
-// whether it has.
+// exhaust fails the job of a unit that may not run again, and reports whether it
+// has: because it has failed as often as it may, or because it may run only once.
 func (p *Planner) exhaust(u *unit) bool {
+	if u.job.in.Once && u.began {
+		u.job.why = "task " + u.taskID(0).String() + " ran and is not repeatable: " + u.lastEnd
+		p.finish(u.job, yuccapaddle.JobFailed)
+		return true
+	}
 	q := p.rules.Queue(u.job.in.Queue)
 	if q == nil || q.Attempts <= 0 || u.fails < q.Attempts || u.spec().Endless {
 		return false
@@ -263,6 +270,7 @@
 	case yuccapaddle.RefusedInvalid:
 		p.failed(s, u)
 	}
+	m.unborn = m.tries == 0 && !m.adopted && !m.sent
 	if m.tries > 0 && !settles(why) {
 		// An earlier copy has had no answer and may still be carried out.
 		p.stop(u, "a start was refused after one without an answer")
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -24,12 +25,12 @@
 	peer.UnimplementedPeerServer
 	local func() forwarder.Local
 	watch *watcher.Watcher
-	state func() []byte
+	state func() yuccapaddle.HostStatus
 }
 
 // New returns the service; local returns the engine while this host is active,
-// and state describes the host in JSON.
-func New(local func() forwarder.Local, watch *watcher.Watcher, state func() []byte) *Receiver {
+// and state describes the host.
+func New(local func() forwarder.Local, watch *watcher.Watcher, state func() yuccapaddle.HostStatus) *Receiver {
 	return &Receiver{local: local, watch: watch, state: state}
 }
 
@@ -81,5 +82,9 @@
 
 // State implements peer.PeerServer.
 func (r *Receiver) State(context.Context, *peer.StateRequest) (*peer.StateReply, error) {
-	return &peer.StateReply{State: r.state()}, nil
+	data, err := json.Marshal(r.state())
+	if err != nil {
+		return nil, status.Errorf(codes.Internal, "the state cannot be encoded: %v", err)
+	}
+	return &peer.StateReply{State: data}, nil
 }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -18,8 +18,6 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/authenticator"
-	"yuccapaddle/internal/forwarder"
 	"yuccapaddle/internal/limiter"
 	"yuccapaddle/internal/loader"
 	"yuccapaddle/internal/writer"
@@ -29,8 +27,8 @@
 
 // Responder serves callers. It is safe for concurrent use.
 type Responder struct {
-	auth     *authenticator.Authenticator
-	forward  *forwarder.Forwarder
+	auth     authority
+	requests yuccapaddle.RequestService
 	limit    *limiter.Limiter
 	bounds   loader.Limits
 	region   string
@@ -41,13 +39,18 @@
 	cut      context.CancelFunc
 }
 
+// authority recognises callers by an Authorization header.
+type authority interface {
+	Caller(header string) (workspace, caller string, ok bool)
+}
+
 // New returns a Responder; observe is called for every answer.
-func New(auth *authenticator.Authenticator, forward *forwarder.Forwarder, limit *limiter.Limiter,
+func New(auth authority, requests yuccapaddle.RequestService, limit *limiter.Limiter,
 	host *loader.Host, log *zap.Logger, observe func(verdict string, took time.Duration),
 ) *Responder {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Responder{
-		auth: auth, forward: forward, limit: limit, bounds: host.Limits, region: host.Region, log: log, observe: observe,
+		auth: auth, requests: requests, limit: limit, bounds: host.Limits, region: host.Region, log: log, observe: observe,
 		cutShort: ctx, cut: cancel,
 	}
 }
@@ -64,6 +67,7 @@
 	ID           string          `json:"id"`
 	Team         string          `json:"team,omitempty"`
 	Class        string          `json:"class,omitempty"`
+	Queue        string          `json:"queue,omitempty"`
 	Tasks        int             `json:"tasks"`
 	Accelerators int             `json:"accelerators"`
 	Span         string          `json:"span,omitempty"`
@@ -130,7 +134,7 @@
 		return
 	}
 	settleBy := req.AcceptBy.Add(time.Duration(r.bounds.SettleMS-r.bounds.AcceptMS) * time.Millisecond)
-	o := r.forward.Submit(context.Background(), req, settleBy)
+	o := r.requests.Submit(context.Background(), req, settleBy)
 	if wait > 0 && !o.Verdict.Final() && o.Verdict != yuccapaddle.VerdictUnknown {
 		if later, err := r.await(req.Key(), start.Add(wait)); err == nil {
 			o = later
@@ -150,7 +154,7 @@
 		return nil, errors.New("the request is followed by more data")
 	}
 	req := &yuccapaddle.Request{
-		ID: s.ID, Workspace: workspace, Team: s.Team, Caller: caller, Class: yuccapaddle.Class(s.Class), Tasks: s.Tasks,
+		ID: s.ID, Workspace: workspace, Team: s.Team, Caller: caller, Class: yuccapaddle.Class(s.Class), Queue: s.Queue, Tasks: s.Tasks,
 		Accelerators: s.Accelerators, Span: yuccapaddle.Span(s.Span), Repeatable: s.Repeatable, Region: r.region,
 		Payload: s.Payload, AcceptBy: now.Add(time.Duration(r.bounds.AcceptMS) * time.Millisecond),
 	}
@@ -177,9 +181,9 @@
 // await waits for a final outcome. A drain ends the wait, and the caller gets
 // what is known then.
 func (r *Responder) await(key string, deadline time.Time) (yuccapaddle.Outcome, error) {
-	o, err := r.forward.Await(r.cutShort, key, deadline)
+	o, err := r.requests.Await(r.cutShort, key, deadline)
 	if err != nil && r.draining.Load() {
-		return r.forward.Await(context.Background(), key, time.Now())
+		return r.requests.Await(context.Background(), key, time.Now())
 	}
 	return o, err
 }
@@ -195,7 +199,7 @@
 
 func (r *Responder) cancel(ctx *fasthttp.RequestCtx, key string, wait time.Duration, start time.Time) {
 	settleBy := start.Add(time.Duration(r.bounds.SettleMS) * time.Millisecond)
-	o, err := r.forward.Cancel(context.Background(), key, settleBy)
+	o, err := r.requests.Cancel(context.Background(), key, settleBy)
 	if err != nil {
 		r.unavailable(ctx, err)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/claimer"
+	"yuccapaddle/internal/converter"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/linker"
 	"yuccapaddle/internal/peer"
@@ -84,16 +85,16 @@
 }
 
 // Show implements yuccapaddle.JobService.
-func (r *Router) Show(ctx context.Context, id, queue string) (yuccapaddle.JobState, bool, error) {
-	answer, err := r.try(ctx,
+func (r *Router) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
+	answer, err := r.tryFor(ctx, until,
 		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
-			state, found, err := e.Show(ctx, id, queue)
-			return &peer.JobAnswer{Found: found, State: string(state)}, err
+			report, found, err := e.Show(ctx, id, queue, until)
+			return converter.JobAnswer(report, found), err
 		},
 		func(ctx context.Context, c peer.JobsClient) (*peer.JobAnswer, error) {
-			return c.Show(ctx, &peer.JobKey{Id: id, Queue: queue})
+			return c.Show(ctx, &peer.JobKey{Id: id, Queue: queue, WaitMs: max(time.Until(until).Milliseconds(), 0)})
 		})
-	return yuccapaddle.JobState(answer.GetState()), answer.GetFound(), err
+	return converter.JobReport(answer), answer.GetFound(), err
 }
 
 type (
@@ -104,17 +105,22 @@
 // try repeats a request until it has an answer or the context ends. If no try
 // can have been carried out the error matches ErrNotTaken, else ErrUnknown.
 func (r *Router) try(ctx context.Context, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
+	return r.tryFor(ctx, time.Time{}, local, remote)
+}
+
+// tryFor is try for a call that may wait at the active host until a time.
+func (r *Router) tryFor(ctx context.Context, until time.Time, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
 	known := true
 	giveUp := time.Now().Add(searchTime)
 	for {
-		answer, taken, err := r.tryOnce(ctx, local, remote)
+		answer, taken, err := r.tryOnce(ctx, until, local, remote)
 		if err == nil {
 			return answer, nil
 		}
 		if taken {
 			known = false
 		}
-		if known && (errors.Is(err, errRefused) || time.Now().After(giveUp)) {
+		if known && (refused(err) || time.Now().After(giveUp)) {
 			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotTaken, err)
 		}
 		if sleeper.Sleep(ctx, retryEvery) == nil {
@@ -134,8 +140,15 @@
 	errRefused = errors.New("the active host refused the request")
 )
 
+// refused reports whether the active host has answered that it does not take the
+// request.
+func refused(err error) bool {
+	var hopeless *yuccapaddle.HopelessError
+	return errors.Is(err, errRefused) || errors.As(err, &hopeless)
+}
+
 // tryOnce reports in taken whether a failed try may have been carried out.
-func (r *Router) tryOnce(ctx context.Context, local localCall, remote remoteCall) (answer *peer.JobAnswer, taken bool, err error) {
+func (r *Router) tryOnce(ctx context.Context, until time.Time, local localCall, remote remoteCall) (answer *peer.JobAnswer, taken bool, err error) {
 	if e := r.claimer.Local(); e != nil {
 		answer, err = local(ctx, e)
 		if errors.Is(err, executor.ErrRefused) {
@@ -151,13 +164,16 @@
 	if err != nil {
 		return nil, false, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTime)
+	ctx, cancel := context.WithTimeout(ctx, tryTime+max(time.Until(until), 0))
 	defer cancel()
 	answer, err = remote(ctx, jobs)
 	if err != nil {
 		return nil, status.Code(err) != codes.InvalidArgument, err
 	}
 	if answer.GetRefused() {
+		if answer.GetWhy() != "" {
+			return nil, false, &yuccapaddle.HopelessError{Why: answer.GetWhy()}
+		}
 		return nil, false, errRefused
 	}
 	if answer.GetInactive() {
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"go.uber.org/zap"
-
-	"yuccapaddle/internal/driver"
+	"yuccapaddle"
 )
 
 // countTraffic counts the bytes that cross from this host's region to another,
@@ -34,21 +31,8 @@
 	return true, ""
 }
 
-// State is what a host tells operators of itself.
-type State struct {
-	Host     string         `json:"host"`
-	Domain   string         `json:"domain"`
-	Active   bool           `json:"active"`
-	Leader   string         `json:"leader,omitempty"`
-	Revision uint64         `json:"revision"`
-	Heard    time.Time      `json:"storeHeardAt"`
-	InFlight int64          `json:"inFlight"`
-	Stopping bool           `json:"stopping"`
-	Engine   *driver.Status `json:"engine,omitempty"`
-}
-
-func (s *Server) state() []byte {
-	st := State{
+func (s *Server) state() yuccapaddle.HostStatus {
+	st := yuccapaddle.HostStatus{
 		Host: s.host.Name, Domain: s.host.Domain, Heard: s.watch.Heard().UTC(), InFlight: s.limit.InFlight(),
 		Stopping: s.stopping.Load(),
 	}
@@ -61,12 +45,7 @@
 			st.Active, st.Engine = true, &status
 		}
 	}
-	data, err := json.Marshal(st)
-	if err != nil {
-		s.log.Error("the state cannot be encoded", zap.Error(err))
-		return []byte("{}")
-	}
-	return data
+	return st
 }
 
 func (s *Server) gauges(ctx context.Context) error {
--- a/job.go
+++ b/job.go
@@ -46,6 +46,9 @@
 	Gang bool `json:"gang,omitempty"`
 	// OneRack: the tasks are slow unless all lie in one rack.
 	OneRack bool `json:"rack,omitempty"`
+	// Span is the widest unit of hardware over which a gang may be spread; empty
+	// for any. Unlike OneRack, which a gang may do without, it always holds.
+	Span Span `json:"span,omitempty"`
 	// Label is one that the worker must have.
 	Label string `json:"l,omitempty"`
 	// DataRack is the rack where the data lies; other racks are slow.
@@ -85,6 +88,14 @@
 	Service string `json:"v,omitempty"`
 	Payload string `json:"p,omitempty"`
 	Steps   []Step `json:"t"`
+	// Once: a task that may have started is not started again, other than from a
+	// checkpoint of its own.
+	Once bool `json:"once,omitempty"`
+	// Strict: the job is refused if the registered workers could not hold it even if
+	// they were empty. Otherwise it waits for workers that may come.
+	Strict bool `json:"strict,omitempty"`
+	// Key is the caller's name for the job, where the ID is made from it.
+	Key string `json:"key,omitempty"`
 	// First is the due time of occurrence 0 in Unix milliseconds, Every the time
 	// between two in milliseconds and Times their number; 0 for a job that runs
 	// once, at once.
@@ -125,6 +136,11 @@
 	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 {
 		return fmt.Errorf("a task cannot need less than nothing")
 	}
+	switch s.Span {
+	case "", SpanWorker, SpanRack, SpanDomain:
+	default:
+		return fmt.Errorf("span %q is not one of worker, rack, domain", cut(string(s.Span)))
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= position {
 			return fmt.Errorf("it waits for step %d, which does not come before it", a)
--- a/processes/bed_test.go
+++ b/processes/bed_test.go
@@ -22,7 +22,6 @@
 	"yuccapaddle/internal/caller"
 	"yuccapaddle/internal/loader"
 	"yuccapaddle/internal/responder"
-	"yuccapaddle/internal/server"
 	"yuccapaddle/internal/standin/worker"
 )
 
@@ -223,15 +222,13 @@
 	return o
 }
 
-func (b *bed) state(host int) (server.State, bool) {
-	var all []struct {
-		State server.State `json:"state"`
-	}
+func (b *bed) state(host int) (yuccapaddle.HostStatus, bool) {
+	var all []yuccapaddle.HostReply
 	err := b.calls.Call(b.t.Context(), fasthttp.MethodGet, "http://"+b.hosts[host].Listen.Operators+"/v1/state", nil, &all, callTime)
-	if err != nil || len(all) == 0 {
-		return server.State{}, false
+	if err != nil || len(all) == 0 || all[0].Status == nil {
+		return yuccapaddle.HostStatus{}, false
 	}
-	return all[0].State, true
+	return *all[0].Status, true
 }
 
 // active returns the host that is active, other than those left out.
--- a/request.go
+++ b/request.go
@@ -29,11 +29,14 @@
 // which run together or not at all. ID is the idempotency key, unique within
 // the workspace.
 type Request struct {
-	ID           string          `json:"id"`
-	Workspace    string          `json:"workspace"`
-	Team         string          `json:"team,omitempty"`
-	Caller       string          `json:"caller,omitempty"`
-	Class        Class           `json:"class"`
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Team      string `json:"team,omitempty"`
+	Caller    string `json:"caller,omitempty"`
+	Class     Class  `json:"class"`
+	// Queue is one of the operators' queues, where they have any; empty for the
+	// one that fits the class.
+	Queue        string          `json:"queue,omitempty"`
 	Tasks        int             `json:"tasks"`
 	Accelerators int             `json:"accelerators"`
 	Span         Span            `json:"span"`
@@ -121,6 +124,8 @@
 		return fmt.Errorf("id %q is not 1 to %d letters, digits, '-', '_' or '.'", cut(r.ID), mostNameLength)
 	case !validName(r.Workspace):
 		return fmt.Errorf("workspace %q is not a name", cut(r.Workspace))
+	case r.Queue != "" && !validName(r.Queue):
+		return fmt.Errorf("queue %q is not a name", cut(r.Queue))
 	case r.Team != "" && !validName(r.Team):
 		return fmt.Errorf("team %q is not a name", cut(r.Team))
 	case r.Tasks < 1 || r.Tasks > MostTasks:
--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -13,7 +13,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/responder"
-	"yuccapaddle/internal/server"
 	"yuccapaddle/internal/standin/storer"
 	"yuccapaddle/internal/standin/worker"
 )
@@ -315,7 +314,7 @@
 		}
 		reply, err := h.server.Peers().State(w.t.Context(), nil)
 		qt.Assert(w.t, err, qt.IsNil)
-		var st server.State
+		var st yuccapaddle.HostStatus
 		qt.Assert(w.t, json.Unmarshal(reply.GetState(), &st), qt.IsNil)
 		revisions = append(revisions, st.Revision)
 		if e := st.Engine; e != nil {
--- a/soak/bed_test.go
+++ b/soak/bed_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -8,53 +9,44 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/standin/bookkeeper"
 	"yuccapaddle/internal/standin/laborer"
 	"yuccapaddle/platform/booter"
-	"yuccapaddle/platform/exposer"
-	"yuccapaddle/platform/wire"
+	"yuccapaddle/platform/provider"
 )
 
 const (
 	holdMaxMS   = 6000
 	workerCount = 8
-	beatEvery   = 300 * time.Millisecond
 )
 
 // bed runs real hosts against the stand-ins of the platform.
 type bed struct {
-	c       *qt.C
-	dir     string
-	store   *bookkeeper.Bookkeeper
-	workers []*worker
-	hosts   []*host
-	starts  *laborer.Starts
-	group   errgroup.Group
-	done    chan struct{}
-	closers []func()
-	mu      sync.Mutex
-	version int64
-	queues  []string
+	c        *qt.C
+	dir      string
+	platform *provider.Provider
+	workers  []*worker
+	hosts    []*host
+	starts   *laborer.Starts
+	group    errgroup.Group
+	done     chan struct{}
+	closers  []func()
+	queues   []string
 }
 
 // worker is a stand-in worker behind a proxy.
 type worker struct {
 	*laborer.Laborer
-	id     string
-	proxy  *proxy
-	hidden bool
-	mu     sync.Mutex
+	id    string
+	proxy *proxy
 }
 
 // host is one process of the system.
@@ -62,6 +54,7 @@
 	name     string
 	settings string
 	callers  string
+	requests string
 	store    *proxy
 	log      *os.File
 	process  atomic.Pointer[process]
@@ -74,34 +67,25 @@
 }
 
 func newBed(t *testing.T, binary string, hosts int) *bed {
-	b := &bed{c: qt.New(t), dir: t.TempDir(), store: bookkeeper.New(), starts: laborer.NewStarts(), done: make(chan struct{}), version: 1, queues: []string{"quick", "batch"}}
+	b := &bed{
+		c: qt.New(t), dir: t.TempDir(), platform: provider.New(), starts: laborer.NewStarts(), done: make(chan struct{}),
+		queues: []string{"quick", "batch"},
+	}
 	b.configure()
-	store := b.serve(exposer.Store(b.store))
+	store, err := b.platform.Serve("127.0.0.1:0")
+	b.c.Assert(err, qt.IsNil)
 	for i := range workerCount {
 		b.addWorker(i)
 	}
-	b.group.Go(b.beat)
+	ctx, cancel := context.WithCancel(t.Context())
+	b.closers = append(b.closers, cancel)
+	b.group.Go(func() error { return b.platform.Run(ctx) })
 	for i := range hosts {
 		b.addHost(binary, i, store)
 	}
 	return b
 }
 
-func (b *bed) serve(handle fasthttp.RequestHandler) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	b.c.Assert(err, qt.IsNil)
-	s := &fasthttp.Server{Handler: handle, CloseOnShutdown: true, Logger: quiet{}}
-	b.group.Go(func() error { return s.Serve(l) })
-	b.closers = append(b.closers, func() { _ = s.Shutdown() })
-	return l.Addr().String()
-}
-
-// quiet drops the stand-ins' complaints about broken connections.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
 func (b *bed) proxied(target string) *proxy {
 	p, err := newProxy(target)
 	b.c.Assert(err, qt.IsNil)
@@ -124,87 +108,41 @@
 		Capacity: yuccapaddle.Need{CPU: 64000, Memory: 262144, GPU: 8},
 	}
 	l := laborer.New(self, holdMaxMS, work, b.starts)
-	p := b.proxied(b.serve(exposer.Worker(l)))
-	b.workers = append(b.workers, &worker{Laborer: l, id: id, proxy: p})
-}
-
-// beat keeps the workers registered.
-func (b *bed) beat() error {
-	for {
-		select {
-		case <-b.done:
-			return nil
-		case <-time.After(beatEvery):
-		}
-		for _, w := range b.workers {
-			b.register(w)
-		}
-	}
+	address, err := b.platform.Add(l)
+	b.c.Assert(err, qt.IsNil)
+	w := &worker{Laborer: l, id: id, proxy: b.proxied(address)}
+	b.hide(w, false)
+	b.workers = append(b.workers, w)
 }
 
-func (b *bed) register(w *worker) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.hidden {
-		b.store.Drop("servers/" + w.id)
+// hide takes a worker's registration away, or brings it back.
+func (b *bed) hide(w *worker, on bool) {
+	if on {
+		b.platform.Hide(w.Laborer, w.proxy.address())
 		return
 	}
-	s := w.Worker()
-	address, state := w.proxy.address(), "ready"
-	if s.Draining {
-		state = "draining"
-	}
-	data, err := json.Marshal(wire.Entry{
-		Service: &s.Service, Address: &address, Zone: &s.Domain, State: &state, Labels: s.Labels, Clock: s.Clock, Born: s.Born,
-		Capacity: &wire.Capacity{CPU: s.Capacity.CPU, Memory: s.Capacity.Memory, GPU: s.Capacity.GPU},
-	})
-	b.c.Check(err, qt.IsNil)
-	b.store.Put("servers/"+w.id, data)
-}
-
-func (w *worker) hide(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.hidden = on
+	b.c.Check(b.platform.Register(w.Laborer, w.proxy.address()), qt.IsNil)
 }
 
 // configure writes the operators' rules as they are now.
 func (b *bed) configure() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	type route struct {
-		Name     string  `json:"name"`
-		Host     string  `json:"host"`
-		Prefix   string  `json:"prefix"`
-		Service  string  `json:"service"`
-		Priority int     `json:"priority"`
-		Attempts int     `json:"max-attempts"`
-		Stretch  float64 `json:"stretch"`
-	}
-	type tenant struct {
-		Name string   `json:"name"`
-		Keys []string `json:"api-keys"`
-	}
-	var routes []route
+	var queues []yuccapaddle.Queue
 	for i, q := range b.queues {
-		routes = append(routes, route{Name: q, Host: "h.example", Prefix: "/" + q + "/", Service: "svc", Priority: min(i, 1), Attempts: 100, Stretch: 3})
+		queues = append(queues, yuccapaddle.Queue{
+			Name: q, Authority: "h.example", Prefix: "/" + q + "/", Service: "svc", Priority: min(i, 1), Attempts: 100, Stretch: 3,
+		})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": b.version, "routes": routes, "tenants": []tenant{{"t", []string{"key"}}},
-		"services": []map[string]any{{"name": "svc"}},
-	})
-	b.c.Assert(err, qt.IsNil)
-	b.version++
-	b.store.Put("op/config", data)
+	grants := []yuccapaddle.WorkspaceGrant{{Name: workspace, Keys: []string{"key"}}}
+	b.c.Assert(b.platform.Configure(queues, grants), qt.IsNil)
 }
 
 func (b *bed) addHost(binary string, i int, store string) {
 	h := &host{name: fmt.Sprintf("h%d", i), store: b.proxied(store)}
-	h.callers = b.free()
+	h.callers, h.requests = b.free(), b.free()
 	h.settings = filepath.Join(b.dir, h.name+".json")
 	data, err := json.Marshal(map[string]any{
 		"host": h.name, "domain": fmt.Sprintf("z%d", i%2), "region": "r", "callers": h.callers, "ready": b.free(), "peers": b.free(),
-		"metrics": b.free(), "store": h.store.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
+		"metrics": b.free(), "requests": h.requests, "store": h.store.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
 		"leaseLeastMs": 1000, "memoryMb": 284, "processor": 1,
 		"bounds": map[string]any{
 			"holdMaxMs": holdMaxMS, "drainMs": 2500, "evacuateMs": 5000, "applyMs": 2500, "restoreMs": 600, "remotePenalty": 3, "statusS": 120, "graceS": 6,
@@ -265,7 +203,8 @@
 	for _, f := range b.closers {
 		f()
 	}
-	_ = b.group.Wait()
+	b.c.Check(b.platform.Close(), qt.IsNil)
+	b.c.Check(b.group.Wait(), qt.IsNil)
 	for _, h := range b.hosts {
 		b.c.Check(h.log.Close(), qt.IsNil)
 	}
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -35,14 +35,15 @@
 
 // clients submit, cancel and ask over open connections at all hosts.
 type clients struct {
-	b      *bed
-	seed   uint64
-	client *fasthttp.Client
-	group  errgroup.Group
-	done   chan struct{}
-	mu     sync.Mutex
-	jobs   []*submitted
-	faults []string
+	b        *bed
+	seed     uint64
+	client   *fasthttp.Client
+	group    errgroup.Group
+	done     chan struct{}
+	mu       sync.Mutex
+	jobs     []*submitted
+	requests []*request
+	faults   []string
 }
 
 func newClients(b *bed, seed uint64) *clients {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,7 @@
 	cl := newClients(b, rng.Uint64())
 	cl.waitReady()
 	cl.start()
+	cl.startRequests()
 	time.Sleep(calmTime)
 	for range *trouble {
 		b.inject(binary, rng)
@@ -61,6 +62,8 @@
 	b.heal(binary)
 	cl.stop()
 	cl.settle(settleTime)
+	cl.settleRequests(settleTime)
+	cl.checkRequests()
 	cl.check()
 }
 
@@ -94,8 +97,8 @@
 		h.store.set(mode(1 + rng.IntN(4)))
 		b.later(lasts, func() { h.store.set(modePass) })
 	case 4:
-		b.store.SetFault(bookkeeper.Fault(1 + rng.IntN(3)))
-		b.later(lasts, func() { b.store.SetFault(bookkeeper.FaultNone) })
+		b.platform.Store().SetFault(bookkeeper.Fault(1 + rng.IntN(3)))
+		b.later(lasts, func() { b.platform.Store().SetFault(bookkeeper.FaultNone) })
 	case 5:
 		w.proxy.set(mode(1 + rng.IntN(4)))
 		b.later(lasts, func() { w.proxy.set(modePass) })
@@ -106,10 +109,10 @@
 		w.Restart()
 	case 8:
 		w.proxy.set(modeSilent)
-		w.hide(true)
+		b.hide(w, true)
 		b.later(2*lasts, func() {
 			w.proxy.set(modePass)
-			w.hide(false)
+			b.hide(w, false)
 		})
 	}
 }
@@ -142,11 +145,11 @@
 // heal ends all faults.
 func (b *bed) heal(binary string) {
 	time.Sleep(calmTime)
-	b.store.SetFault(bookkeeper.FaultNone)
+	b.platform.Store().SetFault(bookkeeper.FaultNone)
 	for _, w := range b.workers {
 		w.SetFault(laborer.FaultNone)
 		w.proxy.set(modePass)
-		w.hide(false)
+		b.hide(w, false)
 	}
 	for _, h := range b.hosts {
 		h.store.set(modePass)
