planner: take no list for evidence of a run that was confirmed after it was asked for

Cause: several lists of one worker are under way at once (a hold, and a look after each refused start). One that has the run confirms it, but set no time for that; one that was made before the start and arrives later then counted as evidence that the run had gone, since it was asked for after the placement. Also, asked for and confirmed in the same turn of the loop had the same time.

Change: questions to workers are numbered; a confirmed run keeps the number of the last one asked before, and a list proves nothing of it unless it was asked later. A list that does not hold all ends proves nothing either. TestOvertakenList failed first: it got two starts of the next run.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -192,7 +192,7 @@
 
 // sendHold sends a hold; main is the one of which there is one at a time.
 func (e *Executor) sendHold(s *yuccapaddle.Worker, id string, l *link, o yuccapaddle.HoldOrder, main bool) {
-	to, sentAt := *s, e.now
+	to, sentAt, question := *s, e.now, e.plan.Ask()
 	e.group.Go("hold", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, time.Duration(o.WaitMS)*time.Millisecond+holdSlack)
 		defer cancel()
@@ -201,13 +201,13 @@
 			if main {
 				l.holding = false
 			}
-			e.held(id, l, o, sentAt, reply, err)
+			e.held(id, l, o, sentAt, question, reply, err)
 		})
 		return nil
 	})
 }
 
-func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, reply yuccapaddle.HoldReply, err error) {
+func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, question int64, reply yuccapaddle.HoldReply, err error) {
 	e.meter.Tally("looks", outcome(err), 1)
 	if err != nil {
 		e.noteSilence(id, l, err)
@@ -227,7 +227,7 @@
 	}
 	l.setClock(reply.Clock, sentAt)
 	l.told, l.met = max(l.told, o.Seen), true
-	e.plan.Heard(id, &reply, sentAt)
+	e.plan.Heard(id, &reply, question)
 }
 
 func (e *Executor) noteSilence(id string, l *link, err error) {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -62,6 +62,8 @@
 type member struct {
 	worker  string
 	sent    bool // the worker has confirmed the start
+	// confirmed is the number of the last question to any worker before that.
+	confirmed int64
 	unborn  bool // it has certainly not started
 	over    bool // it has ended, or certainly will not begin
 	percent int
--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -29,7 +29,7 @@
 		w.run[s.Worker]++
 		w.p.Heard(s.Worker, &yuccapaddle.HoldReply{Born: 1, Ended: []yuccapaddle.End{
 			{Number: w.run[s.Worker], Task: s.Task, Run: s.Run, Cause: cause},
-		}}, w.now)
+		}}, w.p.Ask())
 	}
 }
 
@@ -156,3 +156,20 @@
 	empty := newWorld(t, 0)
 	w.c.Check(empty.p.Hopeless(&yuccapaddle.Job{ID: "j", Steps: []yuccapaddle.Step{{Count: 1}}}), qt.Equals, "", qt.Commentf("no worker is known yet"))
 }
+
+// TestOvertakenList: two lists are asked for; the later one, which has the run,
+// arrives first, and then the earlier one, made before the start was carried out.
+// It is no evidence that the run has vanished.
+func TestOvertakenList(t *testing.T) {
+	w := newWorld(t, 2)
+	starts := w.gang(false, "")
+	w.c.Assert(starts, qt.HasLen, 2)
+	early, later := w.p.Ask(), w.p.Ask()
+	var running []yuccapaddle.Run
+	for _, s := range starts {
+		running = append(running, yuccapaddle.Run{Task: s.Task, Run: s.Run})
+	}
+	w.p.Heard(starts[0].Worker, &yuccapaddle.HoldReply{Born: 1, Running: running}, later)
+	w.p.Heard(starts[0].Worker, &yuccapaddle.HoldReply{Born: 1}, early)
+	w.c.Check(w.starts(), qt.HasLen, 0, qt.Commentf("the runs are taken to be over"))
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,6 +27,7 @@
 	claims     map[*unit]bool // units for which room is being freed
 	unreserved bool           // no workers are kept for urgent work
 	listed     bool           // the registrations have been read
+	asked      int64          // questions to workers so far
 	advice     map[yuccapaddle.StepID]*advice
 	needed     map[string]int // by workspace, for one round of placing
 	urgent     int            // accelerators that urgent work holds or waits for
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -131,7 +131,7 @@
 				running = append(running, yuccapaddle.Run{Task: task, Run: e.run, Percent: int(w.now.Sub(e.begun).Milliseconds())})
 			}
 		}
-		w.p.Heard(id, &yuccapaddle.HoldReply{Born: 1, Ended: ends, Running: running}, w.now)
+		w.p.Heard(id, &yuccapaddle.HoldReply{Born: 1, Ended: ends, Running: running}, w.p.Ask())
 	}
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -21,9 +21,16 @@
 	stopAgain = 700 * time.Millisecond
 )
 
-// Heard takes in what a worker has in work and what has ended there. The call
-// was sent at sentAt.
-func (p *Planner) Heard(id string, r *yuccapaddle.HoldReply, sentAt time.Time) {
+// Ask numbers a question to a worker. Its answer may be overtaken by others, and
+// tells nothing of runs that were confirmed after it was asked.
+func (p *Planner) Ask() int64 {
+	p.asked++
+	return p.asked
+}
+
+// Heard takes in what a worker has in work and what has ended there, as the answer
+// to the question with that number.
+func (p *Planner) Heard(id string, r *yuccapaddle.HoldReply, question int64) {
 	s := p.worker(id)
 	if s.listedBorn != r.Born {
 		p.restarted(s, r.Born)
@@ -45,7 +52,9 @@
 			delete(s.orphans, t)
 		}
 	}
-	p.missing(s, running, sentAt)
+	if !r.Cut {
+		p.missing(s, running, question)
+	}
 	p.balance(s, r.Running)
 }
 
@@ -80,7 +89,7 @@
 	}
 	m := &x.u.members[x.i]
 	m.seen, m.adopted = true, false
-	m.sent = true
+	p.confirm(m)
 	if r.Percent != m.percent {
 		m.percent, m.movedAt = r.Percent, p.now
 	}
@@ -90,6 +99,13 @@
 	p.begun(x.u)
 }
 
+// confirm notes that the worker has a run, or has had it.
+func (p *Planner) confirm(m *member) {
+	if !m.sent {
+		m.sent, m.confirmed = true, p.asked
+	}
+}
+
 // begun marks a job as running.
 func (p *Planner) begun(u *unit) {
 	if u.job.state == yuccapaddle.JobQueued {
@@ -100,10 +116,10 @@
 
 // missing settles runs that a worker confirmed before and does not list, and
 // starts those that a former host may not have sent.
-func (p *Planner) missing(s *worker, running map[yuccapaddle.TaskID]bool, sentAt time.Time) {
+func (p *Planner) missing(s *worker, running map[yuccapaddle.TaskID]bool, question int64) {
 	for t, x := range s.runs {
 		m := &x.u.members[x.i]
-		if running[t] || m.movedAt.After(sentAt) {
+		if running[t] || question <= m.confirmed {
 			continue
 		}
 		if m.adopted && !x.u.stopping {
@@ -236,7 +252,8 @@
 	var refusal *yuccapaddle.RefusalError
 	switch {
 	case err == nil:
-		m.sent, m.movedAt = true, p.now
+		p.confirm(m)
+		m.movedAt = p.now
 		p.begun(x.u)
 	case !errors.As(err, &refusal):
 		p.unanswered(s, x)
@@ -255,7 +272,8 @@
 	switch why {
 	case yuccapaddle.RefusedOld:
 		// The run has been there; the next list tells how it ended.
-		m.sent, m.movedAt = true, p.now
+		p.confirm(m)
+		m.movedAt = p.now
 		return true
 	case yuccapaddle.RefusedLate:
 		if m.tries < startTries {
@@ -320,7 +338,8 @@
 	if m.sent {
 		return false
 	}
-	m.sent, m.movedAt = true, p.now
+	p.confirm(m)
+	m.movedAt = p.now
 	return true
 }
 
--- a/runner.go
+++ b/runner.go
@@ -98,6 +98,8 @@
 	Clock   int64
 	Running []Run
 	Ended   []End
+	// Cut: there are more ends than the answer holds.
+	Cut bool
 }
 
 // Runner gives orders to workers. Errors match ErrNoAnswer, or are a
