planner: start no more on a worker than it holds when taking over

Cause: a batch of more than 30 keys is committed in several transactions, and a host can be lost between two. Here the room of a run that was over had been given to another in the first, and the end of that run was to come with the next. The host that takes over holds both for placed, sees that the worker runs neither, and sends both starts.

Ruled out: two hosts at once; a run that the worker still had.

Change: what a former host has placed and the worker does not run is started only as far as it fits; the rest is stopped and placed again. TestOverfullTakeOver got 2 starts before, 1 after.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -60,18 +60,18 @@
 
 // member is one task of the current run on its worker.
 type member struct {
-	worker  string
-	sent    bool // the worker has confirmed the start
+	worker string
+	sent   bool // the worker has confirmed the start
 	// confirmed is the number of the last question to any worker before that.
 	confirmed int64
-	unborn  bool // it has certainly not started
-	over    bool // it has ended, or certainly will not begin
-	percent int
-	movedAt time.Time // the last progress
-	tries   int
-	seen    bool // listed as running
-	pace    int  // the percentage at which it may work
-	adopted bool // placed by a former host, and not seen yet
+	unborn    bool // it has certainly not started
+	over      bool // it has ended, or certainly will not begin
+	percent   int
+	movedAt   time.Time // the last progress
+	tries     int
+	seen      bool // listed as running
+	pace      int  // the percentage at which it may work
+	adopted   bool // placed by a former host, and not seen yet
 }
 
 func newJob(in *yuccapaddle.Job) *job {
--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -173,3 +173,19 @@
 	w.p.Heard(starts[0].Worker, &yuccapaddle.HoldReply{Born: 1}, early)
 	w.c.Check(w.starts(), qt.HasLen, 0, qt.Commentf("the runs are taken to be over"))
 }
+
+// TestOverfullTakeOver: a host is lost between the transactions of one batch. The
+// records give the room of a worker to the run of one job, and do not tell yet that
+// that of another is over. The next host starts only one of them there.
+func TestOverfullTakeOver(t *testing.T) {
+	w := newWorld(t, 1)
+	for _, id := range []string{"old", "new"} {
+		job := []byte(`{"id":"` + id + `","q":"batch","v":"svc","t":[{"n":1,"d":{"g":8}}],"ac":` + map[string]string{"old": "1", "new": "2"}[id] + `}`)
+		part := []byte(`[{"r":1,"s":1,"m":[{"w":"w00"}]}]`)
+		w.c.Assert(w.p.Restore(job, []byte(`{"s":"queued","o":1}`), [][]byte{part}), qt.IsNil)
+	}
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 1}, w.p.Ask())
+	starts := w.starts()
+	w.c.Assert(starts, qt.HasLen, 1)
+	w.c.Check(starts[0].Task.Job, qt.Equals, "new")
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"yuccapaddle"
@@ -115,16 +117,16 @@
 }
 
 // missing settles runs that a worker confirmed before and does not list, and
-// starts those that a former host may not have sent.
+// takes up those whose start a former host may not have sent.
 func (p *Planner) missing(s *worker, running map[yuccapaddle.TaskID]bool, question int64) {
+	var unsent []assignment
 	for t, x := range s.runs {
 		m := &x.u.members[x.i]
 		if running[t] || question <= m.confirmed {
 			continue
 		}
 		if m.adopted && !x.u.stopping {
-			m.adopted = false
-			p.again(s, x)
+			unsent = append(unsent, x)
 		}
 		if !m.sent {
 			continue
@@ -132,6 +134,34 @@
 		p.note(yuccapaddle.Note{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: s.ID, Run: x.u.run})
 		p.over(s, x.u, x.i, "the worker does not list it")
 	}
+	p.resume(s, unsent)
+}
+
+// resume starts what a former host has placed on a worker and the worker does not
+// run. The former host may have been lost between the transactions of one batch, so
+// that the room of a run that was over is given to another in the records while the
+// end of the first is not in them: what does not fit is stopped.
+func (p *Planner) resume(s *worker, unsent []assignment) {
+	if len(unsent) == 0 {
+		return
+	}
+	slices.SortFunc(unsent, func(a, b assignment) int {
+		return cmp.Or(cmp.Compare(p.priority(a.u.job), p.priority(b.u.job)), cmp.Compare(b.u.job.in.Accepted, a.u.job.in.Accepted),
+			cmp.Compare(a.u.taskID(a.i).String(), b.u.taskID(b.i).String()))
+	})
+	free := s.free()
+	for _, x := range unsent {
+		free = free.Add(x.u.spec().Room())
+	}
+	for _, x := range unsent {
+		x.u.members[x.i].adopted = false
+		if room := x.u.spec().Room(); room.Fits(free) {
+			free = free.Sub(room)
+			p.again(s, x)
+			continue
+		}
+		p.stop(x.u, "its room on worker "+s.ID+" was given to another")
+	}
 }
 
 // ended takes in the end of a run.
