planner: place nothing beside a run that nobody wants

Cause: a run that a worker lists and that is not the current one of its task is stopped, but its room was counted as free until then: a task placed there goes beyond what the worker holds. A list made earlier that arrived later also made it forgotten too soon.

Change: a worker gets no new runs while it lists such a run, and only a list that was asked for later ends that. TestOrphanKeepsRoom failed first.

--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -189,3 +189,18 @@
 	w.c.Assert(starts, qt.HasLen, 1)
 	w.c.Check(starts[0].Task.Job, qt.Equals, "new")
 }
+
+// TestOrphanKeepsRoom: what a worker runs and nobody here wants takes room until it
+// has ended there, and a list that was made before says nothing of that.
+func TestOrphanKeepsRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	early := w.p.Ask()
+	stray := yuccapaddle.Run{Task: yuccapaddle.TaskID{Job: "stray"}, Run: 1}
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 1, Running: []yuccapaddle.Run{stray}}, w.p.Ask())
+	w.p.Submit(&yuccapaddle.Job{ID: "j", Queue: queueBatch, Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: yuccapaddle.Need{GPU: 8}}}})
+	w.c.Check(w.starts(), qt.HasLen, 0)
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 1}, early)
+	w.c.Check(w.starts(), qt.HasLen, 0)
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 1}, w.p.Ask())
+	w.c.Check(w.starts(), qt.HasLen, 1)
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -49,11 +49,7 @@
 		running[r.Running[i].Task] = true
 		p.running(s, &r.Running[i])
 	}
-	for t := range s.orphans {
-		if !running[t] {
-			delete(s.orphans, t)
-		}
-	}
+	p.clearOrphans(s, running, question)
 	if !r.Cut {
 		p.missing(s, running, question)
 	}
@@ -82,10 +78,10 @@
 func (p *Planner) running(s *worker, r *yuccapaddle.Run) {
 	x, ok := s.runs[r.Task]
 	if !ok || x.u.run != r.Run {
-		if !s.orphans[r.Task] {
+		if _, known := s.orphans[r.Task]; !known {
 			p.note(yuccapaddle.Note{Event: "orphan run", Task: r.Task.String(), Worker: s.ID, Run: r.Run})
 		}
-		s.orphans[r.Task] = true
+		s.orphans[r.Task] = p.asked
 		p.batch.Stops = append(p.batch.Stops, yuccapaddle.RunStop{Worker: s.ID, Task: r.Task, Run: r.Run})
 		return
 	}
@@ -101,6 +97,16 @@
 	p.begun(x.u)
 }
 
+// clearOrphans forgets the orphans that have ended.
+func (p *Planner) clearOrphans(s *worker, running map[yuccapaddle.TaskID]bool, question int64) {
+	for t, seen := range s.orphans {
+		if !running[t] && question > seen {
+			delete(s.orphans, t)
+			p.changed = true
+		}
+	}
+}
+
 // confirm notes that the worker has a run, or has had it.
 func (p *Planner) confirm(m *member) {
 	if !m.sent {
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -61,6 +61,8 @@
 		return "emptied for maintenance"
 	case p.now.Before(s.unfit):
 		return "refuses starts"
+	case len(s.orphans) > 0:
+		return "runs what nobody wants"
 	case p.rests(s):
 		return "quarantined"
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -9,12 +9,14 @@
 // worker is what the planner knows of one worker.
 type worker struct {
 	yuccapaddle.Worker
-	listed     bool
-	used       yuccapaddle.Need
-	runs       map[yuccapaddle.TaskID]assignment
-	orphans    map[yuccapaddle.TaskID]bool // runs that nothing here wants
-	seen       int64                       // the highest end that has been applied
-	listedBorn int64                       // born, as its lists of runs say
+	listed bool
+	used   yuccapaddle.Need
+	runs   map[yuccapaddle.TaskID]assignment
+	// orphans are runs that nothing here wants, each with the number of the last
+	// question asked before it was listed.
+	orphans    map[yuccapaddle.TaskID]int64
+	seen       int64 // the highest end that has been applied
+	listedBorn int64 // born, as its lists of runs say
 	strikes    int
 	restedAt   time.Time // it is avoided until then
 	gone       time.Time // since when it has not been listed
@@ -32,7 +34,7 @@
 func (p *Planner) worker(id string) *worker {
 	s := p.workers[id]
 	if s == nil {
-		s = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]bool{}}
+		s = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]int64{}}
 		s.ID = id
 		p.workers[id] = s
 	}
@@ -137,9 +139,11 @@
 	return e.Domain + " " + e.Rack
 }
 
-// usable reports whether new runs may be placed on the worker.
+// usable reports whether new runs may be placed on the worker. Orphans take room of
+// which nothing is known.
 func (p *Planner) usable(s *worker) bool {
-	return s.listed && !s.silent && !s.emptied && !s.Draining && !p.rules.Closed[s.Domain] && !p.now.Before(s.unfit)
+	sound := s.listed && !s.silent && !s.Draining && !p.now.Before(s.unfit) && len(s.orphans) == 0
+	return sound && !s.emptied && !p.rules.Closed[s.Domain]
 }
 
 // Empty has a worker get no new runs, or ends that, for the maintenance
