planner: take up a job whose state was not committed with its last part

Cause: a batch of many keys is committed in several transactions. A host lost between two may leave the part of a timed job with a run of an occurrence that the job's state does not count yet. Reading that was an error, and the job was passed over: accepted, and lost.

Change: occurrences that the parts have are opened. TestOpenedLater failed first.

--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -190,6 +190,20 @@
 	w.c.Check(starts[0].Task.Job, qt.Equals, "new")
 }
 
+// TestOpenedLater: a host is lost between the transactions of one batch. The
+// records have a run of an occurrence that the state of the job does not tell of
+// yet. The next host takes the job up with both.
+func TestOpenedLater(t *testing.T) {
+	w := newWorld(t, 1)
+	job := []byte(`{"id":"timed","q":"batch","v":"svc","t":[{"n":1,"d":{"g":1}}],"f":1,"ev":1000,"x":3}`)
+	part := []byte(`[{"r":1,"s":2,"d":true},{"k":1,"r":1,"s":1,"m":[{"w":"w00"}]}]`)
+	w.c.Assert(w.p.Restore(job, []byte(`{"s":"running","o":1}`), [][]byte{part}), qt.IsNil)
+	view, ok := w.p.View("timed")
+	w.c.Assert(ok, qt.IsTrue)
+	w.c.Check(view.Steps[0].Done, qt.Equals, 1)
+	w.c.Check(view.Steps[1].Placed, qt.Equals, 1)
+}
+
 // TestOrphanKeepsRoom: what a worker runs and nobody here wants takes room until it
 // has ended there, and a list that was made before says nothing of that.
 func TestOrphanKeepsRoom(t *testing.T) {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -141,6 +141,11 @@
 }
 
 func (p *Planner) restoreUnit(j *job, r *unitRecord) error {
+	// The state of the job may not have been committed after this part was.
+	for r.Occurrence >= j.opened && j.opened < j.in.Occurrences() {
+		j.add(j.opened, p.now)
+		j.opened++
+	}
 	u := j.unit(r)
 	if u == nil {
 		return fmt.Errorf("a unit of step %d is unknown", r.Step)
