recorder: keep the keys of a job in one transaction

Cause: a batch was cut every 30 keys, wherever that fell, so that a host lost between two transactions left jobs of which some parts were newer than others.

Change: a transaction takes whole records; only one that is larger by itself is divided. TestRecordsWhole failed first (jobs with 2 of their 4 keys).

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -119,12 +119,14 @@
 // Save commits records, in several transactions if they are many. It goes on
 // until they are committed, the context ends or another host has taken over.
 func (r *Recorder) Save(ctx context.Context, records, removed []yuccapaddle.JobRecord) error {
-	set, remove := changes(records), keys(removed)
-	for len(set) > 0 || len(remove) > 0 {
+	groups, remove := make([][]yuccapaddle.Change, len(records)), keys(removed)
+	for i := range records {
+		groups[i] = changes(&records[i])
+	}
+	for len(groups) > 0 || len(remove) > 0 {
 		var t yuccapaddle.Transaction
-		n := min(len(set), mostChanges)
-		t.Set, set = set[:n:n], set[n:]
-		n = min(len(remove), mostChanges-len(t.Set))
+		t.Set, groups = pack(groups)
+		n := min(len(remove), mostChanges-len(t.Set))
 		t.Remove, remove = remove[:n], remove[n:]
 		if err := r.persist(ctx, t); err != nil {
 			return err
@@ -133,21 +135,36 @@
 	return nil
 }
 
-// changes lists what the records set. The state of a job comes after the job and
-// its parts, so that a host which reads a state finds them.
-func changes(records []yuccapaddle.JobRecord) []yuccapaddle.Change {
-	var list []yuccapaddle.Change
-	for i := range records {
-		x := &records[i]
-		if x.Job != nil {
-			list = append(list, yuccapaddle.Change{Key: jobPrefix + x.ID, Value: x.Job})
+// pack takes the changes of as many records as one transaction holds. A record is
+// divided only if it alone is larger, so that a host which is lost between two
+// transactions leaves jobs whole.
+func pack(groups [][]yuccapaddle.Change) (set []yuccapaddle.Change, rest [][]yuccapaddle.Change) {
+	for len(groups) > 0 {
+		room := mostChanges - len(set)
+		switch g := groups[0]; {
+		case len(g) <= room:
+			set, groups = append(set, g...), groups[1:]
+		case len(set) == 0:
+			set, groups[0] = g[:room:room], g[room:]
+			return set, groups
+		default:
+			return set, groups
 		}
-		for n, data := range x.Parts {
-			list = append(list, yuccapaddle.Change{Key: partKey(x.ID, n), Value: data})
-		}
-		list = append(list, yuccapaddle.Change{Key: stateMark + x.ID, Value: x.State})
 	}
-	return list
+	return set, nil
+}
+
+// changes lists what a record sets. The state of a job comes after the job and its
+// parts, so that a host which reads a state finds them.
+func changes(x *yuccapaddle.JobRecord) []yuccapaddle.Change {
+	list := make([]yuccapaddle.Change, 0, len(x.Parts)+2)
+	if x.Job != nil {
+		list = append(list, yuccapaddle.Change{Key: jobPrefix + x.ID, Value: x.Job})
+	}
+	for n, data := range x.Parts {
+		list = append(list, yuccapaddle.Change{Key: partKey(x.ID, n), Value: data})
+	}
+	return append(list, yuccapaddle.Change{Key: stateMark + x.ID, Value: x.State})
 }
 
 func keys(removed []yuccapaddle.JobRecord) []string {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,3 +108,39 @@
 		c.Check(len(x.If)+len(x.Set)+len(x.Remove) <= 32, qt.IsTrue)
 	}
 }
+
+// TestRecordsWhole: the keys of a job are set by one transaction unless they alone
+// are too many for it.
+func TestRecordsWhole(t *testing.T) {
+	c, store := qt.New(t), &late{Bookkeeper: bookkeeper.New()}
+	r := claim(t, c, store, "a")
+	first := len(store.copies)
+	var all []yuccapaddle.JobRecord
+	for i := range 20 {
+		x := record(fmt.Sprintf("j%03d", i), "1")[0]
+		x.Parts = map[int][]byte{0: []byte("p"), 1: []byte("p")}
+		all = append(all, x)
+	}
+	wide := record("wide", "1")[0]
+	wide.Parts = map[int][]byte{}
+	for n := range 40 {
+		wide.Parts[n] = []byte("p")
+	}
+	all = append(all, wide)
+	c.Assert(r.Save(t.Context(), all, nil), qt.IsNil)
+	for _, x := range store.copies[first:] {
+		keys := map[string]int{}
+		for _, s := range x.Set {
+			for i := range 20 {
+				if id := fmt.Sprintf("j%03d", i); strings.Contains(s.Key, id) {
+					keys[id]++
+				}
+			}
+		}
+		for id, n := range keys {
+			c.Check(n, qt.Equals, 4, qt.Commentf("job %s", id))
+		}
+		c.Check(len(x.If)+len(x.Set) <= 32, qt.IsTrue)
+	}
+	c.Check(load(t, c, r), qt.HasLen, 21)
+}
