planner: send gangs to workers that have proved themselves while several fail

Change: while three failures lie within 3 s, and for what has failed once, gangs go to workers on which a start went well in the last 2.5 s, if there is room. Single tasks go on as before and find out about the others.

--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -19,8 +19,18 @@
 // pick chooses a worker for each task of a unit, nil if there is no room.
 // reserved is room that is kept for others.
 func (p *Planner) pick(u *unit, reserved map[string]yuccapaddle.Need) []string {
+	rooms := p.rooms(u, u.width(), reserved)
+	if p.careful(u) {
+		if list := p.choose(u, p.proven(rooms)); list != nil {
+			return list
+		}
+	}
+	return p.choose(u, rooms)
+}
+
+// choose takes a room for each task of a unit, nil if there are too few.
+func (p *Planner) choose(u *unit, rooms []room) []string {
 	step, n := u.spec(), u.width()
-	rooms := p.rooms(u, n, reserved)
 	if step.DataRack != "" {
 		if list := fill(inRack(rooms, step.DataRack), n); list != nil || p.patient(u, step.DataRack) {
 			return list
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -26,8 +26,10 @@
 	tickAt     time.Time
 	claims     map[*unit]bool // units for which room is being freed
 	unreserved bool           // no workers are kept for urgent work
+	unproven   bool           // no worker has to prove itself
 	listed     bool           // the registrations have been read
 	asked      int64          // questions to workers so far
+	failures   []time.Time    // the last few failures of tasks
 	advice     map[yuccapaddle.StepID]*advice
 	needed     map[string]int // by workspace, for one round of placing
 	urgent     int            // accelerators that urgent work holds or waits for
@@ -43,6 +45,12 @@
 	return func(p *Planner) { p.unreserved = true }
 }
 
+// WithoutProof places gangs without regard to which workers have failed. It is the
+// baseline that the care for them is measured against.
+func WithoutProof() Option {
+	return func(p *Planner) { p.unproven = true }
+}
+
 // New returns a Planner without jobs.
 func New(limits yuccapaddle.PlanLimits, opts ...Option) *Planner {
 	p := &Planner{
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -21,6 +21,7 @@
 	run     map[string]int64 // ends listed by each worker
 	stopped float64          // core-seconds of work that was stopped
 	late    []time.Duration  // from the submission of an urgent job to its last start
+	grey    map[string]bool  // workers that fail whatever they start
 	since   map[string]time.Time
 }
 
@@ -29,11 +30,13 @@
 	worker    string
 	run       int
 	stopped   bool
+	fails     bool
 }
 
 const (
 	step       = 20 * time.Millisecond
 	stopTime   = 300 * time.Millisecond
+	greyTime   = 60 * time.Millisecond
 	workerCPU  = 64000
 	gpus       = 8
 	perRack    = 8
@@ -43,13 +46,13 @@
 
 func newWorld(t testing.TB, workers int, opts ...planner.Option) *world {
 	w := &world{
-		c: qt.New(t), now: time.Unix(1000, 0), ends: map[yuccapaddle.TaskID]end{}, run: map[string]int64{}, since: map[string]time.Time{},
+		c: qt.New(t), now: time.Unix(1000, 0), ends: map[yuccapaddle.TaskID]end{}, run: map[string]int64{}, since: map[string]time.Time{}, grey: map[string]bool{},
 		p: planner.New(yuccapaddle.PlanLimits{Remote: 3, Retention: time.Hour, Restore: 600 * time.Millisecond}, opts...),
 	}
 	rules := &yuccapaddle.Rules{
 		Version: 1, Digest: 1,
 		Queues: []yuccapaddle.Queue{
-			{Name: queueQuick, Service: "svc", Priority: 0, Attempts: 3, Stretch: 1.5, ObjectiveMS: 400},
+			{Name: queueQuick, Service: "svc", Priority: 0, Attempts: 2, Stretch: 1.5, ObjectiveMS: 400},
 			{Name: queueBatch, Service: "svc", Priority: 2, Attempts: 3, Stretch: 3, ObjectiveMS: 3000},
 		},
 	}
@@ -92,7 +95,11 @@
 	var ms int
 	_, err := fmt.Sscan(s.Payload, &ms)
 	w.c.Assert(err, qt.IsNil)
-	w.ends[s.Task] = end{at: w.now.Add(time.Duration(ms) * time.Millisecond), begun: w.now, worker: s.Worker, run: s.Run}
+	e := end{at: w.now.Add(time.Duration(ms) * time.Millisecond), begun: w.now, worker: s.Worker, run: s.Run}
+	if w.grey[s.Worker] {
+		e.at, e.fails = w.now.Add(greyTime), true
+	}
+	w.ends[s.Task] = e
 	w.p.Answered(s.Worker, s.Task, s.Run, nil)
 	if s.Task.Job[0] == 'u' {
 		w.late = append(w.late, w.now.Sub(w.since[s.Task.Job]))
@@ -116,6 +123,9 @@
 			continue
 		}
 		cause := yuccapaddle.EndDone
+		if e.fails {
+			cause = yuccapaddle.EndFailed
+		}
 		if e.stopped {
 			cause = yuccapaddle.EndStopped
 			w.stopped += e.at.Sub(e.begun).Seconds()
@@ -220,3 +230,37 @@
 	report, _, _ := w.p.Report("b-small")
 	w.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
 }
+
+// storm is the load that the care for proven workers answers: a cluster half full of
+// short tasks and urgent gangs, of which some workers begin to fail all they start.
+// It returns how many of the gangs failed.
+func storm(w *world) int {
+	const gangs = 80
+	for i := range gangs {
+		w.submit(fmt.Sprintf("b%02d", i), queueBatch, yuccapaddle.Step{Count: 10, Need: yuccapaddle.Need{CPU: 8000, GPU: 1}, Estimate: 1500})
+		w.submit(fmt.Sprintf("u%02d", i), queueQuick, yuccapaddle.Step{Count: 5, Need: yuccapaddle.Need{CPU: 8000, GPU: 2}, Estimate: 1500, Gang: true})
+		if i == gangs/4 {
+			for n := range 12 {
+				w.grey[fmt.Sprintf("w%02d", 5*n)] = true
+			}
+		}
+		w.advance(120 * time.Millisecond)
+	}
+	w.advance(10 * time.Second)
+	failed := 0
+	for i := range gangs {
+		if report, _, _ := w.p.Report(fmt.Sprintf("u%02d", i)); report.State == yuccapaddle.JobFailed {
+			failed++
+		}
+	}
+	return failed
+}
+
+// TestStorm: when a fifth of the workers begins to fail all that it starts, fewer
+// gangs use up their attempts than without regard to that.
+func TestStorm(t *testing.T) {
+	w, base := newWorld(t, 60), newWorld(t, 60, planner.WithoutProof())
+	with, without := storm(w), storm(base)
+	t.Logf("gangs failed: %d, without regard to failures %d", with, without)
+	w.c.Check(with < without, qt.IsTrue)
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -192,6 +192,9 @@
 		u.done = !u.spec().Endless
 		s.strikes = 0
 		s.restedAt = time.Time{}
+		if u.placedAt.After(s.doneAt) {
+			s.doneAt = u.placedAt
+		}
 	case yuccapaddle.EndFailed:
 		p.failed(s, u)
 	}
@@ -209,6 +212,7 @@
 }
 
 func (p *Planner) strike(s *worker) {
+	p.noteFailure(s)
 	s.strikes++
 	s.restedAt = p.now.Add(min(restAfterFailure*time.Duration(s.strikes), restMost))
 }
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -18,6 +18,8 @@
 	seen       int64 // the highest end that has been applied
 	listedBorn int64 // born, as its lists of runs say
 	strikes    int
+	doneAt     time.Time // when the last task that was done there was started
+	failedAt   time.Time // when it last failed a task
 	restedAt   time.Time // it is avoided until then
 	gone       time.Time // since when it has not been listed
 	unfit      time.Time // orders to it failed until then
