claimer, executor: one loop over the other hosts; ends by cause in the metrics

Three functions of the claimer asked the other hosts in like loops, each with its own way to pass over one that cannot be reached.

--- a/internal/claimer/cede.go
+++ b/internal/claimer/cede.go
@@ -36,22 +36,13 @@
 
 // refusedAlone reports whether the ledger answers another host.
 func (c *Claimer) refusedAlone(ctx context.Context) bool {
-	for i, a := range c.others() {
-		if i == askedHosts {
-			break
-		}
-		jobs, err := c.links.Jobs(a)
-		if err != nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, 2*dialTime)
-		reply, err := jobs.Reach(callCtx, &peer.ReachRequest{})
-		cancel()
-		if err == nil && reply.GetReached() {
-			return true
-		}
-	}
-	return false
+	reached := false
+	c.askOthers(ctx, 2*dialTime, askedHosts, func(ctx context.Context, _ string, jobs peer.JobsClient) (enough bool) {
+		reply, err := jobs.Reach(ctx, &peer.ReachRequest{})
+		reached = err == nil && reply.GetReached()
+		return reached
+	})
+	return reached
 }
 
 // refusal reports whether the ledger has answered that it does nothing, which
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -216,30 +217,51 @@
 // ask asks the other hosts which one is active, when the ledger does not answer.
 func (c *Claimer) ask(ctx context.Context) string {
 	var best *peer.WhoReply
-	for _, a := range c.others() {
-		jobs, err := c.links.Jobs(a)
+	c.askOthers(ctx, callTime, allHosts, func(ctx context.Context, address string, jobs peer.JobsClient) (enough bool) {
+		reply, err := jobs.Who(ctx, &peer.WhoRequest{})
 		if err != nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTime)
-		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
-		cancel()
-		if err != nil {
-			continue
+			return false
 		}
 		if err := c.learn(reply.GetRules()); err != nil {
-			c.log.Warn("the rules of another host cannot be read", zap.String("address", a), zap.Error(err))
+			c.log.Warn("the rules of another host cannot be read", zap.String("address", address), zap.Error(err))
 		}
 		if reply.GetAddress() != "" && (best == nil || reply.GetEpoch() > best.GetEpoch()) {
 			best = reply
 		}
-	}
+		return false
+	})
 	if best.GetAddress() == c.address {
 		return ""
 	}
 	return best.GetAddress()
 }
 
+// allHosts stands for all hosts that are known.
+const allHosts = math.MaxInt
+
+// askOthers asks up to most of the other hosts, one after the other, until one
+// answer is enough. Each has within to answer.
+func (c *Claimer) askOthers(ctx context.Context, within time.Duration, most int,
+	ask func(ctx context.Context, address string, jobs peer.JobsClient) (enough bool),
+) {
+	for i, address := range c.others() {
+		if i == most {
+			return
+		}
+		jobs, err := c.links.Jobs(address)
+		if err != nil {
+			c.log.Info("a host cannot be asked", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, within)
+		enough := ask(callCtx, address, jobs)
+		cancel()
+		if enough {
+			return
+		}
+	}
+}
+
 func (c *Claimer) learn(data []byte) error {
 	if len(data) == 0 {
 		return nil
--- a/internal/claimer/lead.go
+++ b/internal/claimer/lead.go
@@ -119,17 +119,11 @@
 }
 
 func (c *Claimer) superseded(ctx context.Context, epoch uint64) bool {
-	for _, a := range c.others() {
-		jobs, err := c.links.Jobs(a)
-		if err != nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, dialTime)
-		reply, err := jobs.Who(callCtx, &peer.WhoRequest{})
-		cancel()
-		if err == nil && reply.GetEpoch() > epoch {
-			return true
-		}
-	}
-	return false
+	found := false
+	c.askOthers(ctx, dialTime, allHosts, func(ctx context.Context, _ string, jobs peer.JobsClient) (enough bool) {
+		reply, err := jobs.Who(ctx, &peer.WhoRequest{})
+		found = err == nil && reply.GetEpoch() > epoch
+		return found
+	})
+	return found
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -309,12 +309,24 @@
 	for i := range b.Notes {
 		n := &b.Notes[i]
 		e.meter.Tally("decisions", n.Event, 1)
+		if n.Event == planner.EventEnded {
+			e.meter.Tally("ends", causeLabel(n.Detail), 1)
+		}
 		e.log.Info(n.Event, zap.String("job", n.Job), zap.String("task", n.Task), zap.String("worker", n.Worker),
 			zap.Int("run", n.Run), zap.String("detail", n.Detail), zap.Int64("rules", e.plan.Rules().Version),
 			zap.Int64("listed_ms_ago", e.now.Sub(e.listedAt).Milliseconds()))
 	}
 }
 
+// causeLabel names how a run ended, for the metrics: workers may send any text.
+func causeLabel(cause string) string {
+	switch c := yuccapaddle.EndCause(cause); c {
+	case yuccapaddle.EndDone, yuccapaddle.EndFailed, yuccapaddle.EndStopped, yuccapaddle.EndLapsed, yuccapaddle.EndBroken, yuccapaddle.EndAlone:
+		return cause
+	}
+	return "other"
+}
+
 // outcome names how a call ended, for the metrics.
 func outcome(err error) string {
 	var refusal *yuccapaddle.RefusalError
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -9,6 +9,9 @@
 	"yuccapaddle"
 )
 
+// EventEnded is the event of notes that tell how a run ended.
+const EventEnded = "ended"
+
 // Times in which a worker proves itself.
 const (
 	// restAfterFailure is how long a worker is avoided after it failed a task.
@@ -182,7 +185,7 @@
 		return
 	}
 	u := x.u
-	p.note(yuccapaddle.Note{Event: "ended", Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
+	p.note(yuccapaddle.Note{Event: EventEnded, Job: e.Task.Job, Task: e.Task.String(), Worker: s.ID, Run: e.Run, Detail: string(e.Cause)})
 	if e.Saved != "" {
 		u.saved = e.Saved
 	}
