planner: send the start of what may run once only once

Cause: a start is idempotent by the number of its run only within one life of the worker. Sent again (without an answer; by a host that takes over and finds the run not listed; on the next connection, when one breaks) it can meet the worker's next life, which knows nothing of the first.

Change: such a start is sent once. Without an answer, or when a host takes over and the worker does not list the run, the run is stopped; if the worker then does not have it, the request is told as failed, and that it may have run.

--- a/batch.go
+++ b/batch.go
@@ -32,6 +32,7 @@
 	Payload string
 	Saved   string
 	Ticket  string
+	Once    bool
 }
 
 // RunStop is an order to end a run on a worker.
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -265,7 +265,7 @@
 	}
 	sentAt := e.now
 	o := yuccapaddle.StartOrder{
-		Task: st.Task, Run: st.Run, Payload: st.Payload, Saved: st.Saved, Ticket: st.Ticket,
+		Task: st.Task, Run: st.Run, Payload: st.Payload, Saved: st.Saved, Ticket: st.Ticket, Once: st.Once,
 		Deadline: e.deadline(l), Token: e.token(l),
 	}
 	e.group.Go("start", func() error {
--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -62,6 +62,16 @@
 		{"failed", func(w *world, starts []yuccapaddle.RunStart) {
 			w.end(yuccapaddle.EndFailed, starts...)
 		}, yuccapaddle.JobFailed, true},
+		{"no answer, stop confirmed", func(w *world, starts []yuccapaddle.RunStart) {
+			for _, s := range starts {
+				w.p.Answered(s.Worker, s.Task, s.Run, yuccapaddle.ErrNoAnswer)
+			}
+			w.c.Check(w.starts(), qt.HasLen, 0, qt.Commentf("a second start could meet the worker's next life"))
+			for _, s := range starts {
+				w.c.Check(w.p.Stopped(s.Worker, s.Task, s.Run), qt.IsTrue)
+				w.p.Heard(s.Worker, &yuccapaddle.HoldReply{Born: 2}, w.p.Ask())
+			}
+		}, yuccapaddle.JobFailed, true},
 		{"no answer, lease over", func(w *world, starts []yuccapaddle.RunStart) {
 			for _, s := range starts {
 				w.p.Answered(s.Worker, s.Task, s.Run, yuccapaddle.ErrNoAnswer)
@@ -218,3 +228,20 @@
 	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 1}, w.p.Ask())
 	w.c.Check(w.starts(), qt.HasLen, 1)
 }
+
+// TestOnceAdopted: a host dies after it has committed a placement; the worker has
+// started anew since and lists nothing. What may run once is not started by the next
+// host: the former one may have started it in the worker's former life.
+func TestOnceAdopted(t *testing.T) {
+	w := newWorld(t, 1)
+	job := []byte(`{"id":"once","q":"batch","v":"svc","once":true,"t":[{"n":1,"d":{"g":1}}]}`)
+	w.c.Assert(w.p.Restore(job, []byte(`{"s":"queued","o":1}`), [][]byte{[]byte(`[{"r":1,"s":1,"m":[{"w":"w00"}]}]`)}), qt.IsNil)
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 2}, w.p.Ask())
+	w.c.Check(w.starts(), qt.HasLen, 0)
+	w.p.Stopped("w00", yuccapaddle.TaskID{Job: "once"}, 1)
+	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 2}, w.p.Ask())
+	w.c.Check(w.starts(), qt.HasLen, 0)
+	report := w.report1()
+	w.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
+	w.c.Check(report.Ran, qt.IsTrue)
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -164,6 +164,10 @@
 	}
 	for _, x := range unsent {
 		x.u.members[x.i].adopted = false
+		if x.u.job.in.Once {
+			p.stop(x.u, "a former host may have started it")
+			continue
+		}
 		if room := x.u.spec().Room(); room.Fits(free) {
 			free = free.Sub(room)
 			p.again(s, x)
@@ -262,7 +266,7 @@
 // has: because it has failed as often as it may, or because it may run only once.
 func (p *Planner) exhaust(u *unit) bool {
 	if u.job.in.Once && u.began {
-		u.job.why = "task " + u.taskID(0).String() + " ran and is not repeatable: " + u.lastEnd
+		u.job.why = "task " + u.taskID(0).String() + " may have run and is not repeatable: " + u.lastEnd
 		p.finish(u.job, yuccapaddle.JobFailed)
 		return true
 	}
@@ -319,7 +323,7 @@
 		m.movedAt = p.now
 		return true
 	case yuccapaddle.RefusedLate:
-		if m.tries < startTries {
+		if m.tries < startTries && !u.job.in.Once {
 			p.again(s, x)
 			return false
 		}
@@ -359,6 +363,11 @@
 	if u.stopping {
 		return
 	}
+	if u.job.in.Once {
+		// A second start could meet the worker's next life, and run the task again.
+		p.stop(u, "a start that may go out only once has had no answer")
+		return
+	}
 	if u.members[x.i].tries < startTries {
 		p.again(s, x)
 		return
@@ -400,6 +409,6 @@
 
 func (p *Planner) start(u *unit, worker string, i int) yuccapaddle.RunStart {
 	return yuccapaddle.RunStart{
-		Worker: worker, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, worker),
+		Worker: worker, Task: u.taskID(i), Run: u.run, Payload: u.job.in.Payload, Saved: u.saved, Ticket: p.ticket(u, worker), Once: u.job.in.Once,
 	}
 }
--- a/runner.go
+++ b/runner.go
@@ -32,6 +32,8 @@
 	Ticket   string
 	Deadline int64
 	Token    uint64
+	// Once: the order is not to be sent again if its fate is not known.
+	Once bool
 }
 
 // StopOrder asks a worker to end a run.
