claimer, executor: renew workers' leases only while confirmed in the role

Cause (zones): the active host is cut off with its zone. It cannot reach the store or the other hosts, keeps its role, as it should when only the store is away, and goes on renewing the leases of the workers in its zone. Its successor counts the end of all leases from its own claim, and places their tasks anew after 4.1 s, while the old runs go on. With the sites' own leases of 6 s the cut ended first.

Ruled out: late orders (their deadline is a time on the worker's clock); leases longer than the settings say.

Change: a host renews leases, and places, only while its own lease was renewed within 2.4 s or half of the others answer that they know of no later writer. A successor that does not know that the former host has ended waits 3 s longer before the leases of workers out of reach are over. The others are asked at once, not one after the other.

--- a/internal/claimer/cede.go
+++ b/internal/claimer/cede.go
@@ -62,5 +62,5 @@
 	if lock.Revision != 0 && string(lock.Value) != address {
 		return // somebody else has it by now
 	}
-	c.claim(ctx, lock.Revision)
+	c.claim(ctx, lock.Revision, true)
 }
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -43,11 +43,18 @@
 	delayTime  = 20 * time.Millisecond
 	delayMost  = 200 * time.Millisecond
 	leastShare = 0.01
+	// confirmTime is for how long a renewal, and vouchTime for how long the word of
+	// the other hosts, lets the active host renew the workers' leases.
+	confirmTime = 2400 * time.Millisecond
+	vouchTime   = 2 * time.Second
+	// rivalTime is for how long after a claim the former host may do so: until the
+	// others know of the claim, and vouchTime more.
+	rivalTime = time.Second + vouchTime
 )
 
 // build makes the executor of this host when it becomes active, and what else
-// runs then.
-type build = func(rec *recorder.Recorder) (e *executor.Executor, beside func(ctx context.Context) error)
+// runs then. rival is for how long a former host may still renew workers' leases.
+type build = func(rec *recorder.Recorder, rival time.Duration) (e *executor.Executor, beside func(ctx context.Context) error)
 
 // Claimer is safe for concurrent use but for Run.
 type Claimer struct {
@@ -69,6 +76,7 @@
 	ceded     atomic.Bool // the last role was given up to others
 	followers atomic.Int64
 	renewed   atomic.Int64 // Unix nanoseconds of the steady clock, of the last renewal
+	vouched   atomic.Int64 // the same, of when half of the other hosts knew of no later writer
 
 	mu      sync.Mutex
 	known   map[string]time.Time // addresses of other hosts, and when last heard of
@@ -170,6 +178,7 @@
 		return c.ask(ctx)
 	}
 	holder := string(lock.Value)
+	certain := lock.Revision != 0 // either it is an own former life, or its process is gone
 	if lock.Revision != 0 && holder != c.address {
 		switch c.probe(holder) {
 		case reachable:
@@ -180,7 +189,7 @@
 		c.log.Info("the active host's process is gone", zap.String("address", holder))
 	}
 	if !c.yielding.Load() && sleeper.Sleep(ctx, c.claimDelay()) == nil {
-		c.claim(ctx, lock.Revision)
+		c.claim(ctx, lock.Revision, certain)
 	}
 	return ""
 }
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -92,7 +92,7 @@
 	clock := yuccapaddle.SystemClock{}
 	rules := ruler.New(book{}, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
-	build := func(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
+	build := func(rec *recorder.Recorder, _ time.Duration) (*executor.Executor, func(context.Context) error) {
 		e := executor.New(book{}, nil, rules, rec, executor.Bounds{HoldMax: 6000, LeaveWithin: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
@@ -219,3 +219,26 @@
 		})
 	})
 }
+
+// TestCutOff: a host whose store and peers are out of reach is not confirmed in its
+// role any more; one whose store alone is out of reach is, for as long as the others
+// know of no later writer.
+func TestCutOff(t *testing.T) {
+	play(t, 0, func(c *qt.C, hosts []*host) {
+		first := active(hosts)
+		c.Check(first.Confirmed(), qt.IsTrue)
+		for _, h := range hosts {
+			h.door.shut.Store(true)
+		}
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(look) {
+			c.Assert(first.Confirmed(), qt.IsTrue, qt.Commentf("the others answer"))
+		}
+		for _, h := range hosts {
+			if h != first {
+				h.stop()
+				h.peers.Stop()
+			}
+		}
+		eventually(c, "the host is not confirmed any more", func() bool { return !first.Confirmed() })
+	})
+}
--- a/internal/claimer/lead.go
+++ b/internal/claimer/lead.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,7 +16,8 @@
 )
 
 // claim tries to make this host active. seen is the revision of the lock.
-func (c *Claimer) claim(ctx context.Context, seen uint64) {
+// certain tells that the former host gives no orders any more.
+func (c *Claimer) claim(ctx context.Context, seen uint64, certain bool) {
 	callCtx, cancel := context.WithTimeout(ctx, 3*callTime)
 	defer cancel()
 	lease, err := c.ledger.Grant(callCtx, c.lease)
@@ -31,7 +34,11 @@
 		return
 	}
 	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
-	c.lead(ctx, rec, lease)
+	rival := rivalTime
+	if certain {
+		rival = 0
+	}
+	c.lead(ctx, rec, lease, rival)
 }
 
 func (c *Claimer) release(ctx context.Context, lease uint64) {
@@ -44,14 +51,16 @@
 
 // lead runs the executor until the role is lost or given up. The lease is given
 // back as soon as that is known: calls in work may take seconds to end.
-func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64) {
+// rival is for how long a former host may go on renewing the workers' leases.
+func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64, rival time.Duration) {
 	lost, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
 	c.stop = cancel
 	c.mu.Unlock()
-	e, beside := c.build(rec)
+	e, beside := c.build(rec, rival)
 	c.renewed.Store(c.clock.Now().UnixNano())
+	c.vouched.Store(0)
 	c.ceded.Store(false)
 	c.leader.Store(nil)
 	c.local.Store(e)
@@ -118,12 +127,52 @@
 	}
 }
 
+// superseded reports whether another host knows of a later writer. If half of the
+// others answer and know of none, they vouch for this one.
 func (c *Claimer) superseded(ctx context.Context, epoch uint64) bool {
-	found := false
-	c.askOthers(ctx, dialTime, allHosts, func(ctx context.Context, _ string, jobs peer.JobsClient) (enough bool) {
-		reply, err := jobs.Who(ctx, &peer.WhoRequest{})
-		found = err == nil && reply.GetEpoch() > epoch
-		return found
-	})
-	return found
+	at := c.clock.Now()
+	others := c.others()
+	var heard atomic.Int64
+	var later atomic.Bool
+	g, ctx := guarder.New(ctx, c.log)
+	for _, address := range others {
+		g.Go("who", func() error {
+			known, err := c.knownEpoch(ctx, address)
+			if err != nil {
+				return nil // it vouches for nobody
+			}
+			heard.Add(1)
+			if known > epoch {
+				later.Store(true)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		c.log.Warn("the other hosts could not be asked", zap.Error(err))
+	}
+	if !later.Load() && 2*heard.Load() >= int64(len(others)) {
+		c.vouched.Store(at.UnixNano())
+	}
+	return later.Load()
+}
+
+// knownEpoch is the epoch of the active host as far as another host knows.
+func (c *Claimer) knownEpoch(ctx context.Context, address string) (uint64, error) {
+	jobs, err := c.links.Jobs(address)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	reply, err := jobs.Who(ctx, &peer.WhoRequest{})
+	return reply.GetEpoch(), err
+}
+
+// Confirmed reports whether this host, if it is active, has been so until a moment
+// ago: its lease was renewed, or half of the other hosts know of no later writer. One
+// that is cut off together with some workers must let their leases run out.
+func (c *Claimer) Confirmed() bool {
+	now := c.clock.Now()
+	return now.Sub(time.Unix(0, c.renewed.Load())) < confirmTime || now.Sub(time.Unix(0, c.vouched.Load())) < vouchTime
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -63,6 +63,9 @@
 	log      *zap.Logger
 	bounds   Bounds
 	clock    yuccapaddle.Clock
+	// confirmed and rival: see WithRole.
+	confirmed func() bool
+	rival     time.Duration
 
 	inbox     chan func()
 	questions chan yuccapaddle.Question
@@ -105,6 +108,12 @@
 	return func(e *Executor) { e.adviser = a }
 }
 
+// WithRole tells whether this host is confirmed in its role, without which it renews
+// no leases, and for how long a former host may go on renewing them.
+func WithRole(confirmed func() bool, rival time.Duration) Option {
+	return func(e *Executor) { e.confirmed, e.rival = confirmed, rival }
+}
+
 // New returns an executor for the writer of the records.
 func New(registry yuccapaddle.Registry, runner yuccapaddle.Runner, rules *ruler.Ruler, rec *recorder.Recorder,
 	bounds Bounds, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
@@ -113,7 +122,7 @@
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		inbox: make(chan func(), inboxLength), done: make(chan struct{}), plan: planner.New(bounds.Planner),
 		links: map[string]*link{}, shown: map[string]shownJob{}, watchers: map[string][]chan struct{}{}, questions: make(chan yuccapaddle.Question, mostQuestions),
-		meter: yuccapaddle.NoMeter{},
+		meter: yuccapaddle.NoMeter{}, confirmed: func() bool { return true },
 	}
 	for _, o := range opts {
 		o(e)
@@ -224,9 +233,9 @@
 }
 
 // informed reports whether the registrations and the rules are fresh enough to
-// place tasks by them.
+// place tasks by them, and no other host can be doing so.
 func (e *Executor) informed() bool {
-	return e.now.Sub(e.listedAt) < e.share(knownShare) && e.now.Sub(e.rules.FreshAt()) < e.share(knownShare)
+	return e.confirmed() && e.now.Sub(e.listedAt) < e.share(knownShare) && e.now.Sub(e.rules.FreshAt()) < e.share(knownShare)
 }
 
 // share is a part of the time within which a leaving worker gets no new work.
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -447,3 +447,44 @@
 		r.c.Check(r.state("b", "batch"), qt.Equals, yuccapaddle.JobQueued)
 	})
 }
+
+// TestUnconfirmed: a host that may have been replaced without knowing it renews no
+// leases, so that the host after it can count on their end.
+func TestUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.took.Store(int64(30 * time.Second))
+		var replaced atomic.Bool
+		r.confirmed = func() bool { return !replaced.Load() }
+		r.takeOver()
+		defer r.close()
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 30000})
+		time.Sleep(10 * time.Second)
+		r.c.Check(r.running("a"), qt.Equals, 1)
+		replaced.Store(true)
+		time.Sleep(holdMax * time.Millisecond * 100 / 98)
+		r.c.Check(r.running("a"), qt.Equals, 0)
+	})
+}
+
+// TestRival: a host that has taken over while the former one may still renew the
+// leases of a worker out of reach places its tasks anew only when these have ended.
+func TestRival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		r.took.Store(int64(30 * time.Second))
+		r.takeOver()
+		defer func() { r.close() }()
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 30000})
+		time.Sleep(time.Second)
+		first := r.holder("a")
+		r.rival = 3 * time.Second
+		r.takeOver()
+		r.workers[first].SetFault(laborer.FaultCut)
+		task := yuccapaddle.TaskID{Job: "a"}
+		time.Sleep(8 * time.Second)
+		r.c.Check(r.starts.Of(task), qt.HasLen, 1)
+		time.Sleep(4 * time.Second)
+		r.c.Check(r.starts.Of(task), qt.HasLen, 2)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -49,7 +49,7 @@
 func (e *Executor) link(id string) *link {
 	l := e.links[id]
 	if l == nil {
-		l = &link{lapsesBy: e.leaseEnd(e.startedAt)}
+		l = &link{lapsesBy: e.leaseEnd(e.startedAt.Add(e.rival))}
 		e.links[id] = l
 	}
 	return l
@@ -161,7 +161,9 @@
 	if busy && !l.silent {
 		// A silent worker is only looked at: an order to it may arrive although its
 		// answer does not, and each renewal would put off the end of its leases.
-		o.Deadline = e.deadline(l)
+		if e.confirmed() {
+			o.Deadline = e.deadline(l)
+		}
 		switch {
 		case !l.met:
 		case e.plan.Shared(id):
@@ -187,7 +189,11 @@
 	if !ok || s.Address == "" || l.silent {
 		return
 	}
-	e.sendHold(&s, id, l, yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed, Deadline: e.deadline(l)}, false)
+	o := yuccapaddle.HoldOrder{Token: e.token(l), Seen: l.committed}
+	if e.confirmed() {
+		o.Deadline = e.deadline(l)
+	}
+	e.sendHold(&s, id, l, o, false)
 }
 
 // sendHold sends a hold; main is the one of which there is one at a time.
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -48,6 +48,9 @@
 	runner  yuccapaddle.Runner // the rig itself, unless a test puts one before it
 	host    int
 	logs    logs
+	// confirmed and rival are handed to the executor, if the first is set.
+	confirmed func() bool
+	rival     time.Duration
 }
 
 // logs keeps what the hosts write.
@@ -180,8 +183,12 @@
 	if runner == nil {
 		runner = r
 	}
+	confirmed := r.confirmed
+	if confirmed == nil {
+		confirmed = func() bool { return true }
+	}
 	ctx, cancel := context.WithCancel(r.t.Context())
-	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r)), cancel
+	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r), executor.WithRole(confirmed, r.rival)), cancel
 	exec := r.exec
 	r.group.Go(func() error { return rules.Run(ctx, func() bool { return true }) })
 	r.group.Go(func() error {
