--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func (w *world) report1() yuccapaddle.JobReport {
+func (w *world) onceReport() yuccapaddle.JobReport {
 	report, _, ok := w.p.Report("once")
 	w.c.Assert(ok, qt.IsTrue)
 	return report
@@ -91,7 +91,7 @@
 			w.now = w.now.Add(time.Second)
 			w.p.At(w.now, w.now)
 			again := len(w.starts())
-			report := w.report1()
+			report := w.onceReport()
 			w.c.Check(report.State, qt.Equals, tt.state, qt.Commentf("%s", report.Why))
 			w.c.Check(again > 0, qt.Equals, !tt.state.Final())
 			if tt.state.Final() {
@@ -108,7 +108,7 @@
 	job, state := []byte(`{"id":"once","q":"batch","v":"svc","once":true,"t":[{"n":1,"d":{"g":1}}]}`), []byte(`{"s":"running","o":1}`)
 	w.c.Assert(w.p.Restore(job, state, [][]byte{[]byte(`[{"r":1,"b":true}]`)}), qt.IsNil)
 	w.c.Check(w.starts(), qt.HasLen, 0)
-	w.c.Check(w.report1().State, qt.Equals, yuccapaddle.JobFailed)
+	w.c.Check(w.onceReport().State, qt.Equals, yuccapaddle.JobFailed)
 }
 
 // TestSpan: a gang stays within the span that its caller gives, also when room is
@@ -241,7 +241,7 @@
 	w.p.Stopped("w00", yuccapaddle.TaskID{Job: "once"}, 1)
 	w.p.Heard("w00", &yuccapaddle.HoldReply{Born: 2}, w.p.Ask())
 	w.c.Check(w.starts(), qt.HasLen, 0)
-	report := w.report1()
+	report := w.onceReport()
 	w.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
 	w.c.Check(report.Ran, qt.IsTrue)
 }
