executor: count a worker's clock from when its reading arrives

Cause: a worker's clock was taken to have shown the reading of an answer when the question was sent. A worker that waits with its answer reads its clock at the end, up to 1.9 s later, so that this host was ahead of it by as much, and asked for leases that end up to 1.9 s too late. An order carried out at once is cut to the longest lease by the worker; one carried out late brings a lease of which this host does not know, and it places the tasks anew while they still run.

Change: a reading counts from its arrival, of holds, starts, stops and refusals alike.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -488,3 +488,45 @@
 		r.c.Check(r.starts.Of(task), qt.HasLen, 2)
 	})
 }
+
+// leases checks every order against the worker's clock at the time it is sent.
+type leases struct {
+	*rig
+	most atomic.Int64 // of the time from then to an order's deadline, in milliseconds
+}
+
+func (l *leases) note(s *yuccapaddle.Worker, deadline int64) {
+	ahead := deadline - l.workers[s.ID].Worker().Clock
+	for most := l.most.Load(); ahead > most && !l.most.CompareAndSwap(most, ahead); {
+		most = l.most.Load()
+	}
+}
+
+// Start implements yuccapaddle.Runner.
+func (l *leases) Start(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.StartOrder) (int64, error) {
+	l.note(s, o.Deadline)
+	return l.rig.Start(ctx, s, o)
+}
+
+// Hold implements yuccapaddle.Runner.
+func (l *leases) Hold(ctx context.Context, s *yuccapaddle.Worker, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
+	l.note(s, o.Deadline)
+	return l.rig.Hold(ctx, s, o)
+}
+
+// TestDeadline: no order asks for a lease that ends later, by the worker's clock,
+// than the longest lease from the moment it is sent. An order that is carried out
+// late would else bring a lease of which this host does not know.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.took.Store(int64(20 * time.Second))
+		watch := &leases{rig: r}
+		r.runner = watch
+		r.takeOver()
+		defer r.close()
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 20000})
+		r.settles("a", "batch", yuccapaddle.JobCompleted, 30*time.Second)
+		r.c.Check(watch.most.Load() <= holdMax, qt.IsTrue, qt.Commentf("a lease of up to %d ms was asked for", watch.most.Load()))
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -69,12 +69,14 @@
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*slowest)
 }
 
-// setClock takes a reading of the worker's clock that was asked for at sentAt.
-func (l *link) setClock(clock int64, sentAt time.Time) {
-	if clock <= 0 || clock < l.clockNow(sentAt) {
+// setClock takes a reading of the worker's clock that was here at that time. It may
+// have been made before, but not later: a worker that waits with its answer reads
+// its clock at the end.
+func (l *link) setClock(clock int64, at time.Time) {
+	if clock <= 0 || clock < l.clockNow(at) {
 		return
 	}
-	l.clock, l.clockAt = clock, sentAt
+	l.clock, l.clockAt = clock, at
 }
 
 func (l *link) restart(born, clock int64, at time.Time) {
@@ -198,22 +200,23 @@
 
 // sendHold sends a hold; main is the one of which there is one at a time.
 func (e *Executor) sendHold(s *yuccapaddle.Worker, id string, l *link, o yuccapaddle.HoldOrder, main bool) {
-	to, sentAt, question := *s, e.now, e.plan.Ask()
+	to, question := *s, e.plan.Ask()
 	e.group.Go("hold", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, time.Duration(o.WaitMS)*time.Millisecond+holdSlack)
 		defer cancel()
 		reply, err := e.runner.Hold(ctx, &to, o)
+		at := e.clock.Now()
 		e.post(func() {
 			if main {
 				l.holding = false
 			}
-			e.held(id, l, o, sentAt, question, reply, err)
+			e.held(id, l, o, at, question, reply, err)
 		})
 		return nil
 	})
 }
 
-func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, sentAt time.Time, question int64, reply yuccapaddle.HoldReply, err error) {
+func (e *Executor) held(id string, l *link, o yuccapaddle.HoldOrder, at time.Time, question int64, reply yuccapaddle.HoldReply, err error) {
 	e.meter.Tally("looks", outcome(err), 1)
 	if err != nil {
 		e.noteSilence(id, l, err)
@@ -226,12 +229,12 @@
 	}
 	if reply.Born != l.born {
 		fresh := l.born != 0
-		l.restart(reply.Born, reply.Clock, sentAt)
+		l.restart(reply.Born, reply.Clock, at)
 		if fresh {
 			return // ask again under a token that shuts out orders from before the restart
 		}
 	}
-	l.setClock(reply.Clock, sentAt)
+	l.setClock(reply.Clock, at)
 	l.told, l.met = max(l.told, o.Seen), true
 	e.plan.Heard(id, &reply, question)
 }
@@ -278,17 +281,18 @@
 		ctx, cancel := context.WithTimeout(e.ctx, orderTime)
 		defer cancel()
 		clock, err := e.runner.Start(ctx, &s, o)
-		e.post(func() { e.answered(l, st, clock, sentAt, err) })
+		at := e.clock.Now()
+		e.post(func() { e.answered(l, st, clock, sentAt, at, err) })
 		return nil
 	})
 }
 
-func (e *Executor) answered(l *link, st yuccapaddle.RunStart, clock int64, sentAt time.Time, err error) {
-	e.meter.Time("start", outcome(err), e.now.Sub(sentAt))
-	l.setClock(clock, sentAt)
+func (e *Executor) answered(l *link, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
+	e.meter.Time("start", outcome(err), at.Sub(sentAt))
+	l.setClock(clock, at)
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) {
-		l.setClock(refusal.Clock, sentAt)
+		l.setClock(refusal.Clock, at)
 		if refusal.Reason == yuccapaddle.RefusedOutdated {
 			e.deposed(st.Worker)
 			return
@@ -310,8 +314,9 @@
 		ctx, cancel := context.WithTimeout(e.ctx, orderTime)
 		defer cancel()
 		clock, err := e.runner.Stop(ctx, &s, o)
+		at := e.clock.Now()
 		e.post(func() {
-			l.setClock(clock, e.now)
+			l.setClock(clock, at)
 			if err == nil && e.plan.Stopped(st.Worker, st.Task, st.Run) {
 				e.look(st.Worker, l)
 			}
