executor: one way to ask the loop, which shares nothing with a caller that gives up

Cause: what operators see, the end of a job, the counts and the emptying of workers each asked the loop in a way of its own, with the same select. Three of them (View, Status, Cancel) let the loop write into the caller's variable; a caller that gives up reads it while the loop may be writing.

Change: query does it for all, with a channel of its own for each answer. TestGivenUp, played on the code before under the race detector, failed there.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -230,11 +230,8 @@
 	}
 	st.Active, st.Leader = true, a.place.Host
 	engine, err := e.Status(ctx)
-	if err != nil {
-		return st, err
-	}
-	st.Engine = &engine
-	return st, nil
+	st.Engine = engine
+	return st, err
 }
 
 // drainCallers gives the role up and serves on while callers still come.
--- a/internal/executor/drain.go
+++ b/internal/executor/drain.go
@@ -7,15 +7,9 @@
 // tasks of a step away.
 func (e *Executor) Drain(ctx context.Context, worker string, want bool) (empty, needed bool) {
 	type answer struct{ empty, needed bool }
-	answers := make(chan answer, 1)
-	if !e.post(func() { answers <- answer{e.plan.Empty(worker, want), e.plan.Spared(worker)} }) {
+	a, err := query(ctx, e, func() answer { return answer{e.plan.Empty(worker, want), e.plan.Spared(worker)} })
+	if err != nil {
 		return false, true
 	}
-	select {
-	case a := <-answers:
-		return a.empty, a.needed
-	case <-ctx.Done():
-	case <-e.done:
-	}
-	return false, true
+	return a.empty, a.needed
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -530,3 +530,24 @@
 		r.c.Check(watch.most.Load() <= holdMax, qt.IsTrue, qt.Commentf("a lease of up to %d ms was asked for", watch.most.Load()))
 	})
 }
+
+// TestGivenUp: a caller that gives up gets nothing of what the loop finds later.
+// The race detector fails it if both share what is found.
+func TestGivenUp(t *testing.T) {
+	play(t, 1, func(r *rig) {
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one})
+		ctx, cancel := context.WithCancel(r.t.Context())
+		cancel()
+		for range 200 {
+			if view, err := r.exec.View(ctx, "a"); err != nil {
+				r.c.Check(view, qt.IsNil)
+			}
+			if st, err := r.exec.Status(ctx); err != nil {
+				r.c.Check(st, qt.IsNil)
+			}
+			if found, err := r.exec.Cancel(ctx, "none", ""); err != nil {
+				r.c.Check(found, qt.IsFalse)
+			}
+		}
+	})
+}
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -95,54 +95,85 @@
 			found = e.plan.Cancel(id)
 		}
 	})
-	return found, err
+	return err == nil && found, err // without an answer the loop may still be at it
 }
 
 // ask has the loop run f, and waits until its effects are committed.
 func (e *Executor) ask(ctx context.Context, f func()) error {
-	asked := make(chan chan struct{}, 1)
-	sent := e.post(func() {
+	committed, err := query(ctx, e, func() chan struct{} {
 		f()
-		asked <- e.wait()
+		return e.wait()
 	})
-	if !sent {
-		return yuccapaddle.ErrNotTaken
+	if err != nil {
+		return err
 	}
-	var committed chan struct{}
 	select {
-	case committed = <-asked:
+	case <-committed:
+		return nil
 	case <-ctx.Done():
 		return yuccapaddle.ErrUnknown
 	case <-e.done:
 		return yuccapaddle.ErrUnknown
 	}
+}
+
+// query has the loop run f and returns what it gives. Errors are ErrNotTaken if f
+// does not run, and ErrUnknown if it may.
+func query[T any](ctx context.Context, e *Executor, f func() T) (T, error) {
+	answers := make(chan T, 1)
+	var none T
+	if !e.post(func() { answers <- f() }) {
+		return none, yuccapaddle.ErrNotTaken
+	}
 	select {
-	case <-committed:
-		return nil
+	case a := <-answers:
+		return a, nil
 	case <-ctx.Done():
-		return yuccapaddle.ErrUnknown
 	case <-e.done:
-		return yuccapaddle.ErrUnknown
 	}
+	return none, yuccapaddle.ErrUnknown
 }
 
 // Show returns what is committed of a job, once it is final or at until.
 func (e *Executor) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	for {
-		report, found, ended, err := e.shownNow(ctx, id, queue, until)
-		if err != nil || ended == nil {
-			return report, found, err
+		a, err := query(ctx, e, func() sight { return e.see(id, queue, until) })
+		if err != nil || a.ended == nil {
+			return a.JobReport, a.found, err
 		}
 		timer := time.NewTimer(time.Until(until))
 		select {
-		case <-ended:
+		case <-a.ended:
 		case <-timer.C:
 		case <-ctx.Done():
 		case <-e.done:
 		}
 		timer.Stop()
-		e.post(func() { e.leave(id, ended) })
+		e.post(func() { e.leave(id, a.ended) })
+	}
+}
+
+// sight is what is committed of a job. The channel is closed when that is final,
+// unless it is or there is no time left to wait.
+type sight struct {
+	yuccapaddle.JobReport
+	found bool
+	ended chan struct{}
+}
+
+func (e *Executor) see(id, queue string, until time.Time) sight {
+	s, ok := e.shown[id]
+	if !ok {
+		var q string
+		_, q, ok = e.plan.Report(id)
+		s = shownJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, q}
+	}
+	a := sight{JobReport: s.JobReport, found: ok && (queue == "" || s.queue == queue)}
+	if a.found && !s.State.Final() && time.Now().Before(until) {
+		a.ended = make(chan struct{})
+		e.watchers[id] = append(e.watchers[id], a.ended)
 	}
+	return a
 }
 
 // leave forgets a waiter for the end of a job, if it still waits.
@@ -155,42 +186,6 @@
 	e.watchers[id] = list
 }
 
-// shownNow returns what is committed of a job, and a channel that is closed when
-// that is final, unless it is or there is no time left to wait.
-func (e *Executor) shownNow(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, chan struct{}, error) {
-	type answer struct {
-		shown shownJob
-		found bool
-		ended chan struct{}
-	}
-	answers := make(chan answer, 1)
-	wait := time.Now().Before(until)
-	sent := e.post(func() {
-		s, ok := e.shown[id]
-		if !ok {
-			var q string
-			_, q, ok = e.plan.Report(id)
-			s = shownJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, q}
-		}
-		a := answer{shown: s, found: ok && (queue == "" || s.queue == queue)}
-		if a.found && wait && !s.State.Final() {
-			a.ended = make(chan struct{})
-			e.watchers[id] = append(e.watchers[id], a.ended)
-		}
-		answers <- a
-	})
-	if !sent {
-		return yuccapaddle.JobReport{}, false, nil, yuccapaddle.ErrNotTaken
-	}
-	select {
-	case a := <-answers:
-		return a.shown.JobReport, a.found, a.ended, nil
-	case <-ctx.Done():
-	case <-e.done:
-	}
-	return yuccapaddle.JobReport{}, false, nil, yuccapaddle.ErrUnknown
-}
-
 // wake tells those who wait for the end of a job.
 func (e *Executor) wake(id string) {
 	for _, ended := range e.watchers[id] {
@@ -199,46 +194,25 @@
 	delete(e.watchers, id)
 }
 
-// View returns what operators are told of a job.
-func (e *Executor) View(ctx context.Context, id string) (yuccapaddle.JobView, bool, error) {
-	var view yuccapaddle.JobView
-	found := false
-	err := e.read(ctx, func() { view, found = e.plan.View(id) })
-	return view, found, err
+// View returns what operators are told of a job, nil if there is none.
+func (e *Executor) View(ctx context.Context, id string) (*yuccapaddle.JobView, error) {
+	return query(ctx, e, func() *yuccapaddle.JobView { return e.plan.View(id) })
 }
 
 // Status returns a summary for operators.
-func (e *Executor) Status(ctx context.Context) (yuccapaddle.EngineStatus, error) {
-	var st yuccapaddle.EngineStatus
-	err := e.read(ctx, func() {
-		st = e.plan.Status()
+func (e *Executor) Status(ctx context.Context) (*yuccapaddle.EngineStatus, error) {
+	return query(ctx, e, func() *yuccapaddle.EngineStatus {
+		st := e.plan.Status()
 		st.Epoch, st.Stalled = e.rec.Epoch(), e.stalled()
+		return &st
 	})
-	return st, err
-}
-
-// read has the loop run f, which changes nothing.
-func (e *Executor) read(ctx context.Context, f func()) error {
-	ran := make(chan struct{})
-	if !e.post(func() {
-		f()
-		close(ran)
-	}) {
-		return yuccapaddle.ErrNotTaken
-	}
-	select {
-	case <-ran:
-		return nil
-	case <-ctx.Done():
-	case <-e.done:
-	}
-	return yuccapaddle.ErrUnknown
 }
 
-// Pending returns the number of jobs of each queue that have not begun.
+// Pending returns the number of jobs of each queue that have not begun, nil if this
+// host is not active any more.
 func (e *Executor) Pending(ctx context.Context) map[string]int64 {
-	var counts map[string]int64
-	if err := e.read(ctx, func() { counts = e.plan.Pending() }); err != nil {
+	counts, err := query(ctx, e, e.plan.Pending)
+	if err != nil {
 		return nil
 	}
 	return counts
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -88,11 +88,11 @@
 func (i *Inspector) job(ctx *fasthttp.RequestCtx, id string) {
 	askCtx, cancel := context.WithTimeout(context.Background(), askTime)
 	defer cancel()
-	view, found, err := i.find(askCtx, id)
+	view, err := i.find(askCtx, id)
 	switch {
 	case err != nil:
 		writer.Error(ctx, fasthttp.StatusServiceUnavailable, err.Error())
-	case !found:
+	case view == nil:
 		writer.Error(ctx, fasthttp.StatusNotFound, fmt.Sprintf("there is no job %q", id))
 	default:
 		writer.JSON(ctx, fasthttp.StatusOK, view)
@@ -101,24 +101,24 @@
 
 var errNoActive = errors.New("no host is active now")
 
-// find asks the active host, here or elsewhere, for a job.
-func (i *Inspector) find(ctx context.Context, id string) (yuccapaddle.JobView, bool, error) {
+// find asks the active host, here or elsewhere, for a job; nil if there is none.
+func (i *Inspector) find(ctx context.Context, id string) (*yuccapaddle.JobView, error) {
 	if e := i.claimer.Local(); e != nil {
 		return e.View(ctx, id)
 	}
-	var view yuccapaddle.JobView
 	address, ok := i.claimer.Leader()
 	if !ok {
-		return view, false, errNoActive
+		return nil, errNoActive
 	}
 	data, err := i.ask(ctx, address, id)
 	if err != nil || len(data) == 0 {
-		return view, false, err
+		return nil, err
 	}
-	if err := json.Unmarshal(data, &view); err != nil {
-		return view, false, fmt.Errorf("decode what host %s tells of job %q: %w", address, id, err)
+	view := &yuccapaddle.JobView{}
+	if err := json.Unmarshal(data, view); err != nil {
+		return nil, fmt.Errorf("decode what host %s tells of job %q: %w", address, id, err)
 	}
-	return view, true, nil
+	return view, nil
 }
 
 func (i *Inspector) ask(ctx context.Context, address, job string) ([]byte, error) {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -85,11 +85,11 @@
 		}
 		return json.Marshal(&st)
 	}
-	view, found, err := e.View(ctx, job)
-	if err != nil || !found {
+	view, err := e.View(ctx, job)
+	if err != nil || view == nil {
 		return nil, err
 	}
-	return json.Marshal(&view)
+	return json.Marshal(view)
 }
 
 // Follow implements peer.JobsServer.
--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -144,7 +144,7 @@
 	w.advance(time.Second)
 	report, _, _ := w.p.Report("wide")
 	w.c.Check(report.State, qt.Equals, yuccapaddle.JobQueued)
-	view, _ := w.p.View("wide")
+	view := w.p.View("wide")
 	w.c.Check(view.Steps[0].Waits, qt.Equals, "for room on one worker: 3 tasks of 0 cpu, 0 MB, 4 gpu: 2 of 2 suited workers get new work")
 }
 
@@ -208,8 +208,8 @@
 	job := []byte(`{"id":"timed","q":"batch","v":"svc","t":[{"n":1,"d":{"g":1}}],"f":1,"ev":1000,"x":3}`)
 	part := []byte(`[{"r":1,"s":2,"d":true},{"k":1,"r":1,"s":1,"m":[{"w":"w00"}]}]`)
 	w.c.Assert(w.p.Restore(job, []byte(`{"s":"running","o":1}`), [][]byte{part}), qt.IsNil)
-	view, ok := w.p.View("timed")
-	w.c.Assert(ok, qt.IsTrue)
+	view := w.p.View("timed")
+	w.c.Assert(view, qt.IsNotNil)
 	w.c.Check(view.Steps[0].Done, qt.Equals, 1)
 	w.c.Check(view.Steps[1].Placed, qt.Equals, 1)
 }
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -69,13 +69,13 @@
 	return "in"
 }
 
-// View returns what operators are told of a job.
-func (p *Planner) View(id string) (yuccapaddle.JobView, bool) {
+// View returns what operators are told of a job, nil if there is none.
+func (p *Planner) View(id string) *yuccapaddle.JobView {
 	j := p.jobs[id]
 	if j == nil {
-		return yuccapaddle.JobView{}, false
+		return nil
 	}
-	v := yuccapaddle.JobView{
+	v := &yuccapaddle.JobView{
 		ID: id, Queue: j.in.Queue, Workspace: j.in.Workspace, State: j.state, Priority: p.priority(j),
 		Accepted: time.UnixMilli(j.in.Accepted).UTC(), Why: j.why,
 	}
@@ -90,7 +90,7 @@
 		}
 		p.addUnit(&v.Steps[i], u)
 	}
-	return v, true
+	return v
 }
 
 func (p *Planner) addUnit(v *yuccapaddle.StepView, u *unit) {
