planner: one piece of code for what stood twice

- Rooms are grouped by hardware once (group, tightest), for racks and for spans, and offers once (chooseWithin), in place of a copy for each.
- What keeps new runs off a worker is one list (bar), from which usable and what operators read both come; a reason that one of them lacked could go unnoticed.
- The step that blocks a unit is found once (blocker), for readiness and for why.
- Opening an occurrence stood three times (openNext).
- A strict job of many single tasks is judged once a step and not once a task.
- The last three failures are kept as they are, without counting them each time.
- A gang that is stopped when it is taken up is stopped once, and not once a member.

No decision has changed.

--- a/internal/planner/hopeless.go
+++ b/internal/planner/hopeless.go
@@ -12,8 +12,8 @@
 		return ""
 	}
 	j := newJob(in)
-	j.add(0, p.now)
-	for _, u := range j.units {
+	for i := range in.Steps { // the tasks of a step ask for the same
+		u := &unit{job: j, step: i}
 		if most := p.capacityFor(u); most < u.width() {
 			return p.lacks(u) + "; the registered workers hold " + itoa(most) + " such tasks"
 		}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -194,12 +194,18 @@
 
 // ready reports whether the steps before the unit's are done.
 func (u *unit) ready() bool {
+	_, blocked := u.blocker()
+	return !blocked
+}
+
+// blocker returns a step before the unit's that is not done, if there is one.
+func (u *unit) blocker() (step int, blocked bool) {
 	for _, a := range u.spec().After {
 		if !u.job.stepDone(u.occurrence, a) {
-			return false
+			return a, true
 		}
 	}
-	return true
+	return 0, false
 }
 
 // open creates the units of all occurrences that are due, and returns the time
@@ -211,13 +217,15 @@
 			p.wakeBy(p.now.Add(due.Sub(p.wall)))
 			return
 		}
-		j.add(j.opened, p.now)
-		j.opened++
+		j.openNext(p.now)
 		p.changed = true
 	}
 }
 
-func (j *job) add(occurrence int, now time.Time) {
+// openNext creates the units of the next occurrence.
+func (j *job) openNext(now time.Time) {
+	occurrence := j.opened
+	j.opened++
 	for s := range j.in.Steps {
 		step := &j.in.Steps[s]
 		n := step.Count
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -201,23 +201,27 @@
 	return list
 }
 
-// rack is a rack with the rooms in it.
+// rack is a rack, or another piece of hardware, with the rooms in it.
 type rack struct {
-	name  string
 	rooms []room
 	tasks int
 	free  int
 }
 
 func racks(rooms []room) []rack {
+	return group(rooms, func(s *worker) string { return s.Rack })
+}
+
+// group gathers the rooms of the workers that have the same place.
+func group(rooms []room, place func(*worker) string) []rack {
 	index := map[string]int{}
 	var list []rack
 	for _, r := range rooms {
-		i, ok := index[r.s.Rack]
+		i, ok := index[place(r.s)]
 		if !ok {
 			i = len(list)
-			index[r.s.Rack] = i
-			list = append(list, rack{name: r.s.Rack})
+			index[place(r.s)] = i
+			list = append(list, rack{})
 		}
 		list[i].rooms = append(list[i].rooms, r)
 		list[i].tasks += r.tasks
@@ -228,11 +232,16 @@
 
 // oneRack fills the rack that is left with the least room.
 func oneRack(rooms []room, n int) []string {
-	list := racks(rooms)
+	return fill(tightest(racks(rooms), n), n)
+}
+
+// tightest returns the rooms of the piece of hardware that is left with the least
+// room, nil if none holds n tasks.
+func tightest(list []rack, n int) []room {
 	slices.SortStableFunc(list, func(a, b rack) int { return cmp.Compare(a.free, b.free) })
 	for _, k := range list {
 		if k.tasks >= n {
-			return fill(k.rooms, n)
+			return k.rooms
 		}
 	}
 	return nil
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,12 +24,12 @@
 	changed    bool // something that placing depends on has changed
 	wakeAt     time.Time
 	tickAt     time.Time
-	claims     map[*unit]bool // units for which room is being freed
-	unreserved bool           // no workers are kept for urgent work
-	unproven   bool           // no worker has to prove itself
-	listed     bool           // the registrations have been read
-	asked      int64          // questions to workers so far
-	failures   []time.Time    // the last few failures of tasks
+	claims     map[*unit]bool        // units for which room is being freed
+	unreserved bool                  // no workers are kept for urgent work
+	unproven   bool                  // no worker has to prove itself
+	listed     bool                  // the registrations have been read
+	asked      int64                 // questions to workers so far
+	failures   [stormCount]time.Time // the last failures of tasks
 	advice     map[yuccapaddle.StepID]*advice
 	needed     map[string]int // by workspace, for one round of placing
 	urgent     int            // accelerators that urgent work holds or waits for
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -47,33 +47,27 @@
 	return false
 }
 
-// cheapest chooses an offer for each task of the unit: within one rack if the
-// unit asks for that and a rack is large enough, else anywhere.
+// cheapest chooses an offer for each task of the unit: within its span, or within one
+// rack if the unit asks for that and a rack is large enough, else anywhere.
 func (p *Planner) cheapest(u *unit) []offer {
-	byRack := map[string][]offer{}
 	var all []offer
 	reserved := p.reserved()
 	for id, s := range p.workers {
 		if !p.usable(s) || !p.suits(u, s) || p.now.Before(u.avoid[id]) || p.rests(s) {
 			continue
 		}
-		list := p.offers(u, s, reserved[id])
-		byRack[s.Rack] = append(byRack[s.Rack], list...)
-		all = append(all, list...)
+		all = append(all, p.offers(u, s, reserved[id])...)
 	}
-	if span := u.spec().Span; span != "" {
-		return offersInSpan(all, span, u.width())
+	step := u.spec()
+	if step.Span != "" {
+		return chooseWithin(all, u.width(), func(s *worker) string { return s.place(step.Span) })
 	}
 	var best []offer
-	if u.spec().DataRack != "" || u.spec().OneRack && u.width() > 1 {
-		for name, list := range byRack {
-			if u.spec().DataRack != "" && name != u.spec().DataRack {
-				continue
-			}
-			if chosen := choose(list, u.width()); chosen != nil && (best == nil || total(chosen) < total(best)) {
-				best = chosen
-			}
-		}
+	switch {
+	case step.DataRack != "":
+		best = choose(slices.DeleteFunc(slices.Clone(all), func(o offer) bool { return o.s.Rack != step.DataRack }), u.width())
+	case step.OneRack && u.width() > 1:
+		best = chooseWithin(all, u.width(), func(s *worker) string { return s.Rack })
 	}
 	if best == nil {
 		best = choose(all, u.width())
@@ -81,6 +75,22 @@
 	return best
 }
 
+// chooseWithin takes the n cheapest offers of workers that have the same place, nil if
+// there is no place with as many.
+func chooseWithin(list []offer, n int, place func(*worker) string) []offer {
+	groups := map[string][]offer{}
+	for _, o := range list {
+		groups[place(o.s)] = append(groups[place(o.s)], o)
+	}
+	var best []offer
+	for _, g := range groups {
+		if chosen := choose(g, n); chosen != nil && (best == nil || total(chosen) < total(best)) {
+			best = chosen
+		}
+	}
+	return best
+}
+
 // offers lists the room for one, two and more tasks on a worker, each with the
 // victims that it needs beyond those before it.
 func (p *Planner) offers(u *unit, s *worker, reserved yuccapaddle.Need) []offer {
--- a/internal/planner/proof.go
+++ b/internal/planner/proof.go
@@ -16,8 +16,8 @@
 	survival = 300 * time.Millisecond
 	// proofTime is for how long a start that went well speaks for its worker.
 	proofTime = 2500 * time.Millisecond
-	// stormTime is the time in which stormCount workers have to fail a task for
-	// gangs to be careful.
+	// stormTime is the time in which stormCount tasks have to fail for gangs to be
+	// careful.
 	stormTime  = 3 * time.Second
 	stormCount = 3
 )
@@ -27,24 +27,17 @@
 	return !p.unproven && (u.fails > 0 || u.spec().Gang && p.storm())
 }
 
-// storm reports whether several workers have failed of late.
+// storm reports whether several tasks have failed of late.
 func (p *Planner) storm() bool {
-	n := 0
-	for _, at := range p.failures {
-		if p.now.Sub(at) <= stormTime {
-			n++
-		}
-	}
-	return n >= stormCount
+	first := p.failures[0] // the earliest of the last stormCount
+	return !first.IsZero() && p.now.Sub(first) <= stormTime
 }
 
 // noteFailure notes the time at which a worker failed a task.
 func (p *Planner) noteFailure(s *worker) {
 	s.failedAt = p.now
-	p.failures = append(p.failures, p.now)
-	if len(p.failures) > stormCount {
-		p.failures = p.failures[1:]
-	}
+	copy(p.failures[:], p.failures[1:])
+	p.failures[stormCount-1] = p.now
 }
 
 // proven lists the rooms on workers on which a start has gone well of late.
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -111,8 +111,7 @@
 		j.endedAt = p.now
 	}
 	for range min(s.Opened, in.Occurrences()) {
-		j.add(j.opened, p.now)
-		j.opened++
+		j.openNext(p.now)
 	}
 	for _, data := range parts {
 		if err := p.restorePart(j, data); err != nil {
@@ -143,8 +142,7 @@
 func (p *Planner) restoreUnit(j *job, r *unitRecord) error {
 	// The state of the job may not have been committed after this part was.
 	for r.Occurrence >= j.opened && j.opened < j.in.Occurrences() {
-		j.add(j.opened, p.now)
-		j.opened++
+		j.openNext(p.now)
 	}
 	u := j.unit(r)
 	if u == nil {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -164,6 +164,9 @@
 	}
 	for _, x := range unsent {
 		x.u.members[x.i].adopted = false
+		if x.u.stopping { // for another of its members
+			continue
+		}
 		if x.u.job.in.Once {
 			p.stop(x.u, "a former host may have started it")
 			continue
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -46,24 +46,12 @@
 	return st
 }
 
-// standing says whether a worker gets new work, and if not, why.
+// standing says whether a worker gets new work, and if not, or only last, why.
 func (p *Planner) standing(s *worker) string {
-	switch {
-	case !s.listed:
-		return "gone"
-	case s.silent:
-		return "silent"
-	case s.Draining:
-		return "draining"
-	case p.rules.Closed[s.Domain]:
-		return "domain out"
-	case s.emptied:
-		return "emptied for maintenance"
-	case p.now.Before(s.unfit):
-		return "refuses starts"
-	case len(s.orphans) > 0:
-		return "runs what nobody wants"
-	case p.rests(s):
+	if why := p.bar(s); why != "" {
+		return why
+	}
+	if p.rests(s) {
 		return "quarantined"
 	}
 	return "in"
@@ -112,10 +100,8 @@
 
 // waitsFor says what a waiting unit lacks.
 func (p *Planner) waitsFor(u *unit) string {
-	for _, a := range u.spec().After {
-		if !u.job.stepDone(u.occurrence, a) {
-			return "step " + itoa(a) + " is not done"
-		}
+	if step, blocked := u.blocker(); blocked {
+		return "step " + itoa(step) + " is not done"
 	}
 	suited, usable := 0, 0
 	for _, s := range p.workers {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -141,11 +141,31 @@
 	return e.Domain + " " + e.Rack
 }
 
-// usable reports whether new runs may be placed on the worker. Orphans take room of
-// which nothing is known.
+// usable reports whether new runs may be placed on the worker.
 func (p *Planner) usable(s *worker) bool {
-	sound := s.listed && !s.silent && !s.Draining && !p.now.Before(s.unfit) && len(s.orphans) == 0
-	return sound && !s.emptied && !p.rules.Closed[s.Domain]
+	return p.bar(s) == ""
+}
+
+// bar says what keeps new runs off the worker, "" if nothing does. Orphans take room
+// of which nothing is known.
+func (p *Planner) bar(s *worker) string {
+	switch {
+	case !s.listed:
+		return "gone"
+	case s.silent:
+		return "silent"
+	case s.Draining:
+		return "draining"
+	case p.rules.Closed[s.Domain]:
+		return "domain out"
+	case s.emptied:
+		return "emptied for maintenance"
+	case p.now.Before(s.unfit):
+		return "refuses starts"
+	case len(s.orphans) > 0:
+		return "runs what nobody wants"
+	}
+	return ""
 }
 
 // Empty has a worker get no new runs, or ends that, for the maintenance
