claimer: ask a host which one is active in one place; store until when a rival may be

askOthers took a callback, a bound and a word for no bound; since the others are asked at once whether they know of a later writer, only two loops were left for it, and they share less than they passed. who asks one host, for both that ask it. That a time was less than so long ago stood three times (within). A former host's time to renew leases is a deadline, counted from the claim, as the style asks.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -123,7 +123,7 @@
 	return a
 }
 
-func (a *Assembler) build(rec *recorder.Recorder, rival time.Duration) (*executor.Executor, func(context.Context) error) {
+func (a *Assembler) build(rec *recorder.Recorder, rival time.Time) (*executor.Executor, func(context.Context) error) {
 	clock := timekeeper.Timekeeper{}
 	e := executor.New(a.outside.Registry, a.outside.Runner, a.rules, rec, a.bounds, clock, a.log,
 		executor.WithAdviser(a.outside.Adviser), executor.WithMeter(a.monitor),
--- a/internal/claimer/cede.go
+++ b/internal/claimer/cede.go
@@ -34,15 +34,27 @@
 	return err == nil
 }
 
-// refusedAlone reports whether the ledger answers another host.
+// refusedAlone reports whether the ledger answers one of some other hosts.
 func (c *Claimer) refusedAlone(ctx context.Context) bool {
-	reached := false
-	c.askOthers(ctx, 2*dialTime, askedHosts, func(ctx context.Context, _ string, jobs peer.JobsClient) (enough bool) {
-		reply, err := jobs.Reach(ctx, &peer.ReachRequest{})
-		reached = err == nil && reply.GetReached()
-		return reached
-	})
-	return reached
+	others := c.others()
+	for _, address := range others[:min(askedHosts, len(others))] {
+		if c.reachedBy(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// reachedBy reports whether the ledger answers another host.
+func (c *Claimer) reachedBy(ctx context.Context, address string) bool {
+	jobs, err := c.links.Jobs(address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*dialTime)
+	defer cancel()
+	reply, err := jobs.Reach(ctx, &peer.ReachRequest{})
+	return err == nil && reply.GetReached()
 }
 
 // refusal reports whether the ledger has answered that it does nothing, which
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -53,8 +52,8 @@
 )
 
 // build makes the executor of this host when it becomes active, and what else
-// runs then. rival is for how long a former host may still renew workers' leases.
-type build = func(rec *recorder.Recorder, rival time.Duration) (e *executor.Executor, beside func(ctx context.Context) error)
+// runs then. Until rival a former host may still renew workers' leases.
+type build = func(rec *recorder.Recorder, rival time.Time) (e *executor.Executor, beside func(ctx context.Context) error)
 
 // Claimer is safe for concurrent use but for Run.
 type Claimer struct {
@@ -226,10 +225,10 @@
 // ask asks the other hosts which one is active, when the ledger does not answer.
 func (c *Claimer) ask(ctx context.Context) string {
 	var best *peer.WhoReply
-	c.askOthers(ctx, callTime, allHosts, func(ctx context.Context, address string, jobs peer.JobsClient) (enough bool) {
-		reply, err := jobs.Who(ctx, &peer.WhoRequest{})
+	for _, address := range c.others() {
+		reply, err := c.who(ctx, address, callTime)
 		if err != nil {
-			return false
+			continue // another one may know
 		}
 		if err := c.learn(reply.GetRules()); err != nil {
 			c.log.Warn("the rules of another host cannot be read", zap.String("address", address), zap.Error(err))
@@ -237,38 +236,22 @@
 		if reply.GetAddress() != "" && (best == nil || reply.GetEpoch() > best.GetEpoch()) {
 			best = reply
 		}
-		return false
-	})
+	}
 	if best.GetAddress() == c.address {
 		return ""
 	}
 	return best.GetAddress()
 }
 
-// allHosts stands for all hosts that are known.
-const allHosts = math.MaxInt
-
-// askOthers asks up to most of the other hosts, one after the other, until one
-// answer is enough. Each has within to answer.
-func (c *Claimer) askOthers(ctx context.Context, within time.Duration, most int,
-	ask func(ctx context.Context, address string, jobs peer.JobsClient) (enough bool),
-) {
-	for i, address := range c.others() {
-		if i == most {
-			return
-		}
-		jobs, err := c.links.Jobs(address)
-		if err != nil {
-			c.log.Info("a host cannot be asked", zap.String("address", address), zap.Error(err))
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, within)
-		enough := ask(callCtx, address, jobs)
-		cancel()
-		if enough {
-			return
-		}
+// who asks another host which one is active.
+func (c *Claimer) who(ctx context.Context, address string, within time.Duration) (*peer.WhoReply, error) {
+	jobs, err := c.links.Jobs(address)
+	if err != nil {
+		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return jobs.Who(ctx, &peer.WhoRequest{})
 }
 
 func (c *Claimer) learn(data []byte) error {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -92,7 +92,7 @@
 	clock := yuccapaddle.SystemClock{}
 	rules := ruler.New(book{}, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
-	build := func(rec *recorder.Recorder, _ time.Duration) (*executor.Executor, func(context.Context) error) {
+	build := func(rec *recorder.Recorder, _ time.Time) (*executor.Executor, func(context.Context) error) {
 		e := executor.New(book{}, nil, rules, rec, executor.Bounds{HoldMax: 6000, LeaveWithin: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
--- a/internal/claimer/follow.go
+++ b/internal/claimer/follow.go
@@ -83,11 +83,10 @@
 
 // beat makes the next heartbeat; what has not changed is left out.
 func (c *Claimer) beat(e *executor.Executor, f *follower) *peer.Beat {
-	now := c.clock.Now()
 	every := min(max(beatEvery, beatCost*time.Duration(c.followers.Load())), beatMost)
 	beat := &peer.Beat{
 		Epoch: e.Epoch(), Fresh: c.rules.Fresh(), NextMs: every.Milliseconds(),
-		Leased: now.Sub(time.Unix(0, c.renewed.Load())) < c.lease,
+		Leased: c.within(&c.renewed, c.lease),
 	}
 	if f.beats%hostsEvery == 0 {
 		beat.Hosts = c.recent()
--- a/internal/claimer/lead.go
+++ b/internal/claimer/lead.go
@@ -10,7 +10,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/guarder"
-	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/sleeper"
 )
@@ -34,9 +33,9 @@
 		return
 	}
 	c.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
-	rival := rivalTime
-	if certain {
-		rival = 0
+	var rival time.Time
+	if !certain {
+		rival = c.clock.Now().Add(rivalTime)
 	}
 	c.lead(ctx, rec, lease, rival)
 }
@@ -51,8 +50,8 @@
 
 // lead runs the executor until the role is lost or given up. The lease is given
 // back as soon as that is known: calls in work may take seconds to end.
-// rival is for how long a former host may go on renewing the workers' leases.
-func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64, rival time.Duration) {
+// Until rival a former host may go on renewing the workers' leases.
+func (c *Claimer) lead(ctx context.Context, rec *recorder.Recorder, lease uint64, rival time.Time) {
 	lost, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
@@ -137,12 +136,12 @@
 	g, ctx := guarder.New(ctx, c.log)
 	for _, address := range others {
 		g.Go("who", func() error {
-			known, err := c.knownEpoch(ctx, address)
+			reply, err := c.who(ctx, address, dialTime)
 			if err != nil {
 				return nil // it vouches for nobody
 			}
 			heard.Add(1)
-			if known > epoch {
+			if reply.GetEpoch() > epoch {
 				later.Store(true)
 			}
 			return nil
@@ -157,22 +156,15 @@
 	return later.Load()
 }
 
-// knownEpoch is the epoch of the active host as far as another host knows.
-func (c *Claimer) knownEpoch(ctx context.Context, address string) (uint64, error) {
-	jobs, err := c.links.Jobs(address)
-	if err != nil {
-		return 0, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTime)
-	defer cancel()
-	reply, err := jobs.Who(ctx, &peer.WhoRequest{})
-	return reply.GetEpoch(), err
-}
-
 // Confirmed reports whether this host, if it is active, has been so until a moment
 // ago: its lease was renewed, or half of the other hosts know of no later writer. One
 // that is cut off together with some workers must let their leases run out.
 func (c *Claimer) Confirmed() bool {
-	now := c.clock.Now()
-	return now.Sub(time.Unix(0, c.renewed.Load())) < confirmTime || now.Sub(time.Unix(0, c.vouched.Load())) < vouchTime
+	return c.within(&c.renewed, confirmTime) || c.within(&c.vouched, vouchTime)
+}
+
+// within reports whether a time, in Unix nanoseconds of the steady clock, is less than
+// d ago.
+func (c *Claimer) within(at *atomic.Int64, d time.Duration) bool {
+	return c.clock.Now().Sub(time.Unix(0, at.Load())) < d
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -65,7 +65,7 @@
 	clock    yuccapaddle.Clock
 	// confirmed and rival: see WithRole.
 	confirmed func() bool
-	rival     time.Duration
+	rival     time.Time
 
 	inbox     chan func()
 	questions chan yuccapaddle.Question
@@ -109,8 +109,8 @@
 }
 
 // WithRole tells whether this host is confirmed in its role, without which it renews
-// no leases, and for how long a former host may go on renewing them.
-func WithRole(confirmed func() bool, rival time.Duration) Option {
+// no leases, and until when a former host may go on renewing them.
+func WithRole(confirmed func() bool, rival time.Time) Option {
 	return func(e *Executor) { e.confirmed, e.rival = confirmed, rival }
 }
 
--- a/internal/executor/lease_test.go
+++ b/internal/executor/lease_test.go
@@ -69,7 +69,7 @@
 		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: one, Estimate: 30000})
 		time.Sleep(time.Second)
 		first := r.holder("a")
-		r.rival = 3 * time.Second
+		r.rival = time.Now().Add(3 * time.Second)
 		r.takeOver()
 		r.workers[first].SetFault(laborer.FaultCut)
 		task := yuccapaddle.TaskID{Job: "a"}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -49,7 +49,11 @@
 func (e *Executor) link(id string) *link {
 	l := e.links[id]
 	if l == nil {
-		l = &link{lapsesBy: e.leaseEnd(e.startedAt.Add(e.rival))}
+		from := e.startedAt
+		if e.rival.After(from) {
+			from = e.rival
+		}
+		l = &link{lapsesBy: e.leaseEnd(from)}
 		e.links[id] = l
 	}
 	return l
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -50,7 +50,7 @@
 	logs    logs
 	// confirmed and rival are handed to the executor, if the first is set.
 	confirmed func() bool
-	rival     time.Duration
+	rival     time.Time
 }
 
 // logs keeps what the hosts write.
