--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -22,6 +22,7 @@
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/rulekeeper"
 	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/supervisor"
 )
 
 // lockKey is the ledger key whose value is the address of the active host.
@@ -33,11 +34,12 @@
 	// workers' leases expire. That is affordable: a renewal costs the ledger a tenth of
 	// a read.
 	defaultLeaseTTL = 1200 * time.Millisecond
-	renewInterval   = 350 * time.Millisecond
-	// renewRetryDelay is the delay before a refused renewal is retried.
-	renewRetryDelay = 120 * time.Millisecond
 	callTimeout     = 700 * time.Millisecond
-	searchInterval  = 150 * time.Millisecond
+	// relockTimeout bounds the calls that set the lock again.
+	relockTimeout  = 2 * callTimeout
+	searchInterval = 150 * time.Millisecond
+	// firstRanksSearchInterval is the searchInterval of the hosts that should claim first.
+	firstRanksSearchInterval = 30 * time.Millisecond
 	// minHeartbeatTimeout is how long a follower waits at least for a heartbeat before
 	// it takes the active host for lost.
 	minHeartbeatTimeout = 900 * time.Millisecond
@@ -46,7 +48,11 @@
 	// the role. A smaller share of a core makes the delay longer, up to maxClaimDelay.
 	fullCoreClaimDelay = 20 * time.Millisecond
 	maxClaimDelay      = 200 * time.Millisecond
-	minCPUShare        = 0.01
+	// claimDelayPerRank is longer than firstRanksSearchInterval and a claim on a fast
+	// ledger, so that hosts seldom compete. maxRankSteps bounds the delay of the last ranks.
+	claimDelayPerRank = 60 * time.Millisecond
+	maxRankSteps      = 5
+	minCPUShare       = 0.01
 	// renewalValidity is how long after it renewed its own lease the active host may
 	// renew the workers' leases. peerConfirmValidity is the same after half of the other
 	// hosts answered that they know of no later active host.
@@ -81,17 +87,21 @@
 	localExecutor atomic.Pointer[executor.Executor]
 	leader        atomic.Pointer[leader]
 	resigned      atomic.Bool
-	handedOver    atomic.Bool // whether the role was last handed over to another host
-	followers     atomic.Int64
+	handedOver    atomic.Bool   // whether the role was last handed over to another host
+	heldLease     atomic.Uint64 // the ledger's lease on the lock key, while this host is active
+	rank          atomic.Int64  // place in the order of claims, from the latest heartbeat, 0 if unknown
 	// renewedAt is when the lease was last renewed, and peersConfirmedAt when half of the
 	// other hosts last knew of no later active host, both as UnixNano of clock.
 	renewedAt        atomic.Int64
 	peersConfirmedAt atomic.Int64
 
+	hosts *hostTable
+	// lostLeader is the address of the host that this one followed last. Only Run uses it.
+	lostLeader string
+
 	mu          sync.Mutex
-	knownHosts  map[string]time.Time // when each other host was last heard of, by address
-	stopLeading context.CancelFunc   // ends the active role, if this host has it
-	pending     map[string]int64     // jobs that have not started, by queue
+	stopLeading context.CancelFunc // ends the active role, if this host has it
+	pending     map[string]int64   // jobs that have not started, by queue
 }
 
 // leader is the host that this one believes to be active.
@@ -117,7 +127,7 @@
 ) *Elector {
 	e := &Elector{
 		ledger: ledger, rules: rules, conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
-		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), knownHosts: map[string]time.Time{}, cpuShare: 1,
+		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), hosts: newHostTable(address, clock), cpuShare: 1,
 	}
 	for _, o := range opts {
 		o(e)
@@ -175,11 +185,18 @@
 		if address != "" && e.follow(ctx, address) && sleeper.Sleep(ctx, e.claimDelay()) == nil {
 			e.claimHandedOver(ctx, address)
 		}
-		_ = sleeper.SleepJittered(ctx, searchInterval) // the loop ends with the context
+		_ = sleeper.SleepJittered(ctx, e.searchInterval()) // the loop ends with the context
 	}
 	return nil
 }
 
+func (e *Elector) searchInterval() time.Duration {
+	if rank := e.rank.Load(); rank > 0 && rank <= firstRanks {
+		return firstRanksSearchInterval
+	}
+	return searchInterval
+}
+
 // findOrClaim returns the address of the active host if there is another one. If there
 // is none it claims the role, and returns "" once this host has lost it again. It also
 // returns "" if it cannot tell which host is active, or if the claim fails.
@@ -191,10 +208,12 @@
 		return e.askOthers(ctx)
 	}
 	holder := string(lock.Value)
-	// If the lock exists here, its holder is an earlier process of this host, or the probe
-	// below shows that it has exited.
-	predecessorStopped := lock.Revision != 0
-	if lock.Revision != 0 && holder != e.address {
+	switch {
+	case lock.Revision == 0:
+		if writer := e.liveWriter(ctx); writer != "" {
+			return writer
+		}
+	case holder != e.address:
 		switch e.probe(holder) {
 		case reachable:
 			return holder
@@ -202,16 +221,45 @@
 			return "" // it may still be running: wait until its lease expires
 		}
 		e.log.Info("the active host refuses connections, so its process has exited", zap.String("address", holder))
+		e.hosts.forget(holder)
 	}
+	// If the lock exists here, its holder is an earlier process of this host, or the probe
+	// has shown that it has exited.
+	predecessorStopped := lock.Revision != 0
 	if !e.resigned.Load() && sleeper.Sleep(ctx, e.claimDelay()) == nil {
 		e.claim(ctx, lock.Revision, predecessorStopped)
 	}
 	return ""
 }
 
-// claimDelay returns how long this host waits before it claims the role. Hosts with a
-// larger share of a CPU core wait less, so that one of them gets the role.
+// liveWriter returns the address of the writer of the records if it answers that it is
+// active. Its lease may have expired while the ledger was away, and it takes the lock back
+// by itself. The host that this one has just lost is not asked.
+func (e *Elector) liveWriter(ctx context.Context) string {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	address, epoch, err := recorder.Writer(callCtx, e.ledger)
+	if err != nil {
+		e.log.Info("cannot read who writes the records", zap.Error(err))
+		return ""
+	}
+	if address == "" || address == e.address || address == e.lostLeader {
+		return ""
+	}
+	reply, err := e.askHost(ctx, address, dialTimeout)
+	if err != nil || reply.GetAddress() != address || reply.GetEpoch() != epoch {
+		return ""
+	}
+	return address
+}
+
+// claimDelay returns how long this host waits before it claims the role. The order is
+// that of the ranks, so that the fastest host which is still there gets it. A host without
+// a rank goes by its own share of a CPU core.
 func (e *Elector) claimDelay() time.Duration {
+	if rank := e.rank.Load(); rank > 0 {
+		return time.Duration(min(rank-1, maxRankSteps)) * claimDelayPerRank
+	}
 	return min(time.Duration(float64(fullCoreClaimDelay)/max(e.cpuShare, minCPUShare)), maxClaimDelay)
 }
 
@@ -238,29 +286,56 @@
 	return unreachable
 }
 
-// askOthers returns the address of the active host according to the other hosts, for
-// when the ledger does not answer. The answer with the highest epoch counts. It is ""
+// askOthers returns the address of the active host according to some of the other hosts,
+// for when the ledger does not answer. The answer with the highest epoch counts. It is ""
 // if none of them knows, or if that is this host.
 func (e *Elector) askOthers(ctx context.Context) string {
 	var latest *peer.WhoReply
-	for _, address := range e.otherAddresses() {
-		reply, err := e.askHost(ctx, address, callTimeout)
-		if err != nil {
-			continue // other hosts may still answer
-		}
+	others := e.hosts.addresses()
+	e.askHosts(ctx, others[:min(maxHostsAsked, len(others))], dialTimeout, func(address string, reply *peer.WhoReply) {
 		if err := e.offerRules(reply.GetRules()); err != nil {
 			e.log.Warn("cannot decode the rules received from another host", zap.String("address", address), zap.Error(err))
 		}
 		if reply.GetAddress() != "" && (latest == nil || reply.GetEpoch() > latest.GetEpoch()) {
 			latest = reply
 		}
-	}
+	})
 	if latest.GetAddress() == e.address {
 		return ""
 	}
 	return latest.GetAddress()
 }
 
+// askHosts asks hosts at the same time which host is active, and calls each, once at a
+// time, for every reply.
+func (e *Elector) askHosts(ctx context.Context, addresses []string, timeout time.Duration, each func(address string, reply *peer.WhoReply)) {
+	var mu sync.Mutex
+	g, ctx := supervisor.New(ctx, e.log)
+	for _, address := range addresses {
+		g.Go("who", func() error {
+			reply, err := e.askHost(ctx, address, timeout)
+			if err != nil {
+				e.forgetIfGone(address) // a host that does not answer tells nothing
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			each(address, reply)
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		e.log.Warn("cannot ask the other hosts which one is active", zap.Error(err))
+	}
+}
+
+// forgetIfGone forgets a host that has not answered if its process has ended.
+func (e *Elector) forgetIfGone(address string) {
+	if e.probe(address) == notListening {
+		e.hosts.forget(address)
+	}
+}
+
 // askHost asks the host at an address which host is active.
 func (e *Elector) askHost(ctx context.Context, address string, timeout time.Duration) (*peer.WhoReply, error) {
 	client, err := e.conns.Client(address)
@@ -269,7 +344,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return client.Who(ctx, &peer.WhoRequest{})
+	_, revision := e.rules.Data()
+	return client.Who(ctx, &peer.WhoRequest{RulesRevision: revision})
 }
 
 // offerRules applies rules received from another host unless they are older than those
@@ -281,10 +357,14 @@
 	return e.rules.Offer(data, "host")
 }
 
-// Who returns which host is active as far as this one knows, and its rules.
-func (e *Elector) Who() *peer.WhoReply {
+// Who returns which host is active as far as this one knows, and its rules if the caller
+// has others.
+func (e *Elector) Who(req *peer.WhoRequest) *peer.WhoReply {
 	data, revision := e.rules.Data()
-	reply := &peer.WhoReply{Rules: data, RulesRevision: revision}
+	reply := &peer.WhoReply{RulesRevision: revision}
+	if revision != req.GetRulesRevision() {
+		reply.Rules = data
+	}
 	if exec := e.localExecutor.Load(); exec != nil {
 		reply.Address, reply.Epoch = e.address, exec.Epoch()
 		return reply
@@ -294,25 +374,3 @@
 	}
 	return reply
 }
-
-func (e *Elector) otherAddresses() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	addresses := make([]string, 0, len(e.knownHosts))
-	for a := range e.knownHosts {
-		if a != e.address {
-			addresses = append(addresses, a)
-		}
-	}
-	return addresses
-}
-
-// noteHost records that another host was heard of just now.
-func (e *Elector) noteHost(address string) {
-	if address == "" || address == e.address {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.knownHosts[address] = e.clock.Now()
-}
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -25,50 +25,74 @@
 )
 
 // refusingLedger is a host's view of the shared ledger, which can be made to refuse this
-// host alone.
+// host alone, or to leave its calls without an answer.
 type refusingLedger struct {
 	*bookkeeper.Bookkeeper
 	refusing atomic.Bool
+	silent   atomic.Bool
+}
+
+// fault returns the error of a call to a ledger that refuses this host, or leaves it
+// without an answer. refusal is the error of a refused call.
+func (l *refusingLedger) fault(ctx context.Context, refusal error) error {
+	switch {
+	case l.refusing.Load():
+		return refusal
+	case l.silent.Load():
+		<-ctx.Done()
+		return yuccapaddle.ErrUnknown
+	}
+	return nil
 }
 
 // Get implements yuccapaddle.Ledger.
 func (l *refusingLedger) Get(ctx context.Context, key string) (yuccapaddle.Entry, error) {
-	if l.refusing.Load() {
-		return yuccapaddle.Entry{}, yuccapaddle.ErrNotAccepted
+	if err := l.fault(ctx, yuccapaddle.ErrNotAccepted); err != nil {
+		return yuccapaddle.Entry{}, err
 	}
 	return l.Bookkeeper.Get(ctx, key)
 }
 
 // Commit implements yuccapaddle.Ledger.
 func (l *refusingLedger) Commit(ctx context.Context, t yuccapaddle.Transaction) (uint64, error) {
-	if l.refusing.Load() {
-		return 0, yuccapaddle.ErrNotApplied
+	if err := l.fault(ctx, yuccapaddle.ErrNotApplied); err != nil {
+		return 0, err
 	}
 	return l.Bookkeeper.Commit(ctx, t)
 }
 
 // Grant implements yuccapaddle.Ledger.
 func (l *refusingLedger) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	if l.refusing.Load() {
-		return 0, yuccapaddle.ErrNotAccepted
+	if err := l.fault(ctx, yuccapaddle.ErrNotAccepted); err != nil {
+		return 0, err
 	}
 	return l.Bookkeeper.Grant(ctx, ttl)
 }
 
 // Renew implements yuccapaddle.Ledger.
 func (l *refusingLedger) Renew(ctx context.Context, lease uint64) error {
-	if l.refusing.Load() {
-		return yuccapaddle.ErrNotAccepted
+	if err := l.fault(ctx, yuccapaddle.ErrNotAccepted); err != nil {
+		return err
 	}
 	return l.Bookkeeper.Renew(ctx, lease)
 }
 
+// Release implements yuccapaddle.Ledger.
+func (l *refusingLedger) Release(ctx context.Context, lease uint64) error {
+	if l.silent.Load() {
+		<-ctx.Done()
+		return yuccapaddle.ErrUnknown
+	}
+	return l.Bookkeeper.Release(ctx, lease)
+}
+
 // host is an Elector that serves its peers over the loopback interface.
 type host struct {
 	*elector.Elector
-	ledger *refusingLedger
-	stop   context.CancelFunc
-	peers  *grpc.Server
+	address string
+	ledger  *refusingLedger
+	stop    context.CancelFunc
+	peers   *grpc.Server
 }
 
 // fixedRules is a RuleSource whose rules never change, and a Registry without workers.
@@ -85,11 +109,11 @@
 // Workers implements yuccapaddle.Registry.
 func (fixedRules) Workers(context.Context) ([]yuccapaddle.Worker, error) { return nil, nil }
 
-func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration) *host {
+func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration, opts ...elector.Option) *host {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	h := &host{ledger: &refusingLedger{Bookkeeper: store}, peers: grpc.NewServer()}
 	name, address := fmt.Sprintf("h%d", i), l.Addr().String()
+	h := &host{address: address, ledger: &refusingLedger{Bookkeeper: store}, peers: grpc.NewServer()}
 	clock := yuccapaddle.SystemClock{}
 	rules := rulekeeper.New(fixedRules{}, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
@@ -100,7 +124,7 @@
 			return nil
 		}
 	}
-	h.Elector = elector.New(h.ledger, rules, connector.New(), name, address, name, lease, build, clock, zap.NewNop())
+	h.Elector = elector.New(h.ledger, rules, connector.New(), name, address, name, lease, build, clock, zap.NewNop(), opts...)
 	peer.RegisterJobsServer(h.peers, jobserver.New(h.Elector, nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
@@ -149,6 +173,12 @@
 		}
 		c.Check(g.Wait(), qt.IsNil)
 	}()
+	waitForFollowers(c, hosts)
+	f(c, hosts)
+}
+
+// waitForFollowers waits until one host is active and the others follow it.
+func waitForFollowers(c *qt.C, hosts []*host) {
 	eventually(c, "one host is active and the others follow", func() bool {
 		first := activeHost(hosts)
 		if first == nil {
@@ -161,7 +191,6 @@
 		}
 		return true
 	})
-	f(c, hosts)
 }
 
 // TestStoreRefusesOne checks that another host takes over when the ledger refuses only
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -26,12 +26,18 @@
 	// heartbeatTimeoutIntervals is how many heartbeat intervals a follower waits for the
 	// next heartbeat.
 	heartbeatTimeoutIntervals = 3
-	// heartbeatsPerHostList: one heartbeat in this many lists addresses, of at most
-	// maxListedHosts hosts.
+	// heartbeatsPerHostList: one heartbeat in this many lists addresses.
 	heartbeatsPerHostList = 20
-	maxListedHosts        = 12
-	// hostExpiry is how long a host is remembered after it was last heard of.
-	hostExpiry = 30 * time.Second
+	// firstRanks is how many followers get every heartbeat and watch the lock while the
+	// lease is not renewed. The others leave that to them for othersWait.
+	firstRanks = 4
+	othersWait = 3 * time.Second
+	// regainTime is how long the lock may be absent, while heartbeats arrive and the
+	// ledger answers followers, before they claim the role. The active host takes the lock
+	// back, or hands the role over, well within it.
+	regainTime = 1500 * time.Millisecond
+	// vouchInterval is the least time between two calls of Vouch.
+	vouchInterval = 600 * time.Millisecond
 )
 
 // errNotActive ends the heartbeat streams of a host that is not, or no longer, active.
@@ -54,6 +60,7 @@
 
 // followerState is what a follower is known to have, so that only changes are sent.
 type followerState struct {
+	address       string
 	rulesRevision uint64
 	pending       map[string]int64
 	heartbeats    int // number sent so far
@@ -66,11 +73,10 @@
 	if exec == nil {
 		return errNotActive
 	}
-	e.followers.Add(1)
-	defer e.followers.Add(-1)
-	f := &followerState{rulesRevision: req.GetRulesRevision()}
+	e.hosts.addFollower(req.GetAddress(), req.GetCpuMillis())
+	defer e.hosts.removeFollower(req.GetAddress())
+	f := &followerState{address: req.GetAddress(), rulesRevision: req.GetRulesRevision()}
 	for e.localExecutor.Load() == exec {
-		e.noteHost(req.GetAddress())
 		beat := e.nextHeartbeat(exec, f)
 		if err := stream.Send(beat); err != nil {
 			return err
@@ -87,13 +93,13 @@
 
 // nextHeartbeat returns the next heartbeat for a follower, without what has not changed.
 func (e *Elector) nextHeartbeat(exec *executor.Executor, f *followerState) *peer.Beat {
-	interval := min(max(heartbeatInterval, intervalPerFollower*time.Duration(e.followers.Load())), maxHeartbeatInterval)
+	rank := e.hosts.rank(f.address)
 	beat := &peer.Beat{
-		Epoch: exec.Epoch(), Fresh: e.rules.Fresh(), NextMs: interval.Milliseconds(),
-		Leased: e.isRecent(&e.renewedAt, e.leaseTTL),
+		Epoch: exec.Epoch(), Fresh: e.rules.Fresh(), NextMs: e.heartbeatInterval(rank).Milliseconds(),
+		Leased: e.isRecent(&e.renewedAt, e.leaseTTL), Rank: int64(rank), SentNs: e.clock.Now().UnixNano(),
 	}
 	if f.heartbeats%heartbeatsPerHostList == 0 {
-		beat.Hosts = e.recentAddresses()
+		beat.Hosts = e.hosts.heardDirectly()
 	}
 	f.heartbeats++
 	if data, revision := e.rules.Data(); revision != f.rulesRevision {
@@ -107,28 +113,35 @@
 	return beat
 }
 
-// recentAddresses returns up to maxListedHosts addresses of hosts that were heard of
-// within hostExpiry, and forgets the older ones.
-func (e *Elector) recentAddresses() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	addresses := make([]string, 0, len(e.knownHosts))
-	for a, at := range e.knownHosts {
-		switch {
-		case e.clock.Now().Sub(at) > hostExpiry:
-			delete(e.knownHosts, a)
-		case len(addresses) < maxListedHosts:
-			addresses = append(addresses, a)
-		}
+// heartbeatInterval returns the time between two heartbeats to a follower of that rank.
+func (e *Elector) heartbeatInterval(rank int) time.Duration {
+	if rank <= firstRanks {
+		return heartbeatInterval
+	}
+	return min(max(heartbeatInterval, intervalPerFollower*time.Duration(e.hosts.followers())), maxHeartbeatInterval)
+}
+
+// HandleVouch records that a follower knows of no active host later than this one. The
+// vouch holds for the time at which the heartbeat that it repeats was sent, however long
+// it has been under way.
+func (e *Elector) HandleVouch(req *peer.VouchRequest) {
+	exec := e.localExecutor.Load()
+	if exec == nil || exec.Epoch() != req.GetEpoch() {
+		return
+	}
+	at := time.Unix(0, req.GetSentNs())
+	if at.After(e.clock.Now()) {
+		return
 	}
-	return addresses
+	e.hosts.vouch(req.GetAddress(), at)
 }
 
-// follow receives heartbeats from the active host until they stop or it has lost its
-// lease, and reports whether it has handed its role over.
+// follow receives heartbeats from the active host until they stop or its role is free, and
+// reports whether it has handed its role over.
 func (e *Elector) follow(ctx context.Context, address string) (handedOver bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	e.lostLeader = address
 	defer e.leader.Store(nil)
 	defer e.conns.Drop(address)
 	client, err := e.conns.Client(address)
@@ -139,11 +152,14 @@
 	_, revision := e.rules.Data()
 	watchdog := time.AfterFunc(minHeartbeatTimeout, cancel)
 	defer watchdog.Stop()
-	stream, err := client.Follow(ctx, &peer.FollowRequest{Host: e.host, Address: e.address, RulesRevision: revision})
+	stream, err := client.Follow(ctx, &peer.FollowRequest{
+		Host: e.host, Address: e.address, RulesRevision: revision, CpuMillis: int64(e.cpuShare * 1000),
+	})
 	if err != nil {
 		return false
 	}
 	received := false
+	watch := &lockWatch{e: e, client: client, leader: address}
 	for {
 		beat, err := stream.Recv()
 		if err != nil {
@@ -158,20 +174,71 @@
 			received = true
 		}
 		e.applyHeartbeat(address, beat)
-		if !beat.GetLeased() && e.lockAbsent(ctx) {
+		if watch.roleFree(ctx, beat) {
 			e.log.Info("the active host has lost its lease", zap.String("address", address))
 			return false
 		}
 	}
 }
 
-// lockAbsent reports whether the ledger answers that the lock key does not exist, since
-// no lease holds it.
-func (e *Elector) lockAbsent(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// lockWatch watches the lock while the heartbeats of the active host say that its lease
+// has not been renewed.
+type lockWatch struct {
+	e           *Elector
+	client      peer.JobsClient
+	leader      string
+	unleasedAt  time.Time // since when, zero while the lease is renewed
+	absentAt    time.Time // since when the lock was absent at each look, zero if it was not
+	nextVouchAt time.Time
+}
+
+// roleFree reports whether this host should look for another active host: the lock is held
+// by another one, or has been absent for so long that the active host will not take it
+// back. Until then it vouches for the active host.
+func (l *lockWatch) roleFree(ctx context.Context, beat *peer.Beat) bool {
+	now := l.e.clock.Now()
+	if beat.GetLeased() {
+		l.unleasedAt, l.absentAt = time.Time{}, time.Time{}
+		return false
+	}
+	if l.unleasedAt.IsZero() {
+		l.unleasedAt = now
+	}
+	if !now.Before(l.nextVouchAt) {
+		l.nextVouchAt = now.Add(vouchInterval)
+		l.vouch(ctx, beat)
+	}
+	if beat.GetRank() > firstRanks && now.Sub(l.unleasedAt) < othersWait {
+		return false
+	}
+	return l.checkLock(ctx, now)
+}
+
+// vouch tells the active host that this one knows of no later one.
+func (l *lockWatch) vouch(ctx context.Context, beat *peer.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	_, err := l.client.Vouch(ctx, &peer.VouchRequest{Address: l.e.address, Epoch: beat.GetEpoch(), SentNs: beat.GetSentNs()})
+	if err != nil && status.Code(err) != codes.Unimplemented { // hosts of an earlier version ask by themselves
+		l.e.log.Info("cannot vouch for the active host", zap.String("address", l.leader), zap.Error(err))
+	}
+}
+
+// checkLock looks at the lock once, and reports whether the role is free.
+func (l *lockWatch) checkLock(ctx context.Context, now time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	lock, err := e.ledger.Get(ctx, lockKey)
-	return err == nil && lock.Revision == 0
+	lock, err := l.e.ledger.Get(ctx, lockKey)
+	switch {
+	case err != nil:
+		return false // the look tells nothing, and the time since the first one goes on
+	case lock.Revision != 0:
+		l.absentAt = time.Time{}
+		return string(lock.Value) != l.leader
+	case l.absentAt.IsZero():
+		l.absentAt = now
+	}
+	return now.Sub(l.absentAt) > regainTime
 }
 
 // heartbeatTimeout returns how long to wait for the heartbeat after this one.
@@ -191,9 +258,10 @@
 	if beat.GetFresh() {
 		e.rules.Confirm(now)
 	}
-	e.noteHost(address)
+	e.rank.Store(beat.GetRank())
+	e.hosts.note(address, true)
 	for _, a := range beat.GetHosts() {
-		e.noteHost(a)
+		e.hosts.note(a, false)
 	}
 	if beat.GetCounted() {
 		e.mu.Lock()
--- a/internal/elector/handover.go
+++ b/internal/elector/handover.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/supervisor"
 )
 
 // If the ledger refuses only the active host, that host would keep its role until its
@@ -19,9 +22,8 @@
 	// refusalsToHandOver is how many renewals in a row the ledger has to refuse before
 	// the active host considers a handover.
 	refusalsToHandOver = 2
-	// maxHostsAsked is how many other hosts are asked at most whether the ledger answers
-	// them.
-	maxHostsAsked = 3
+	// maxHostsAsked is how many other hosts are asked at most in one round.
+	maxHostsAsked = 5
 )
 
 // errHandedOver ends the heartbeat streams of a host that hands its role over. Followers
@@ -36,18 +38,31 @@
 	return err == nil
 }
 
-// otherHostReachesLedger reports whether the ledger answers any of up to maxHostsAsked
-// other hosts.
+// otherHostReachesLedger asks up to maxHostsAsked other hosts at the same time, and reports
+// whether the ledger answers any of them.
 func (e *Elector) otherHostReachesLedger(ctx context.Context) bool {
-	others := e.otherAddresses()
-	for _, address := range others[:min(maxHostsAsked, len(others))] {
-		if e.hostReachesLedger(ctx, address) {
-			return true
-		}
+	others := e.hosts.addresses()
+	others = others[:min(maxHostsAsked, len(others))]
+	var reached atomic.Bool
+	g, ctx := supervisor.New(ctx, e.log)
+	for _, address := range others {
+		g.Go("reach", func() error {
+			if !e.hostReachesLedger(ctx, address) {
+				return nil
+			}
+			reached.Store(true)
+			return errAnswered // which ends the other calls
+		})
 	}
-	return false
+	if err := g.Wait(); err != nil && !errors.Is(err, errAnswered) {
+		e.log.Warn("cannot ask other hosts whether the ledger answers them", zap.Error(err))
+	}
+	return reached.Load()
 }
 
+// errAnswered ends a round of questions that the first answer has settled.
+var errAnswered = errors.New("a host has answered")
+
 // hostReachesLedger reports whether the ledger answers the host at an address.
 func (e *Elector) hostReachesLedger(ctx context.Context, address string) bool {
 	client, err := e.conns.Client(address)
--- /dev/null
+++ b/internal/elector/hosts.go
@@ -0,0 +1,214 @@
+package elector
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yuccapaddle"
+)
+
+const (
+	// hostExpiry is how long a host is remembered after it was last heard of.
+	hostExpiry = 30 * time.Second
+	// maxListedHosts is how many addresses one heartbeat lists at most.
+	maxListedHosts = 12
+)
+
+// hostTable holds what is known of the other hosts, by address. It is safe for concurrent
+// use.
+type hostTable struct {
+	self  string
+	clock yuccapaddle.Clock
+
+	mu    sync.Mutex
+	hosts map[string]*hostEntry
+	ranks map[string]int // of the followers, from 1
+}
+
+// hostEntry is what is known of one host.
+type hostEntry struct {
+	heardAt   time.Time
+	direct    bool  // it was heard of from itself, and not from another host
+	streams   int   // on which it receives heartbeats from this host
+	cpuMillis int64 // its share of a CPU core in thousandths, 0 if unknown
+	// vouchedAt is the latest time at which it certainly knew of no active host later than
+	// this one.
+	vouchedAt time.Time
+}
+
+func newHostTable(self string, clock yuccapaddle.Clock) *hostTable {
+	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, ranks: map[string]int{}}
+}
+
+// note records that a host was heard of just now: from itself if direct, or from another
+// host. Hearsay does not keep a host known, since hosts would remind one another of a host
+// that has left for good.
+func (t *hostTable) note(address string, direct bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteLocked(address, direct)
+}
+
+func (t *hostTable) noteLocked(address string, direct bool) *hostEntry {
+	if address == "" || address == t.self {
+		return &hostEntry{}
+	}
+	h := t.hosts[address]
+	if h == nil {
+		h = &hostEntry{heardAt: t.clock.Now()}
+		t.hosts[address] = h
+	}
+	if direct {
+		h.direct, h.heardAt = true, t.clock.Now()
+	}
+	return h
+}
+
+// forget removes a host whose process has certainly ended.
+func (t *hostTable) forget(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.hosts, address)
+}
+
+// expire removes the hosts that were not heard of for hostExpiry.
+func (t *hostTable) expire() {
+	for a, h := range t.hosts {
+		if h.streams == 0 && t.clock.Now().Sub(h.heardAt) > hostExpiry {
+			delete(t.hosts, a)
+		}
+	}
+}
+
+// addresses returns the addresses of the known hosts in no particular order.
+func (t *hostTable) addresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	list := make([]string, 0, len(t.hosts))
+	for a := range t.hosts {
+		list = append(list, a)
+	}
+	return list
+}
+
+// heardDirectly returns up to maxListedHosts addresses of hosts that were heard of from
+// themselves.
+func (t *hostTable) heardDirectly() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	list := make([]string, 0, maxListedHosts)
+	for a, h := range t.hosts {
+		if h.direct && len(list) < maxListedHosts {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// addFollower records that a host opened a stream of heartbeats.
+func (t *hostTable) addFollower(address string, cpuMillis int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.noteLocked(address, true)
+	h.streams++
+	h.cpuMillis = cpuMillis
+	t.rankFollowers()
+}
+
+// removeFollower records that a stream has ended.
+func (t *hostTable) removeFollower(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[address]; h != nil {
+		h.streams--
+	}
+	t.rankFollowers()
+}
+
+// rankFollowers orders the followers: those with the largest share of a CPU core first.
+// Among equals a hash decides, which mixes the failure domains.
+func (t *hostTable) rankFollowers() {
+	var list []string
+	for a, h := range t.hosts {
+		if h.streams > 0 {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.hosts[b].cpuMillis, t.hosts[a].cpuMillis), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)))
+	})
+	clear(t.ranks)
+	for i, a := range list {
+		t.ranks[a] = i + 1
+	}
+}
+
+// rank returns the place of a follower in the order of claims, 0 if it is none.
+func (t *hostTable) rank(address string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ranks[address]
+}
+
+// followers returns the number of hosts that receive heartbeats from this one.
+func (t *hostTable) followers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.ranks)
+}
+
+// vouch records that at the given time a host knew of no active host later than this one.
+func (t *hostTable) vouch(address string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.noteLocked(address, true)
+	if at.After(h.vouchedAt) {
+		h.vouchedAt = at
+	}
+}
+
+// clearVouches forgets all vouches, which were for an earlier epoch.
+func (t *hostTable) clearVouches() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.hosts {
+		h.vouchedAt = time.Time{}
+	}
+}
+
+// notVouched returns the addresses of the hosts that have not vouched since a time.
+func (t *hostTable) notVouched(since time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	var list []string
+	for a, h := range t.hosts {
+		if h.vouchedAt.Before(since) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// halfVouchedAt returns the latest time at which at least half of the known hosts vouched
+// for this one. Without other hosts that is now.
+func (t *hostTable) halfVouchedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	times := make([]time.Time, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		times = append(times, h.vouchedAt)
+	}
+	if len(times) == 0 {
+		return t.clock.Now()
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[(len(times)+1)/2-1]
+}
--- /dev/null
+++ b/internal/elector/hosts_test.go
@@ -0,0 +1,95 @@
+package elector
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+)
+
+func newTestTable() *hostTable {
+	return newHostTable("self:1", yuccapaddle.SystemClock{})
+}
+
+// TestRanks checks that followers are ranked by their share of a CPU core, that a host
+// that has left loses its rank, and that each rank claims later than the one before.
+func TestRanks(t *testing.T) {
+	c, table := qt.New(t), newTestTable()
+	for i := range 80 {
+		table.addFollower(fmt.Sprintf("slow-%d:1", i), 192)
+	}
+	for i := range 3 {
+		table.addFollower(fmt.Sprintf("fast-%d:1", i), 800)
+	}
+	seen := map[int]bool{}
+	for i := range 3 {
+		rank := table.rank(fmt.Sprintf("fast-%d:1", i))
+		c.Check(rank >= 1 && rank <= 3, qt.IsTrue, qt.Commentf("rank %d", rank))
+		seen[rank] = true
+	}
+	c.Check(seen, qt.HasLen, 3)
+	c.Check(table.followers(), qt.Equals, 83)
+	for i := range 3 {
+		table.removeFollower(fmt.Sprintf("fast-%d:1", i))
+	}
+	c.Check(table.rank("fast-0:1"), qt.Equals, 0)
+	c.Check(table.followers(), qt.Equals, 80)
+	e := &Elector{cpuShare: 0.192}
+	var last time.Duration
+	for rank := 2; rank <= maxRankSteps; rank++ {
+		e.rank.Store(int64(rank))
+		c.Check(e.claimDelay() > last, qt.IsTrue, qt.Commentf("rank %d", rank))
+		last = e.claimDelay()
+	}
+}
+
+// TestHearsay checks that a host that has left is forgotten even if other hosts go on
+// naming it.
+func TestHearsay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, table := qt.New(t), newTestTable()
+		table.note("gone:1", true)
+		table.note("rumour:1", false)
+		for range 2 * hostExpiry / time.Second {
+			table.note("gone:1", false)
+			table.note("alive:1", true)
+			time.Sleep(time.Second)
+		}
+		c.Check(table.heardDirectly(), qt.DeepEquals, []string{"alive:1"})
+		c.Check(table.addresses(), qt.HasLen, 1)
+	})
+}
+
+// TestHalfVouched checks that a host counts as confirmed from the time at which half of
+// the others vouched, and that a host whose process has ended does not count.
+func TestHalfVouched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, table := qt.New(t), newTestTable()
+		c.Check(table.halfVouchedAt(), qt.Equals, time.Now(), qt.Commentf("there are no others"))
+		for i := range 97 {
+			table.note(fmt.Sprintf("h%d:1", i), true)
+		}
+		start := time.Now()
+		vouch := func(from, to int, at time.Time) {
+			for i := from; i < to; i++ {
+				table.vouch(fmt.Sprintf("h%d:1", i), at)
+			}
+		}
+		vouch(0, 48, start)
+		c.Check(table.halfVouchedAt().IsZero(), qt.IsTrue, qt.Commentf("48 of 97"))
+		vouch(48, 49, start.Add(-time.Second))
+		c.Check(table.halfVouchedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("49 of 97"))
+		vouch(0, 49, start.Add(-time.Minute))
+		c.Check(table.halfVouchedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("a vouch that was under way longer does not replace a later one"))
+		for i := 96; i > 64; i-- {
+			table.forget(fmt.Sprintf("h%d:1", i))
+		}
+		c.Check(table.halfVouchedAt(), qt.Equals, start, qt.Commentf("a third was replaced"))
+		table.clearVouches()
+		c.Check(table.halfVouchedAt().IsZero(), qt.IsTrue)
+	})
+}
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -10,7 +10,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/recorder"
-	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/supervisor"
 )
 
@@ -61,6 +60,8 @@
 	exec, background := e.build(rec, predecessorRenewsUntil)
 	e.renewedAt.Store(e.clock.Now().UnixNano())
 	e.peersConfirmedAt.Store(0)
+	e.heldLease.Store(leaseID)
+	e.hosts.clearVouches()
 	e.handedOver.Store(false)
 	e.leader.Store(nil)
 	e.localExecutor.Store(exec)
@@ -71,7 +72,7 @@
 	})
 	g.Go("renewal", func() error {
 		defer cancel()
-		return e.renewLease(leadCtx, leaseID, rec.Epoch())
+		return e.keepLease(leadCtx, g, rec, leaseID)
 	})
 	g.Go("beside", func() error {
 		defer cancel()
@@ -81,7 +82,7 @@
 	g.Go("end", func() error {
 		<-leadCtx.Done()
 		e.localExecutor.CompareAndSwap(exec, nil)
-		e.releaseLease(ctx, leaseID)
+		e.releaseLease(ctx, e.heldLease.Load())
 		e.log.Info("this host is active no more", zap.Uint64("epoch", rec.Epoch()))
 		return nil
 	})
@@ -93,71 +94,6 @@
 	}
 }
 
-// renewLease renews the lease until the context ends or the role is lost. While the
-// ledger does not answer, this host keeps the role unless another host knows of a later
-// active host.
-func (e *Elector) renewLease(ctx context.Context, leaseID, epoch uint64) error {
-	renewedAt, refusals := e.clock.Now(), 0
-	for {
-		e.renewedAt.Store(renewedAt.UnixNano())
-		delay := renewInterval
-		if refusals > 0 {
-			delay = renewRetryDelay
-		}
-		if sleeper.Sleep(ctx, delay) != nil {
-			return nil
-		}
-		sentAt := e.clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := e.ledger.Renew(callCtx, leaseID)
-		cancel()
-		if refusals++; !isRefusal(err) {
-			refusals = 0
-		}
-		switch {
-		case err == nil:
-			renewedAt = sentAt
-		case refusals == refusalsToHandOver && e.otherHostReachesLedger(ctx):
-			e.handedOver.Store(true)
-			return errHandedOver
-		case errors.Is(err, yuccapaddle.ErrLeaseOver):
-			return err
-		case sentAt.Sub(renewedAt) > e.leaseTTL && e.superseded(ctx, epoch):
-			return recorder.ErrReplaced
-		}
-	}
-}
-
-// superseded reports whether another host knows of an active host with a later epoch. If
-// at least half of the other hosts answer and know of none, that confirms this one.
-func (e *Elector) superseded(ctx context.Context, epoch uint64) bool {
-	askedAt := e.clock.Now()
-	others := e.otherAddresses()
-	var replies atomic.Int64
-	var laterActive atomic.Bool
-	g, ctx := supervisor.New(ctx, e.log)
-	for _, address := range others {
-		g.Go("who", func() error {
-			reply, err := e.askHost(ctx, address, dialTimeout)
-			if err != nil {
-				return nil // a host that does not answer confirms nothing
-			}
-			replies.Add(1)
-			if reply.GetEpoch() > epoch {
-				laterActive.Store(true)
-			}
-			return nil
-		})
-	}
-	if err := g.Wait(); err != nil {
-		e.log.Warn("cannot ask the other hosts which one is active", zap.Error(err))
-	}
-	if !laterActive.Load() && 2*replies.Load() >= int64(len(others)) {
-		e.peersConfirmedAt.Store(askedAt.UnixNano())
-	}
-	return laterActive.Load()
-}
-
 // Confirmed reports whether this host, if it is active, recently had confirmation of it:
 // its lease was renewed, or at least half of the other hosts knew of no later active
 // host. A host that is partitioned off together with some workers gets neither, and must
--- /dev/null
+++ b/internal/elector/lease.go
@@ -0,0 +1,279 @@
+package elector
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/supervisor"
+)
+
+const (
+	renewInterval = 350 * time.Millisecond
+	// renewRetryInterval is the time between renewals while the last one has failed.
+	renewRetryInterval = 120 * time.Millisecond
+	// maxRenewals is how many renewals wait for a reply at once, so that one that hangs
+	// does not delay the next.
+	maxRenewals = 4
+	// doubtAfter is how long after the last successful renewal was sent the active host
+	// asks others whether the ledger answers them.
+	doubtAfter = 2 * renewInterval
+	// askInterval is the time between two rounds of questions to other hosts.
+	askInterval = 900 * time.Millisecond
+	// handoverPatience is how long the active host goes on trying after it has learned
+	// that the ledger answers another host.
+	handoverPatience = 350 * time.Millisecond
+	// pendingResults is how many replies wait for the loop at most.
+	pendingResults = 16
+)
+
+// roleLease keeps the lease of the lock key while this host is active. If the lease ends
+// because the ledger was away, it sets the lock again: safety rests on the commits, and no
+// other host needs the role. All fields belong to the loop in run.
+type roleLease struct {
+	e   *Elector
+	rec *recorder.Recorder
+	log *zap.Logger
+
+	id         uint64    // of the lease
+	renewedAt  time.Time // when the last renewal that succeeded was sent
+	over       bool      // the ledger has answered that the lease has ended
+	renewals   int       // waiting for a reply
+	relocking  bool      // the lock is being set again
+	asking     bool      // other hosts are being asked
+	askAt      time.Time // no questions are sent before
+	refusals   int       // of renewals since the last success
+	othersHave time.Time // since when the ledger is known to answer another host, zero if it is not
+	results    chan func() error
+}
+
+// keepLease renews the lease until the context ends or the role is lost. While the ledger
+// does not answer, this host keeps the role unless another host knows of a later active
+// host or gets answers from the ledger.
+//
+// Its calls run in the group, so that one that hangs does not delay the end of the role.
+func (e *Elector) keepLease(ctx context.Context, g *supervisor.Supervisor, rec *recorder.Recorder, leaseID uint64) error {
+	l := &roleLease{
+		e: e, rec: rec, id: leaseID, log: e.log.With(zap.Uint64("epoch", rec.Epoch())), renewedAt: e.clock.Now(),
+		results: make(chan func() error, pendingResults),
+	}
+	return l.run(ctx, g)
+}
+
+// run handles ticks and replies until the context ends or the role is lost.
+func (l *roleLease) run(ctx context.Context, g *supervisor.Supervisor) error {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case handle := <-l.results:
+			err = handle()
+		case <-timer.C:
+			err = l.tick(ctx, g)
+			timer.Reset(l.interval())
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (l *roleLease) age() time.Duration {
+	return l.e.clock.Now().Sub(l.renewedAt)
+}
+
+// doubtful reports whether the ledger may be leaving only this host without answers.
+func (l *roleLease) doubtful() bool {
+	return l.refusals >= refusalsToHandOver || l.age() > doubtAfter
+}
+
+func (l *roleLease) interval() time.Duration {
+	if l.over || l.refusals > 0 || l.age() > doubtAfter {
+		return renewRetryInterval
+	}
+	return renewInterval
+}
+
+// tick sends what is due, and hands the role over if this host alone gets no answers.
+func (l *roleLease) tick(ctx context.Context, g *supervisor.Supervisor) error {
+	switch {
+	case l.over && !l.relocking:
+		l.relock(ctx, g)
+	case !l.over && l.renewals < maxRenewals:
+		l.renew(ctx, g)
+	}
+	if l.age() > l.e.leaseTTL {
+		if at := l.e.hosts.halfVouchedAt(); !at.IsZero() {
+			l.e.peersConfirmedAt.Store(at.UnixNano())
+		}
+	}
+	if l.doubtful() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
+		l.ask(ctx, g)
+	}
+	if !l.othersHave.IsZero() && l.e.clock.Now().Sub(l.othersHave) > handoverPatience {
+		return l.handOver("no answer")
+	}
+	return nil
+}
+
+// call runs f in the group, and then handle on the loop with its error.
+func (l *roleLease) call(ctx context.Context, g *supervisor.Supervisor, name string, f func(ctx context.Context) error, handle func(error) error) {
+	g.Go(name, func() error {
+		err := f(ctx)
+		select {
+		case l.results <- func() error { return handle(err) }:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+func (l *roleLease) renew(ctx context.Context, g *supervisor.Supervisor) {
+	l.renewals++
+	sentAt, id := l.e.clock.Now(), l.id
+	l.call(ctx, g, "renewal", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return l.e.ledger.Renew(ctx, id)
+	}, func(err error) error {
+		l.renewals--
+		if id != l.id {
+			return nil
+		}
+		if errors.Is(err, yuccapaddle.ErrLeaseOver) {
+			l.loseLease()
+			return nil
+		}
+		return l.handleReply(sentAt, err)
+	})
+}
+
+func (l *roleLease) loseLease() {
+	if l.over {
+		return
+	}
+	l.over = true
+	l.log.Info("the lease of the active role has ended", zap.Int64("renewed_ms_ago", l.age().Milliseconds()))
+}
+
+// handleReply handles the reply to a renewal, or to the attempt to set the lock again.
+func (l *roleLease) handleReply(sentAt time.Time, err error) error {
+	switch {
+	case err == nil:
+		if sentAt.After(l.renewedAt) {
+			l.renewedAt = sentAt
+			l.e.renewedAt.Store(sentAt.UnixNano())
+		}
+		l.refusals, l.othersHave = 0, time.Time{}
+	case isRefusal(err):
+		l.refusals++
+		if !l.othersHave.IsZero() && sentAt.After(l.othersHave) {
+			return l.handOver("refused")
+		}
+	}
+	return nil
+}
+
+// handOver ends the active role because the ledger answers others and not this host.
+func (l *roleLease) handOver(reason string) error {
+	l.log.Info("the ledger answers another host and not this one", zap.String("detail", reason),
+		zap.Int64("renewed_ms_ago", l.age().Milliseconds()), zap.Int("refusals", l.refusals))
+	l.e.handedOver.Store(true)
+	return errHandedOver
+}
+
+// relock sets the lock again under a new lease.
+func (l *roleLease) relock(ctx context.Context, g *supervisor.Supervisor) {
+	l.relocking = true
+	sentAt := l.e.clock.Now()
+	var id uint64
+	l.call(ctx, g, "relock", func(ctx context.Context) error {
+		var err error
+		id, err = l.e.relock(ctx, l.rec)
+		return err
+	}, func(err error) error {
+		l.relocking = false
+		switch {
+		case err == nil:
+			l.id, l.over = id, false
+			l.e.heldLease.Store(id)
+			l.log.Info("the lock is held again", zap.Int64("took_ms", l.e.clock.Now().Sub(sentAt).Milliseconds()))
+		case errors.Is(err, recorder.ErrReplaced), errors.Is(err, errLockTaken):
+			return recorder.ErrReplaced
+		}
+		return l.handleReply(sentAt, err)
+	})
+}
+
+// errLockTaken means that another host holds the lock.
+var errLockTaken = errors.New("another host holds the lock")
+
+// relock sets the lock key under a new lease, which it returns, if no other host holds it
+// and this host is still the writer of the records.
+func (e *Elector) relock(ctx context.Context, rec *recorder.Recorder) (lease uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, relockTimeout)
+	defer cancel()
+	lock, err := e.ledger.Get(ctx, lockKey)
+	if err != nil {
+		return 0, err
+	}
+	if lock.Revision != 0 && string(lock.Value) != e.address {
+		return 0, errLockTaken
+	}
+	lease, err = e.ledger.Grant(ctx, e.leaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	return lease, rec.Relock(ctx, yuccapaddle.Lock{Key: lockKey, Revision: lock.Revision, Lease: lease, Address: e.address})
+}
+
+// ask asks other hosts whether the ledger answers them and, once the lease may have ended,
+// whether they know of a later active host.
+func (l *roleLease) ask(ctx context.Context, g *supervisor.Supervisor) {
+	l.asking = true
+	askedAt := l.e.clock.Now()
+	l.askAt = askedAt.Add(askInterval)
+	lapsed := l.age() > l.e.leaseTTL
+	var reached, replaced bool
+	l.call(ctx, g, "questions", func(ctx context.Context) error {
+		reached = l.e.otherHostReachesLedger(ctx)
+		if lapsed {
+			replaced = l.e.laterActive(ctx, l.rec.Epoch(), askedAt)
+		}
+		return nil
+	}, func(error) error {
+		l.asking = false
+		switch {
+		case replaced:
+			return recorder.ErrReplaced
+		case !reached:
+			l.othersHave = time.Time{}
+		case l.doubtful() && l.othersHave.IsZero():
+			l.othersHave = l.e.clock.Now()
+		}
+		return nil
+	})
+}
+
+// laterActive asks the hosts that have not vouched for this one of late whether they know
+// of a later active host. Those that do not vouch for this host by that.
+func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
+	silent := e.hosts.notVouched(now.Add(-peerConfirmValidity / 2))
+	later := false
+	e.askHosts(ctx, silent, dialTimeout, func(address string, reply *peer.WhoReply) {
+		if reply.GetEpoch() > epoch {
+			later = true
+			return
+		}
+		e.hosts.vouch(address, now)
+	})
+	return later
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -101,8 +101,14 @@
 }
 
 // Who implements peer.JobsServer.
-func (s *JobServer) Who(context.Context, *peer.WhoRequest) (*peer.WhoReply, error) {
-	return s.elector.Who(), nil
+func (s *JobServer) Who(_ context.Context, req *peer.WhoRequest) (*peer.WhoReply, error) {
+	return s.elector.Who(req), nil
+}
+
+// Vouch implements peer.JobsServer.
+func (s *JobServer) Vouch(_ context.Context, req *peer.VouchRequest) (*peer.VouchReply, error) {
+	s.elector.HandleVouch(req)
+	return &peer.VouchReply{}, nil
 }
 
 // Reach implements peer.JobsServer.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"yuccapaddle"
@@ -35,8 +36,8 @@
 )
 
 // head is the value of the head key. It names the writer of the records; Epoch rises
-// with each writer and is the base of the fencing tokens of its orders, and Count rises
-// with each commit.
+// with each writer and is the base of the fencing tokens of its orders, and Count is
+// different, and higher, for each transaction of a writer.
 type head struct {
 	Epoch   uint64 `json:"e"`
 	Host    string `json:"h"`
@@ -48,12 +49,20 @@
 // ErrReplaced means that another host has become the writer of the records.
 var ErrReplaced = errors.New("another host writes the records now")
 
-// Recorder writes the job records. Only Epoch is safe for concurrent use.
+// errEarlierCommit means that the head is that of an earlier transaction of this writer
+// whose reply was lost, so that the present one has not been applied.
+var errEarlierCommit = errors.New("an earlier commit of this host was applied after all")
+
+// Recorder writes the job records. Load and Save are not safe for concurrent use with one
+// another; the other methods are safe.
 type Recorder struct {
-	ledger   yuccapaddle.Ledger
-	epoch    uint64
-	head     head
-	revision uint64
+	ledger yuccapaddle.Ledger
+	epoch  uint64
+	// mu is held during a transaction. It guards the fields below.
+	mu       sync.Mutex
+	head     head   // as last seen in the ledger
+	revision uint64 // of the head
+	count    uint64 // of the latest transaction, whether it was applied or not
 }
 
 // Claim makes this host the writer of the records, and sets the lock in the same
@@ -71,15 +80,42 @@
 		}
 	}
 	r.head = head{Epoch: r.head.Epoch + 1, Host: host, Address: address, Nonce: nonce}
-	t := yuccapaddle.Transaction{
+	r.epoch = r.head.Epoch
+	if err := r.commit(ctx, lockTransaction(lock)); err != nil {
+		return nil, fmt.Errorf("become the writer of the job records: %w", err)
+	}
+	return r, nil
+}
+
+// lockTransaction sets a lock that still has its last known revision.
+func lockTransaction(lock yuccapaddle.Lock) yuccapaddle.Transaction {
+	return yuccapaddle.Transaction{
 		If:  []yuccapaddle.Condition{{Key: lock.Key, Revision: lock.Revision}},
 		Set: []yuccapaddle.Change{{Key: lock.Key, Value: []byte(lock.Address), Lease: lock.Lease}},
 	}
-	if err := r.commit(ctx, t); err != nil {
-		return nil, fmt.Errorf("become the writer of the job records: %w", err)
+}
+
+// Relock sets the lock again after its lease has expired, unless another host has become
+// the writer, which is ErrReplaced. After any other error it may or may not be set. Relock
+// waits for a Save in progress.
+func (r *Recorder) Relock(ctx context.Context, lock yuccapaddle.Lock) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.commit(ctx, lockTransaction(lock))
+}
+
+// Writer returns the address and the epoch of the writer of the records, "" and 0 if there
+// has been none.
+func Writer(ctx context.Context, ledger yuccapaddle.Ledger) (address string, epoch uint64, err error) {
+	e, err := ledger.Get(ctx, headKey)
+	if err != nil || e.Revision == 0 {
+		return "", 0, err
 	}
-	r.epoch = r.head.Epoch
-	return r, nil
+	var h head
+	if err := json.Unmarshal(e.Value, &h); err != nil {
+		return "", 0, fmt.Errorf("decode the head key: %w", err)
+	}
+	return h.Address, h.Epoch, nil
 }
 
 // Epoch returns the epoch of this writer.
@@ -133,7 +169,7 @@
 		t.Set, groups = pack(groups)
 		n := min(len(remove), maxChanges-len(t.Set))
 		t.Remove, remove = remove[:n], remove[n:]
-		if err := r.commitWithRetry(ctx, t); err != nil {
+		if err := r.commitUntilKnown(ctx, t); err != nil {
 			return err
 		}
 	}
@@ -189,15 +225,21 @@
 	return partPrefix + id + "/" + strconv.Itoa(n)
 }
 
-// commitWithRetry retries a commit until it is known to be applied, or fails for good: the
-// context has ended, the call is invalid or another host is the writer.
-func (r *Recorder) commitWithRetry(ctx context.Context, t yuccapaddle.Transaction) error {
+// commitUntilKnown retries a commit until it is known to be applied, or fails for good:
+// the context has ended, the call is invalid or another host is the writer.
+func (r *Recorder) commitUntilKnown(ctx context.Context, t yuccapaddle.Transaction) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count++
 	backoff := minBackoff
 	for {
-		err := r.commit(ctx, t)
+		err := r.attempt(ctx, t)
 		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, yuccapaddle.ErrInvalid) {
 			return err
 		}
+		if errors.Is(err, errEarlierCommit) {
+			continue
+		}
 		if sleeper.SleepJittered(ctx, backoff) != nil {
 			return err
 		}
@@ -205,11 +247,22 @@
 	}
 }
 
-// commit attempts a transaction once. A conflict caused by the head of this very commit
-// means that an earlier attempt, whose reply was lost, was applied.
+// commit attempts a new transaction, and repeats it only if its failure was due to an
+// earlier one. It must be called with mu held, or before the Recorder is shared.
 func (r *Recorder) commit(ctx context.Context, t yuccapaddle.Transaction) error {
+	r.count++
+	err := r.attempt(ctx, t)
+	if errors.Is(err, errEarlierCommit) {
+		return r.attempt(ctx, t)
+	}
+	return err
+}
+
+// attempt attempts the present transaction once. A conflict caused by its own head means
+// that an earlier attempt, whose reply was lost, was applied.
+func (r *Recorder) attempt(ctx context.Context, t yuccapaddle.Transaction) error {
 	next := r.head
-	next.Count++
+	next.Count = r.count
 	value, err := json.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("encode the head key: %w", err)
@@ -230,7 +283,9 @@
 }
 
 // resolveConflict reads the head after a conflict. It returns nil if the head is that of
-// this commit, and ErrReplaced if it is from another writer.
+// the present transaction, errEarlierCommit if it is that of an earlier one of this
+// writer that was not known to be applied, ErrConflict if the head has not changed, so
+// that another condition did not hold, and ErrReplaced if it is from another writer.
 func (r *Recorder) resolveConflict(ctx context.Context, next head) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -242,9 +297,15 @@
 	if err := json.Unmarshal(e.Value, &current); err != nil {
 		return fmt.Errorf("decode the head key after a conflict: %w", err)
 	}
-	if current == next {
+	switch {
+	case current == next:
 		r.head, r.revision = next, e.Revision
 		return nil
+	case current.Epoch != next.Epoch || current.Nonce != next.Nonce:
+		return fmt.Errorf("%w: %s, epoch %d", ErrReplaced, current.Host, current.Epoch)
+	case e.Revision == r.revision:
+		return yuccapaddle.ErrConflict
 	}
-	return fmt.Errorf("%w: %s, epoch %d", ErrReplaced, current.Host, current.Epoch)
+	r.head, r.revision = current, e.Revision
+	return errEarlierCommit
 }
