elector, executor: nothing is done on a permission that ran out in a pause

Cause: a follower that was paused confirmed its rules at the time at which it read heartbeats that had waited, however old they were; a start was checked against the time of the event that led to it, so that a pause after that let it out on registrations and rules that were out of date.

Change: heartbeats carry their time on the sender's clock, and the quickest of the latest tells how long each was under way. A start is checked again right before it is sent.

--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -150,6 +150,7 @@
 		return false
 	}
 	_, revision := e.rules.Data()
+	openedAt := e.clock.Now()
 	watchdog := time.AfterFunc(minHeartbeatTimeout, cancel)
 	defer watchdog.Stop()
 	stream, err := client.Follow(ctx, &peer.FollowRequest{
@@ -160,6 +161,7 @@
 	}
 	received := false
 	watch := &lockWatch{e: e, client: client, leader: address}
+	delays := &delayMeter{openedAt: openedAt}
 	for {
 		beat, err := stream.Recv()
 		if err != nil {
@@ -173,7 +175,7 @@
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
 		}
-		e.applyHeartbeat(address, beat)
+		e.applyHeartbeat(address, beat, delays.sentAt(e.clock.Now(), beat.GetSentNs()))
 		if watch.roleFree(ctx, beat) {
 			e.log.Info("the active host has lost its lease", zap.String("address", address))
 			return false
@@ -246,17 +248,17 @@
 	return max(minHeartbeatTimeout, heartbeatTimeoutIntervals*time.Duration(beat.GetNextMs())*time.Millisecond)
 }
 
-// applyHeartbeat records what a heartbeat of the active host tells.
-func (e *Elector) applyHeartbeat(address string, beat *peer.Beat) {
-	now := e.clock.Now()
+// applyHeartbeat records what a heartbeat of the active host tells, which was so when it
+// was sent: it may have waited while this process was paused.
+func (e *Elector) applyHeartbeat(address string, beat *peer.Beat, sentAt time.Time) {
 	e.leader.Store(&leader{
-		address: address, epoch: beat.GetEpoch(), validUntil: now.Add(heartbeatTimeout(beat)),
+		address: address, epoch: beat.GetEpoch(), validUntil: sentAt.Add(heartbeatTimeout(beat)),
 	})
 	if err := e.offerRules(beat.GetRules()); err != nil {
 		e.log.Warn("cannot decode the rules received from the active host", zap.Error(err))
 	}
 	if beat.GetFresh() {
-		e.rules.Confirm(now)
+		e.rules.Confirm(sentAt)
 	}
 	e.rank.Store(beat.GetRank())
 	e.hosts.note(address, true)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -223,7 +223,17 @@
 // mayPlace reports whether tasks may be placed: the registrations and the rules are
 // fresh enough, and the role is confirmed, so that no other host is placing tasks.
 func (e *Executor) mayPlace() bool {
-	return e.roleConfirmed() && e.now.Sub(e.registryReadAt) < e.leaveTime(freshFraction) && e.now.Sub(e.rules.ConfirmedAt()) < e.leaveTime(freshFraction)
+	return e.roleConfirmed() && e.now.Before(e.placeBy())
+}
+
+// placeBy returns the time until which the registrations and the rules are fresh enough to
+// place tasks.
+func (e *Executor) placeBy() time.Time {
+	readAt := e.registryReadAt
+	if at := e.rules.ConfirmedAt(); at.Before(readAt) {
+		readAt = at
+	}
+	return readAt.Add(e.leaveTime(freshFraction))
 }
 
 // leaveTime returns a fraction of Bounds.LeaveWithinMS.
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -301,16 +301,26 @@
 		Task: st.Task, Run: st.Run, Payload: st.Payload, Checkpoint: st.Checkpoint, Ticket: st.Ticket, Once: st.Once,
 		Deadline: e.leaseDeadline(l), Token: e.token(l),
 	}
+	sendBy := e.placeBy()
 	e.group.Go("start", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
-		clock, err := e.runner.Start(ctx, &w, o)
+		clock, err := e.startBy(ctx, &w, o, sendBy)
 		at := e.clock.Now()
 		e.post(func() { e.handleStartReply(l, st, clock, sentAt, at, err) })
 		return nil
 	})
 }
 
+// startBy sends a start order unless the time sendBy is over: this process may have been
+// paused since the order was decided.
+func (e *Executor) startBy(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.StartOrder, sendBy time.Time) (clock int64, err error) {
+	if !e.clock.Now().Before(sendBy) || !e.roleConfirmed() {
+		return 0, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent}
+	}
+	return e.runner.Start(ctx, w, o)
+}
+
 func (e *Executor) handleStartReply(l *link, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
 	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
 	l.updateClock(clock, at)
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -48,7 +48,9 @@
 	runner        yuccapaddle.Runner // the rig itself if nil
 	hosts         int                // started so far
 	logs          logs
-	platformHangs atomic.Bool // the registrations and the rules have no answer
+	clock         yuccapaddle.Clock // of the executor, the system's if nil
+	meter         yuccapaddle.Meter // of the executor, none if nil
+	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
 	// always true if nil.
 	confirmed              func() bool
@@ -193,7 +195,14 @@
 	out := zapcore.AddSync(io.MultiWriter(testWriter{r.t}, &r.logs))
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
 	log = log.With(zap.String("host", name))
-	rules := rulekeeper.New(r, 2500, yuccapaddle.SystemClock{}, log)
+	clock, meter := r.clock, r.meter
+	if clock == nil {
+		clock = yuccapaddle.SystemClock{}
+	}
+	if meter == nil {
+		meter = yuccapaddle.NoMeter{}
+	}
+	rules := rulekeeper.New(r, 2500, clock, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: 2500, Planner: yuccapaddle.PlanLimits{
 		RemoteSlowdown: 3, Retention: 2 * time.Minute,
@@ -207,7 +216,8 @@
 		confirmed = func() bool { return true }
 	}
 	ctx, cancel := context.WithCancel(r.t.Context())
-	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, yuccapaddle.SystemClock{}, log, executor.WithAdviser(r), executor.WithRole(confirmed, r.predecessorRenewsUntil)), cancel
+	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, clock, log, executor.WithAdviser(r), executor.WithMeter(meter),
+		executor.WithRole(confirmed, r.predecessorRenewsUntil)), cancel
 	exec := r.exec
 	r.group.Go(func() error { return rules.Run(ctx, always, always) })
 	r.group.Go(func() error {
