elector: hosts whose process has ended still count for half of the others

Cause: TestCutOff failed once of two runs: hosts that refused the connection were forgotten, so that a host cut off from all others had none left and counted as confirmed. Hosts that it does not know may have taken their place.

Change: a host counts until it expires; a host that knew others is not confirmed by their absence. TestHalfVouched has both cases.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -226,7 +226,6 @@
 			return "" // it may still be running: wait until its lease expires
 		}
 		e.log.Info("the active host refuses connections, so its process has exited", zap.String("address", holder))
-		e.hosts.forget(holder)
 	}
 	// If the lock exists here, its holder is an earlier process of this host, or the probe
 	// has shown that it has exited.
@@ -320,8 +319,7 @@
 		g.Go("who", func() error {
 			reply, err := e.askHost(ctx, address, timeout)
 			if err != nil {
-				e.forgetIfGone(address) // a host that does not answer tells nothing
-				return nil
+				return nil // a host that does not answer tells nothing
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -334,13 +332,6 @@
 	}
 }
 
-// forgetIfGone forgets a host that has not answered if its process has ended.
-func (e *Elector) forgetIfGone(address string) {
-	if e.probe(address) == notListening {
-		e.hosts.forget(address)
-	}
-}
-
 // askHost asks the host at an address which host is active.
 func (e *Elector) askHost(ctx context.Context, address string, timeout time.Duration) (*peer.WhoReply, error) {
 	client, err := e.conns.Client(address)
--- a/internal/elector/hosts.go
+++ b/internal/elector/hosts.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostEntry
+	alone bool           // no other host was ever heard of
 	ranks map[string]int // of the followers, from 1
 }
 
@@ -41,7 +42,7 @@
 }
 
 func newHostTable(self string, clock yuccapaddle.Clock) *hostTable {
-	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, ranks: map[string]int{}}
+	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, alone: true, ranks: map[string]int{}}
 }
 
 // note records that a host was heard of just now: from itself if direct, or from another
@@ -61,6 +62,7 @@
 	if h == nil {
 		h = &hostEntry{heardAt: t.clock.Now()}
 		t.hosts[address] = h
+		t.alone = false
 	}
 	if direct {
 		h.direct, h.heardAt = true, t.clock.Now()
@@ -68,13 +70,6 @@
 	return h
 }
 
-// forget removes a host whose process has certainly ended.
-func (t *hostTable) forget(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.hosts, address)
-}
-
 // expire removes the hosts that were not heard of for hostExpiry.
 func (t *hostTable) expire() {
 	for a, h := range t.hosts {
@@ -197,7 +192,9 @@
 }
 
 // halfVouchedAt returns the latest time at which at least half of the known hosts vouched
-// for this one. Without other hosts that is now.
+// for this one: now if it never heard of another, and the zero time if all that it heard
+// of are long gone, since they may have been replaced by hosts that it does not know. A
+// host counts until it expires, even if its process has ended.
 func (t *hostTable) halfVouchedAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -206,8 +203,11 @@
 	for _, h := range t.hosts {
 		times = append(times, h.vouchedAt)
 	}
-	if len(times) == 0 {
+	switch {
+	case t.alone:
 		return t.clock.Now()
+	case len(times) == 0:
+		return time.Time{}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	return times[(len(times)+1)/2-1]
