router, executor: settle what may have run at the next active host

Cause: a call that never left its host counted as maybe executed, and so did one whose host was replaced since, although the next active host knows every job that was accepted; both ended as 504 at the caller's deadline. A job that was accepted, and whose caller asked again while the ledger was away, was refused as not run.

Change: calls whose headers were not written have not been executed. A submission or cancellation names the epoch that it is meant for and is not carried out in another one, so that a refusal by a host of a later epoch, which has loaded all records, settles the earlier attempts. Jobs that are known are never refused.

TestKnownNotRefused failed before; TestAttempts has the order of answers.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -43,6 +43,7 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStatsHandler(sendTracker{}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -147,12 +147,18 @@
 
 // Leader returns the address of the active host, and false if that is this host or
 // not known.
-func (e *Elector) Leader() (string, bool) {
+func (e *Elector) Leader() (address string, ok bool) {
+	address, _, ok = e.LeaderEpoch()
+	return address, ok
+}
+
+// LeaderEpoch is Leader with the epoch of the active host.
+func (e *Elector) LeaderEpoch() (address string, epoch uint64, ok bool) {
 	l := e.leader.Load()
 	if l == nil || e.clock.Now().After(l.validUntil) {
-		return "", false
+		return "", 0, false
 	}
-	return l.address, true
+	return l.address, l.epoch, true
 }
 
 // MustReadRules reports whether this host has to read the rules from the ledger itself:
@@ -230,12 +236,28 @@
 	// If the lock exists here, its holder is an earlier process of this host, or the probe
 	// has shown that it has exited.
 	predecessorStopped := lock.Revision != 0
-	if !e.resigned.Load() && sleeper.Sleep(ctx, e.claimDelay()) == nil {
+	if !e.resigned.Load() && e.waitForTurn(ctx, lock.Revision) {
 		e.claim(ctx, lock.Revision, predecessorStopped)
 	}
 	return ""
 }
 
+// waitForTurn waits until the hosts that come before this one have had the time to claim,
+// and reports whether none has: the lock still has the revision.
+func (e *Elector) waitForTurn(ctx context.Context, lockRevision uint64) bool {
+	delay := e.claimDelay()
+	if delay == 0 {
+		return true
+	}
+	if sleeper.Sleep(ctx, delay) != nil {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lock, err := e.ledger.Get(callCtx, lockKey)
+	return err == nil && lock.Revision == lockRevision && !e.resigned.Load()
+}
+
 // liveWriter returns the address of the writer of the records if it answers that it is
 // active. Its lease may have expired while the ledger was away, and it takes the lock back
 // by itself. The host that this one has just lost is not asked.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +74,7 @@
 	submissions    chan submission
 	adviceRequests chan yuccapaddle.AdviceRequest
 	done           chan struct{}
+	restored       atomic.Bool // the records of former hosts are loaded
 	plan           *planner.Planner
 	group          *supervisor.Supervisor
 	ctx            context.Context
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -147,6 +147,15 @@
 	return counts
 }
 
+// KnowsSince returns the epoch of this host once it knows every job that a host of an
+// earlier epoch has accepted, and 0 before.
+func (e *Executor) KnowsSince() uint64 {
+	if !e.restored.Load() {
+		return 0
+	}
+	return e.rec.Epoch()
+}
+
 // Epoch returns the epoch of this host as the writer of the job records.
 func (e *Executor) Epoch() uint64 {
 	return e.rec.Epoch()
--- /dev/null
+++ b/internal/executor/known_test.go
@@ -0,0 +1,69 @@
+package executor_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/standin/bookkeeper"
+)
+
+// TestKnownNotRefused checks that a job that was accepted, and whose caller asks again
+// since the answer was lost, is not refused as not run while the ledger does not answer.
+func TestKnownNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4)
+		r.takeOver()
+		defer r.close()
+		r.c.Assert(r.exec.Submit(t.Context(), r.smallJob("0000000000000001")), qt.IsNil)
+		r.ledger.SetFault(bookkeeper.FaultTimeout)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		r.group.Go(func() error {
+			_ = r.exec.Submit(ctx, r.smallJob("0000000000000002")) // its commit hangs, so the outcome is unknown
+			return nil
+		})
+		time.Sleep(time.Second)
+		r.c.Check(r.exec.Submit(ctx, r.smallJob("0000000000000001")), qt.IsNil)
+		r.ledger.SetFault(bookkeeper.FaultNone)
+	})
+}
+
+// TestSubmitAtEnd checks the error of submissions that are under way when the host stops
+// being active: a job that was refused as not accepted is not in the ledger.
+func TestSubmitAtEnd(t *testing.T) {
+	for delay := time.Duration(0); delay < 30*time.Millisecond; delay += 3 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 4)
+			r.takeOver()
+			defer r.close()
+			time.Sleep(100 * time.Millisecond)
+			ids := []string{"0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004"}
+			errs := make([]error, len(ids))
+			exec := r.exec
+			r.ledger.SetFault(bookkeeper.FaultLostReply)
+			for i, id := range ids {
+				r.group.Go(func() error {
+					errs[i] = exec.Submit(t.Context(), r.smallJob(id))
+					return nil
+				})
+				time.Sleep(5 * time.Millisecond)
+			}
+			time.Sleep(delay)
+			r.stop()
+			time.Sleep(time.Second)
+			r.ledger.SetFault(bookkeeper.FaultNone)
+			r.takeOver()
+			for i, id := range ids {
+				_, found, err := r.exec.Show(t.Context(), id, "batch", time.Time{})
+				r.c.Assert(err, qt.IsNil)
+				r.c.Check(found && errors.Is(errs[i], yuccapaddle.ErrNotAccepted), qt.IsFalse, qt.Commentf("job %s is known, and was answered: %v", id, errs[i]))
+			}
+		})
+	}
+}
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -56,6 +56,7 @@
 		case l := <-results:
 			e.readClock()
 			e.restore(&l)
+			e.restored.Store(true)
 			e.group.Go("registrations", e.pollRegistry)
 			return nil
 		}
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -20,17 +20,23 @@
 	submissionWithdrawn
 )
 
-// submission is a job to admit. result receives nil once the job is admitted, or the
-// reason for refusing it.
+// admission is what became of a submission: err is the reason for refusing it. committed
+// means that the job had been accepted and committed before.
+type admission struct {
+	err       error
+	committed bool
+}
+
+// submission is a job to admit.
 type submission struct {
 	job        *yuccapaddle.Job
-	result     chan error
+	result     chan admission
 	state      *atomic.Int32
 	receivedAt time.Time
 }
 
 func (e *Executor) newSubmission(j *yuccapaddle.Job) submission {
-	return submission{job: j, result: make(chan error, 1), state: &atomic.Int32{}, receivedAt: e.clock.Now()}
+	return submission{job: j, result: make(chan admission, 1), state: &atomic.Int32{}, receivedAt: e.clock.Now()}
 }
 
 // withdraw takes a submission back that has not been admitted, and reports whether it was
@@ -46,8 +52,9 @@
 // if it was.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
 	s := e.newSubmission(j)
-	if err := e.waitAdmitted(ctx, &s); err != nil {
-		return err
+	a := e.waitAdmitted(ctx, &s)
+	if a.err != nil || a.committed {
+		return a.err
 	}
 	if e.runAndCommit(ctx, func() {}) != nil {
 		return yuccapaddle.ErrUnknown // the job may be part of a commit, whatever became of the wait
@@ -57,49 +64,61 @@
 
 // waitAdmitted hands a submission to the loop and waits until it is admitted or refused,
 // or takes it back when the context or the loop ends.
-func (e *Executor) waitAdmitted(ctx context.Context, s *submission) error {
+func (e *Executor) waitAdmitted(ctx context.Context, s *submission) admission {
 	select {
 	case e.submissions <- *s:
 	case <-ctx.Done():
-		return yuccapaddle.ErrNotAccepted
+		return admission{err: yuccapaddle.ErrNotAccepted}
 	case <-e.done:
-		return yuccapaddle.ErrNotAccepted
+		return admission{err: yuccapaddle.ErrNotAccepted}
 	}
 	select {
-	case err := <-s.result:
-		return err
+	case a := <-s.result:
+		return a
 	case <-ctx.Done():
 	case <-e.done:
 	}
 	if s.withdraw() {
-		return yuccapaddle.ErrNotAccepted
+		return admission{err: yuccapaddle.ErrNotAccepted}
 	}
 	return <-s.result // it was admitted or refused at the same time
 }
 
-// handleSubmission admits a job, or queues it while a commit is in progress.
+// handleSubmission admits a job, or queues it while a commit is in progress. A job that is
+// known already is not queued: it cannot be refused any more.
 func (e *Executor) handleSubmission(s submission) {
-	if e.committing {
+	if e.committing && !e.known(s.job.ID) {
 		e.pendingSubmissions = append(e.pendingSubmissions, s)
 		return
 	}
 	e.admit(s)
 }
 
+// known reports whether a job with the ID has been admitted, by this host or a former one.
+func (e *Executor) known(id string) bool {
+	_, _, ok := e.plan.Report(id)
+	return ok
+}
+
 // admit passes a job to the planner unless it is strict and no workers could hold it.
 func (e *Executor) admit(s submission) {
 	if !s.state.CompareAndSwap(submissionWaiting, submissionAdmitted) {
 		return // its caller has given up
 	}
+	_, committed := e.committedJobs[s.job.ID]
+	if committed || e.known(s.job.ID) {
+		s.result <- admission{committed: committed}
+		return
+	}
 	if s.job.Strict {
 		if reason := e.plan.Infeasible(s.job); reason != "" {
 			e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", reason))
-			s.result <- &yuccapaddle.InfeasibleError{Reason: reason}
+			s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
 			return
 		}
 	}
 	e.plan.Submit(s.job)
-	s.result <- nil
+	s.result <- admission{}
 }
 
 // commitStalled reports whether the commit in progress takes so long that the ledger
@@ -115,7 +134,7 @@
 	}
 	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", detail),
 		zap.Int64("commit_ms_ago", e.now.Sub(since).Milliseconds()))
-	s.result <- ErrLedgerUnavailable
+	s.result <- admission{err: ErrLedgerUnavailable}
 }
 
 // admitPending admits the queued submissions if no commit is in progress, and refuses
@@ -125,7 +144,7 @@
 	e.pendingSubmissions = nil
 	for _, s := range pending {
 		switch {
-		case !e.committing:
+		case !e.committing, e.known(s.job.ID):
 			e.admit(s)
 		case e.commitStalled():
 			e.refuse(s, "the ledger does not answer", e.commitStartedAt)
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -43,14 +43,14 @@
 	if err := job.Check(); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return s.withExecutor(func(e *executor.Executor) (*peer.JobAnswer, error) {
+	return s.withExecutor(req.GetEpoch(), func(e *executor.Executor) (*peer.JobAnswer, error) {
 		return &peer.JobAnswer{Found: true}, e.Submit(ctx, job)
 	})
 }
 
 // Cancel implements peer.JobsServer.
 func (s *JobServer) Cancel(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
-	return s.withExecutor(func(e *executor.Executor) (*peer.JobAnswer, error) {
+	return s.withExecutor(req.GetEpoch(), func(e *executor.Executor) (*peer.JobAnswer, error) {
 		found, err := e.Cancel(ctx, req.GetId(), req.GetQueue())
 		return &peer.JobAnswer{Found: found}, err
 	})
@@ -59,7 +59,7 @@
 // Show implements peer.JobsServer.
 func (s *JobServer) Show(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
 	until := time.Now().Add(min(time.Duration(max(req.GetWaitMs(), 0))*time.Millisecond, maxWait))
-	return s.withExecutor(func(e *executor.Executor) (*peer.JobAnswer, error) {
+	return s.withExecutor(req.GetEpoch(), func(e *executor.Executor) (*peer.JobAnswer, error) {
 		report, found, err := e.Show(ctx, req.GetId(), req.GetQueue(), until)
 		return converter.JobAnswer(report, found), err
 	})
@@ -116,20 +116,24 @@
 	return &peer.ReachReply{Reached: s.elector.ReachesLedger(ctx)}, nil
 }
 
-// withExecutor runs f with the executor, if this host is active. The answer has Inactive
+// withExecutor runs f with the executor, if this host is active in the epoch wanted, 0 for any.
+// The answer has Inactive
 // set only if nothing was done, so that the caller may safely retry elsewhere.
-func (s *JobServer) withExecutor(f func(*executor.Executor) (*peer.JobAnswer, error)) (*peer.JobAnswer, error) {
+func (s *JobServer) withExecutor(wanted uint64, f func(*executor.Executor) (*peer.JobAnswer, error)) (*peer.JobAnswer, error) {
 	e := s.elector.LocalExecutor()
-	if e == nil {
+	if e == nil || (wanted != 0 && wanted != e.Epoch()) {
 		return &peer.JobAnswer{Inactive: true}, nil
 	}
+	// Read before the call: a host that has not loaded all jobs yet may refuse one that it
+	// does not know of.
+	epoch := e.KnowsSince()
 	answer, err := f(e)
 	var infeasible *yuccapaddle.InfeasibleError
 	switch {
 	case errors.As(err, &infeasible):
-		return &peer.JobAnswer{Refused: true, Why: infeasible.Reason}, nil
+		return &peer.JobAnswer{Refused: true, Why: infeasible.Reason, Epoch: epoch}, nil
 	case errors.Is(err, executor.ErrLedgerUnavailable):
-		return &peer.JobAnswer{Refused: true}, nil
+		return &peer.JobAnswer{Refused: true, Epoch: epoch}, nil
 	case errors.Is(err, yuccapaddle.ErrNotAccepted):
 		return &peer.JobAnswer{Inactive: true}, nil
 	case err != nil:
--- /dev/null
+++ b/internal/router/attempts_test.go
@@ -0,0 +1,35 @@
+package router
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestAttempts checks when a request that failed counts as not carried out.
+func TestAttempts(t *testing.T) {
+	lost := attempt{maybeExecuted: true, epoch: 4}
+	unsent := attempt{epoch: 4}
+	refusedBy := func(epoch uint64) attempt { return attempt{err: errRefused, knowsSince: epoch} }
+	for name, test := range map[string]struct {
+		attempts []attempt
+		want     bool
+	}{
+		"nothing was sent":                      {[]attempt{unsent, {err: errNoActiveHost}}, true},
+		"an answer was lost":                    {[]attempt{lost, unsent}, false},
+		"refused by the same host":              {[]attempt{lost, refusedBy(4)}, false},
+		"refused by a host that is loading":     {[]attempt{lost, refusedBy(0)}, false},
+		"refused by the next host":              {[]attempt{lost, refusedBy(5)}, true},
+		"an answer of the next host was lost":   {[]attempt{lost, refusedBy(5), {maybeExecuted: true, epoch: 5}}, false},
+		"and refused by the one after it":       {[]attempt{lost, {maybeExecuted: true, epoch: 5}, refusedBy(6)}, true},
+		"refused, and an answer was lost later": {[]attempt{refusedBy(5), lost}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tried attempts
+			for i := range test.attempts {
+				tried.add(&test.attempts[i])
+			}
+			qt.Check(t, tried.notExecuted(), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,8 +67,8 @@
 		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
 			return &peer.JobAnswer{}, e.Submit(ctx, j)
 		},
-		func(ctx context.Context, c peer.JobsClient) (*peer.JobAnswer, error) {
-			return c.Submit(ctx, &peer.JobSubmit{Job: data})
+		func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
+			return c.Submit(ctx, &peer.JobSubmit{Job: data, Epoch: epoch})
 		})
 	return err
 }
@@ -80,8 +80,8 @@
 			found, err := e.Cancel(ctx, id, queue)
 			return &peer.JobAnswer{Found: found}, err
 		},
-		func(ctx context.Context, c peer.JobsClient) (*peer.JobAnswer, error) {
-			return c.Cancel(ctx, &peer.JobKey{Id: id, Queue: queue})
+		func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
+			return c.Cancel(ctx, &peer.JobKey{Id: id, Queue: queue, Epoch: epoch})
 		})
 	return answer.GetFound(), err
 }
@@ -93,17 +93,17 @@
 			report, found, err := e.Show(ctx, id, queue, until)
 			return converter.JobAnswer(report, found), err
 		},
-		func(ctx context.Context, c peer.JobsClient) (*peer.JobAnswer, error) {
+		func(ctx context.Context, c peer.JobsClient, _ uint64) (*peer.JobAnswer, error) {
 			return c.Show(ctx, &peer.JobKey{Id: id, Queue: queue, WaitMs: max(time.Until(until).Milliseconds(), 0)})
 		})
 	return converter.JobReport(answer), answer.GetFound(), err
 }
 
 // localCall makes a request to the executor of this host, remoteCall the same request
-// to another host.
+// to another host that is active in that epoch.
 type (
 	localCall  func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error)
-	remoteCall func(ctx context.Context, c peer.JobsClient) (*peer.JobAnswer, error)
+	remoteCall func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error)
 )
 
 // callActive repeats a request until it is answered or the context ends. It returns early
@@ -117,26 +117,24 @@
 // callActiveUntil is callActive for a request that the active host may keep waiting until
 // waitUntil.
 func (r *Router) callActiveUntil(ctx context.Context, waitUntil time.Time, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
-	notExecuted := true
+	var tried attempts
 	deadline := time.Now().Add(activeHostTimeout)
 	for {
-		answer, maybeExecuted, err := r.callOnce(ctx, waitUntil, local, remote)
-		if err == nil {
-			return answer, nil
+		a := r.callOnce(ctx, waitUntil, local, remote)
+		if a.err == nil {
+			return a.answer, nil
 		}
-		if maybeExecuted {
-			notExecuted = false
-		}
-		if notExecuted && (isRefusal(err) || time.Now().After(deadline)) {
-			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, err)
+		tried.add(&a)
+		if tried.notExecuted() && (isRefusal(a.err) || time.Now().After(deadline)) {
+			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, a.err)
 		}
 		if sleeper.Sleep(ctx, retryInterval) == nil {
 			continue
 		}
-		if notExecuted {
-			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, err)
+		if tried.notExecuted() {
+			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, a.err)
 		}
-		return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrUnknown, err)
+		return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrUnknown, a.err)
 	}
 }
 
@@ -155,37 +153,54 @@
 }
 
 // callOnce makes one attempt, at the local executor if this host is active, otherwise at
-// the active host. maybeExecuted reports whether a failed attempt may have been executed.
-func (r *Router) callOnce(ctx context.Context, waitUntil time.Time, local localCall, remote remoteCall) (answer *peer.JobAnswer, maybeExecuted bool, err error) {
+// the active host.
+func (r *Router) callOnce(ctx context.Context, waitUntil time.Time, local localCall, remote remoteCall) attempt {
 	if e := r.elector.LocalExecutor(); e != nil {
-		answer, err = local(ctx, e)
-		if errors.Is(err, executor.ErrLedgerUnavailable) {
-			return nil, false, errRefused
-		}
-		return answer, !errors.Is(err, yuccapaddle.ErrNotAccepted), err
+		return callLocal(ctx, e, local)
 	}
-	address, ok := r.elector.Leader()
+	address, epoch, ok := r.elector.LeaderEpoch()
 	if !ok {
-		return nil, false, errNoActiveHost
+		return attempt{err: errNoActiveHost}
 	}
 	client, err := r.conns.Client(address)
 	if err != nil {
-		return nil, false, err
+		return attempt{err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+max(time.Until(waitUntil), 0))
 	defer cancel()
-	answer, err = remote(ctx, client)
-	if err != nil {
-		return nil, status.Code(err) != codes.InvalidArgument, err
+	ctx, sent := connector.TrackSent(ctx)
+	answer, err := remote(ctx, client, epoch)
+	switch {
+	case err != nil:
+		return attempt{err: err, epoch: epoch, maybeExecuted: sent() && status.Code(err) != codes.InvalidArgument}
+	case answer.GetRefused():
+		return attempt{err: refusal(answer.GetWhy()), knowsSince: answer.GetEpoch()}
+	case answer.GetInactive():
+		return attempt{err: errNoActiveHost}
 	}
-	if answer.GetRefused() {
-		if answer.GetWhy() != "" {
-			return nil, false, &yuccapaddle.InfeasibleError{Reason: answer.GetWhy()}
-		}
-		return nil, false, errRefused
+	return attempt{answer: answer}
+}
+
+func callLocal(ctx context.Context, e *executor.Executor, local localCall) attempt {
+	knowsSince := e.KnowsSince()
+	answer, err := local(ctx, e)
+	var infeasible *yuccapaddle.InfeasibleError
+	switch {
+	case err == nil:
+		return attempt{answer: answer}
+	case errors.Is(err, executor.ErrLedgerUnavailable):
+		return attempt{err: errRefused, knowsSince: knowsSince}
+	case errors.As(err, &infeasible):
+		return attempt{err: err, knowsSince: knowsSince}
 	}
-	if answer.GetInactive() {
-		return nil, false, errNoActiveHost
+	return attempt{err: err, epoch: e.Epoch(), maybeExecuted: !errors.Is(err, yuccapaddle.ErrNotAccepted)}
+}
+
+// refusal returns the error for a request that the active host refused, for want of
+// workers if there is a reason.
+func refusal(why string) error {
+	if why != "" {
+		return &yuccapaddle.InfeasibleError{Reason: why}
 	}
-	return answer, false, nil
+	return errRefused
 }
