--- a/internal/executor/lease_test.go
+++ b/internal/executor/lease_test.go
@@ -124,6 +124,24 @@
 	})
 }
 
+// TestLeaseDeadlineSlowRegistry checks the same for a worker that registers while a slow
+// read of the registrations is under way, so that its clock is newer than the call.
+func TestLeaseDeadlineSlowRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.taskTime.Store(int64(20 * time.Second))
+		r.registryDelay = 500 * time.Millisecond
+		deadlines := &deadlineRecorder{rig: r}
+		r.runner = deadlines
+		r.takeOver()
+		defer r.close()
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(3 * time.Second)
+		r.c.Check(r.state("a", "batch"), qt.Equals, yuccapaddle.JobRunning)
+		r.c.Check(deadlines.maxAhead.Load() <= maxLeaseMS, qt.IsTrue, qt.Commentf("an order asked for a lease of %d ms", deadlines.maxAhead.Load()))
+	})
+}
+
 // TestCallerGivesUp checks that a caller whose context has ended gets no result that the
 // loop writes later. The race detector fails the test if both share a variable.
 func TestCallerGivesUp(t *testing.T) {
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -110,7 +110,8 @@
 	return l.minClock(e.now) + e.bounds.MaxLeaseMS
 }
 
-// updateClocks updates incarnations and clocks from registrations read at that time.
+// updateClocks updates incarnations and clocks from registrations that had arrived by that
+// time.
 func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
 	for i := range list {
 		w := &list[i]
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -26,8 +26,7 @@
 // loaded is what this host reads before its first decision.
 type loaded struct {
 	records  []recorder.Stored
-	readAt   time.Time // of the registrations
-	workers  []yuccapaddle.Worker
+	registry registryRead
 	readable bool // the registrations have been read
 }
 
@@ -71,7 +70,7 @@
 	e.group.Go("first registrations", func() error {
 		defer close(registry)
 		var err error
-		l.workers, l.readAt, err = e.readRegistry(attempter.New(registryTimeout, shortRegistryTimeout))
+		l.registry, err = e.readRegistry(attempter.New(registryTimeout, shortRegistryTimeout))
 		l.readable = err == nil
 		return nil
 	})
@@ -114,7 +113,7 @@
 		e.link(id) // its leases have to be tracked even if it never registers again
 	}
 	if l.readable {
-		e.applyRegistry(l.workers, l.readAt) // the planner needs the workers for its first decision
+		e.applyRegistry(&l.registry) // the planner needs the workers for its first decision
 	}
 	e.log.Info("jobs loaded", zap.Int("jobs", n), zap.Uint64("epoch", e.rec.Epoch()),
 		zap.Int64("took_ms", e.now.Sub(e.startedAt).Milliseconds()))
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -24,11 +24,11 @@
 	attempts := attempter.New(registryTimeout, shortRegistryTimeout)
 	for {
 		pause := e.leaveTime(pollFraction)
-		list, at, err := e.readRegistry(attempts)
+		read, err := e.readRegistry(attempts)
 		if err != nil {
 			pause = registryRetryInterval
 		} else {
-			e.post(func() { e.applyRegistry(list, at) })
+			e.post(func() { e.applyRegistry(&read) })
 		}
 		if sleeper.Sleep(e.ctx, pause) != nil {
 			return e.ctx.Err()
@@ -36,24 +36,34 @@
 	}
 }
 
-// readRegistry reads the registrations once. at is the time before the call.
-func (e *Executor) readRegistry(attempts *attempter.Attempter) (list []yuccapaddle.Worker, at time.Time, err error) {
-	at = e.clock.Now()
+// registryRead is the result of reading the registrations.
+type registryRead struct {
+	workers []yuccapaddle.Worker
+	// sentAt is the time before the call: the list is at least as new. arrivedAt is the
+	// time after it: the workers' clocks were read by then.
+	sentAt, arrivedAt time.Time
+}
+
+// readRegistry reads the registrations once.
+func (e *Executor) readRegistry(attempts *attempter.Attempter) (registryRead, error) {
+	r := registryRead{sentAt: e.clock.Now()}
 	ctx, cancel := context.WithTimeout(e.ctx, attempts.Timeout())
 	defer cancel()
-	list, err = e.registry.Workers(ctx)
+	var err error
+	r.workers, err = e.registry.Workers(ctx)
+	r.arrivedAt = e.clock.Now()
 	attempts.Note(err == nil)
-	e.meter.Observe("registrations", outcomeLabel(err), e.clock.Now().Sub(at))
+	e.meter.Observe("registrations", outcomeLabel(err), r.arrivedAt.Sub(r.sentAt))
 	if (err != nil) != e.registryDown {
 		e.registryDown = err != nil
 		e.log.Info("registrations", zap.Bool("readable", !e.registryDown), zap.Error(err))
 	}
-	return list, at, err
+	return r, err
 }
 
-// applyRegistry puts registrations that were read at that time into force.
-func (e *Executor) applyRegistry(list []yuccapaddle.Worker, at time.Time) {
-	e.registryReadAt = at
-	e.plan.SetRegistrations(list)
-	e.updateClocks(list, at)
+// applyRegistry puts registrations into force.
+func (e *Executor) applyRegistry(r *registryRead) {
+	e.registryReadAt = r.sentAt
+	e.plan.SetRegistrations(r.workers)
+	e.updateClocks(r.workers, r.arrivedAt)
 }
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -50,6 +50,7 @@
 	logs          logs
 	clock         yuccapaddle.Clock // of the executor, the system's if nil
 	meter         yuccapaddle.Meter // of the executor, none if nil
+	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
 	// always true if nil.
@@ -118,6 +119,7 @@
 	if err := r.hang(ctx); err != nil {
 		return nil, err
 	}
+	time.Sleep(r.registryDelay)
 	var list []yuccapaddle.Worker
 	for id, w := range r.workers {
 		if _, ok := r.unregistered.Load(id); !ok {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -152,7 +154,8 @@
 // last call. The orders may be sent only once the records are committed.
 func (p *Planner) TakeBatch() yuccapaddle.Batch {
 	b := p.batch
-	for _, j := range p.dirtyJobs {
+	for _, id := range slices.Sorted(maps.Keys(p.dirtyJobs)) {
+		j := p.dirtyJobs[id]
 		b.Records = append(b.Records, j.record())
 		j.uncommitted = false
 		clear(j.dirtyParts)
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -78,15 +79,15 @@
 }
 
 // takeCheapestWithin takes the n cheapest slots of the location where their total cost is
-// lowest, nil if no location has n slots.
+// lowest, nil if no location has n slots. Of equal costs the first location by name counts.
 func takeCheapestWithin(list []slot, n int, location func(*worker) string) []slot {
 	groups := map[string][]slot{}
 	for _, s := range list {
 		groups[location(s.w)] = append(groups[location(s.w)], s)
 	}
 	var best []slot
-	for _, g := range groups {
-		if chosen := takeCheapest(g, n); chosen != nil && (best == nil || totalCost(chosen) < totalCost(best)) {
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		if chosen := takeCheapest(groups[name], n); chosen != nil && (best == nil || totalCost(chosen) < totalCost(best)) {
 			best = chosen
 		}
 	}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -121,6 +121,7 @@
 	}
 	for _, data := range parts {
 		if err := p.restorePart(j, data); err != nil {
+			p.dropRuns(j)
 			return fmt.Errorf("restore units of job %q: %w", spec.ID, err)
 		}
 	}
@@ -132,6 +133,17 @@
 	return nil
 }
 
+// dropRuns removes the runs of a job that cannot be restored from their workers.
+func (p *Planner) dropRuns(j *job) {
+	for _, u := range j.units {
+		for i := range u.members {
+			if !u.members[i].ended {
+				p.worker(u.members[i].worker).removeRun(u, i)
+			}
+		}
+	}
+}
+
 func (p *Planner) restorePart(j *job, data []byte) error {
 	var list []unitRecord
 	if err := json.Unmarshal(data, &list); err != nil {
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -100,15 +101,20 @@
 	if err != nil {
 		return err
 	}
-	next := &snapshot{rules: rules, data: data}
+	r.apply(&snapshot{rules: rules, data: data}, source)
+	return nil
+}
+
+// apply puts rules into force unless they are older than or equal to those in force.
+func (r *RuleKeeper) apply(next *snapshot, source string) {
 	for {
 		old := r.current.Load()
-		if old != nil && !newer(rules, old.rules) {
-			return nil
+		if old != nil && !newer(next.rules, old.rules) {
+			return
 		}
 		if r.current.CompareAndSwap(old, next) {
-			r.logChange(rules, source)
-			return nil
+			r.logChange(next.rules, source)
+			return
 		}
 	}
 }
@@ -127,7 +133,8 @@
 		zap.Int("closed", len(rules.Closed)), zap.String("source", source))
 }
 
-// Refresh reads the rules once, and puts them into force if they are newer. It must not be
+// Refresh reads the rules once, and puts them into force if they are newer. Rules that are
+// older than those in force confirm nothing, and are an error. It must not be
 // called while Run runs.
 func (r *RuleKeeper) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.attempts.Timeout())
@@ -138,9 +145,14 @@
 	if err != nil {
 		return err
 	}
-	if err := r.Offer(data, "ledger"); err != nil {
+	rules, err := r.ruleSource.Decode(data)
+	if err != nil {
 		return err
 	}
+	r.apply(&snapshot{rules: rules, data: data}, "ledger")
+	if current := r.Current(); current.Digest != rules.Digest {
+		return fmt.Errorf("read version %d of the rules, older than version %d in force", rules.Version, current.Version)
+	}
 	r.Confirm(at)
 	return nil
 }
