rulekeeper, elector: changed rules reach the other hosts at once

Cause: a configuration was in force at the last of 297 hosts after 1.4 s: the active host read it every 1.1 s, and heartbeats to many followers are up to 0.6 s apart.

Change: the active host reads it every 0.4 s, and a change wakes the heartbeats. The lease of the active host is 0.9 s in place of 1.2 s where the ledger grants that.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -33,7 +33,7 @@
 	// defaultLeaseTTL is short, so that a failed host is replaced well before the
 	// workers' leases expire. That is affordable: a renewal costs the ledger a tenth of
 	// a read.
-	defaultLeaseTTL = 1200 * time.Millisecond
+	defaultLeaseTTL = 900 * time.Millisecond
 	callTimeout     = 700 * time.Millisecond
 	// relockTimeout bounds the calls that set the lock again.
 	relockTimeout  = 2 * callTimeout
@@ -42,7 +42,7 @@
 	firstRanksSearchInterval = 30 * time.Millisecond
 	// minHeartbeatTimeout is how long a follower waits at least for a heartbeat before
 	// it takes the active host for lost.
-	minHeartbeatTimeout = 900 * time.Millisecond
+	minHeartbeatTimeout = 700 * time.Millisecond
 	dialTimeout         = 300 * time.Millisecond
 	// fullCoreClaimDelay is how long a host with a full CPU core waits before it claims
 	// the role. A smaller share of a core makes the delay longer, up to maxClaimDelay.
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// waitForNext waits until the next heartbeat is due, since the interval is over or the
+// rules have changed. It returns false if the context ends first.
+func waitForNext(ctx context.Context, changed <-chan struct{}, interval time.Duration) bool {
+	timer := time.NewTimer(sleeper.TimerDuration(interval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
 // followerState is what a follower is known to have, so that only changes are sent.
 type followerState struct {
 	address       string
@@ -77,11 +91,12 @@
 	defer e.hosts.removeFollower(req.GetAddress())
 	f := &followerState{address: req.GetAddress(), rulesRevision: req.GetRulesRevision()}
 	for e.localExecutor.Load() == exec {
+		changed := e.rules.Changed() // before the rules are read, so that no change is missed
 		beat := e.nextHeartbeat(exec, f)
 		if err := stream.Send(beat); err != nil {
 			return err
 		}
-		if sleeper.Sleep(stream.Context(), time.Duration(beat.GetNextMs())*time.Millisecond) != nil {
+		if !waitForNext(stream.Context(), changed, time.Duration(beat.GetNextMs())*time.Millisecond) {
 			return nil
 		}
 	}
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	renewInterval = 350 * time.Millisecond
+	renewInterval = 250 * time.Millisecond
 	// renewRetryInterval is the time between renewals while the last one has failed.
 	renewRetryInterval = 120 * time.Millisecond
 	// maxRenewals is how many renewals wait for a reply at once, so that one that hangs
@@ -22,7 +22,7 @@
 	maxRenewals = 4
 	// doubtAfter is how long after the last successful renewal was sent the active host
 	// asks others whether the ledger answers them.
-	doubtAfter = 2 * renewInterval
+	doubtAfter = 600 * time.Millisecond
 	// askInterval is the time between two rounds of questions to other hosts.
 	askInterval = 900 * time.Millisecond
 	// handoverPatience is how long the active host goes on trying after it has learned
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -26,7 +26,10 @@
 	freshFraction    = 0.4
 	staleFraction    = 0.28
 	idlePollInterval = 150 * time.Millisecond
-	readTimeout      = 600 * time.Millisecond
+	// activePollInterval is the most time between two reads of the active host, from which
+	// the others have the rules.
+	activePollInterval = 400 * time.Millisecond
+	readTimeout        = 600 * time.Millisecond
 	// shortReadTimeout and retryInterval apply while the rules cannot be read and the host
 	// needs them to place tasks.
 	shortReadTimeout = 250 * time.Millisecond
@@ -42,7 +45,8 @@
 	confirmedAt   atomic.Int64 // Unix nanoseconds of the steady clock
 	unreadable    bool         // the last read by Run failed
 	attempts      *attempter.Attempter
-	applyWithinMS int64 // in milliseconds
+	changed       atomic.Pointer[chan struct{}] // closed when other rules come into force
+	applyWithinMS int64                         // in milliseconds
 }
 
 // snapshot is one version of the rules, with the bytes that it was decoded from.
@@ -54,10 +58,13 @@
 // New returns a RuleKeeper without rules. applyWithinMS is the time within which a change
 // must be in force, in milliseconds.
 func New(ruleSource yuccapaddle.RuleSource, applyWithinMS int64, clock yuccapaddle.Clock, log *zap.Logger) *RuleKeeper {
-	return &RuleKeeper{
+	r := &RuleKeeper{
 		ruleSource: ruleSource, applyWithinMS: applyWithinMS, clock: clock, log: log,
 		attempts: attempter.New(readTimeout, shortReadTimeout),
 	}
+	changed := make(chan struct{})
+	r.changed.Store(&changed)
+	return r
 }
 
 // Current returns the rules in force, nil if there are none yet.
@@ -68,6 +75,12 @@
 	return nil
 }
 
+// Changed returns a channel that is closed when other rules come into force than those
+// that Current returns after the call.
+func (r *RuleKeeper) Changed() <-chan struct{} {
+	return *r.changed.Load()
+}
+
 // Data returns the rules in the encoding that hosts pass to each other, and their
 // revision; nil and 0 if there are none yet.
 func (r *RuleKeeper) Data() ([]byte, uint64) {
@@ -113,6 +126,8 @@
 			return
 		}
 		if r.current.CompareAndSwap(old, next) {
+			changed := make(chan struct{})
+			close(*r.changed.Swap(&changed))
 			r.logChange(next.rules, source)
 			return
 		}
@@ -178,18 +193,15 @@
 	return time.Duration(fraction * float64(r.applyWithinMS) * float64(time.Millisecond))
 }
 
-// Run reads the rules periodically while wanted returns true. While they cannot be read it
-// retries soon if urgent returns true. It returns nil once the context ends.
-func (r *RuleKeeper) Run(ctx context.Context, wanted, urgent func() bool) error {
+// Run reads the rules periodically while wanted returns true, and more often while this
+// host is active. It returns nil once the context ends.
+func (r *RuleKeeper) Run(ctx context.Context, wanted, active func() bool) error {
 	for {
 		pause := idlePollInterval
 		if wanted() {
 			err := r.Refresh(ctx)
 			r.logReadResult(err)
-			pause = r.applyTime(pollFraction)
-			if err != nil && urgent() {
-				pause = retryInterval
-			}
+			pause = r.pause(active(), err)
 		}
 		if sleeper.Sleep(ctx, pause) != nil {
 			return nil
@@ -197,6 +209,18 @@
 	}
 }
 
+// pause returns the time until the next read after one that ended with err.
+func (r *RuleKeeper) pause(active bool, err error) time.Duration {
+	pause := r.applyTime(pollFraction)
+	switch {
+	case !active:
+		return pause
+	case err != nil:
+		return retryInterval
+	}
+	return min(pause, activePollInterval)
+}
+
 func (r *RuleKeeper) logReadResult(err error) {
 	if err != nil && !r.unreadable {
 		r.log.Warn("the rules cannot be read", zap.Error(err))
