--- a/internal/standin/exposer/exposer.go
+++ b/internal/standin/exposer/exposer.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -53,10 +55,20 @@
 
 // Serve listens on an address, host:port, until the context ends.
 func (e *Exposer) Serve(ctx context.Context, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
 	srv := &fasthttp.Server{Handler: e.Handle, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Shutdown() })
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close() // a server that does not serve yet is not stopped by Shutdown
+		_ = srv.Shutdown()
+	})
 	defer stop()
-	return srv.ListenAndServe(address)
+	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve on %s: %w", address, err)
+	}
+	return nil
 }
 
 // Handle handles one HTTP request.
--- a/processes/testbed_test.go
+++ b/processes/testbed_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"yuccapaddle/internal/authenticator"
 	"yuccapaddle/internal/caller"
 	"yuccapaddle/internal/loader"
+	"yuccapaddle/internal/portpicker"
 	"yuccapaddle/internal/responder"
 	"yuccapaddle/internal/standin/worker"
 )
@@ -36,7 +36,6 @@
 	settings     loader.Settings
 	hosts        []loader.Host
 	processes    map[string]*exec.Cmd
-	usedAddrs    map[string]bool
 	client       *caller.Caller
 }
 
@@ -47,7 +46,7 @@
 // startTestbed starts the platform, its upstreams and the hosts, and waits until
 // they serve. The functions changes may adjust the hosts' settings first.
 func startTestbed(t testing.TB, hosts int, site func(b *testbed) yuccapaddle.Site, changes ...func(b *testbed)) *testbed {
-	b := &testbed{t: t, logLevel: "debug", dir: t.TempDir(), processes: map[string]*exec.Cmd{}, usedAddrs: map[string]bool{}, client: caller.New(caller.WithToken("team"), caller.WithFreshConnections())}
+	b := &testbed{t: t, logLevel: "debug", dir: t.TempDir(), processes: map[string]*exec.Cmd{}, client: caller.New(caller.WithToken("team"), caller.WithFreshConnections())}
 	b.binDir = filepath.Join(b.dir, "bin") + "/"
 	out, err := exec.Command("go", "build", "-o", b.binDir, "../cmd/...").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
@@ -77,18 +76,14 @@
 
 // freeAddress returns a free loopback address that it has not returned before.
 func (b *testbed) freeAddress() string {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(b.t, err, qt.IsNil)
-		address := l.Addr().String()
-		qt.Assert(b.t, l.Close(), qt.IsNil)
-		if !b.usedAddrs[address] {
-			b.usedAddrs[address] = true
-			return address
-		}
-	}
+	address, err := ports.Address()
+	qt.Assert(b.t, err, qt.IsNil)
+	return address
 }
 
+// ports chooses the addresses of all testbeds of this process.
+var ports = portpicker.New()
+
 // smallSite returns a site of two failure domains, each with two racks of two
 // workers.
 func (b *testbed) smallSite() yuccapaddle.Site {
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/portpicker"
 	"yuccapaddle/internal/standin/taskrunner"
 	"yuccapaddle/platform/configurer"
 	"yuccapaddle/platform/simulator"
@@ -162,12 +162,14 @@
 
 // freeAddress returns a loopback address that nobody listens on at the moment.
 func (b *testbed) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Address()
 	b.c.Assert(err, qt.IsNil)
-	defer func() { b.c.Check(l.Close(), qt.IsNil) }()
-	return l.Addr().String()
+	return address
 }
 
+// ports chooses the addresses of all testbeds of this process.
+var ports = portpicker.New()
+
 // startHost starts a new process of a host.
 func (b *testbed) startHost(binary string, h *host) {
 	cmd := exec.Command(binary, "platform")
