recoverer, runner, reader: a malformed message harms only itself

Cause: a panic in a handler of callers or peers ended the process; a row of a worker's list that could not be read made the worker count as silent, so that its leases ran out; a maintenance wave that could not be read kept every later configuration from coming into force; a job with an interval of 0 could open some billions of tasks at once.

Change: handlers recover and answer 500 or Internal; unreadable rows and waves are left out, and nothing is concluded from what is missing; a job has at most 262,144 tasks in all its occurrences.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -28,6 +28,7 @@
 	"yuccapaddle/internal/monitor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/recoverer"
 	"yuccapaddle/internal/responder"
 	"yuccapaddle/internal/router"
 	"yuccapaddle/internal/rulekeeper"
@@ -145,10 +146,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := supervisor.New(ctx, a.log)
-	handler := a.deps.NewCallerHandler(a.jobs, a.monitor)
+	guard := recoverer.New(a.log)
+	handler := guard.HTTP(a.deps.NewCallerHandler(a.jobs, a.monitor))
 	a.callerServer = newHTTPServer(a.countInFlight(handler))
-	readiness, metrics, requests := newHTTPServer(a.handleReady), newHTTPServer(a.inspection.Handle), newHTTPServer(a.countInFlight(a.requestAPI.Handle))
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes))
+	readiness, metrics := newHTTPServer(guard.HTTP(a.handleReady)), newHTTPServer(guard.HTTP(a.inspection.Handle))
+	requests := newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(guard.Unary), grpc.StreamInterceptor(guard.Stream))
 	peer.RegisterJobsServer(peers, jobserver.New(a.elector, a.status))
 	listeners := []struct {
 		address string
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -146,6 +146,9 @@
 func (r *RuleKeeper) logChange(rules *yuccapaddle.Rules, source string) {
 	r.log.Info("rules in force", zap.Int64("version", rules.Version), zap.Uint64("revision", rules.Revision),
 		zap.Int("closed", len(rules.Closed)), zap.String("source", source))
+	if len(rules.Unreadable) > 0 {
+		r.log.Warn("parts of the rules cannot be read and are left out", zap.Strings("keys", rules.Unreadable))
+	}
 }
 
 // Refresh reads the rules once, and puts them into force if they are newer. Rules that are
--- a/job.go
+++ b/job.go
@@ -114,6 +114,8 @@
 	maxSteps        = 64
 	maxTasksPerStep = 4096
 	maxOccurrences  = 10000
+	// maxTasks bounds the tasks of all steps and occurrences, which may be due at once.
+	maxTasks = 1 << 18
 )
 
 // Check validates the job as its caller wrote it. The error says what is wrong.
@@ -124,10 +126,15 @@
 	if j.Times < 0 || j.Times > maxOccurrences {
 		return fmt.Errorf("a job has up to %d occurrences, this one has %d", maxOccurrences, j.Times)
 	}
+	tasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+		tasks += j.Steps[i].Count
+	}
+	if total := tasks * j.Occurrences(); total > maxTasks {
+		return fmt.Errorf("a job has up to %d tasks in all its occurrences, this one has %d", maxTasks, total)
 	}
 	return nil
 }
--- a/rules.go
+++ b/rules.go
@@ -51,8 +51,10 @@
 	Queues     []Queue
 	Workspaces []WorkspaceGrant
 	// Closed holds the failure domains in which no task may be started.
-	Closed         map[string]bool
-	Waves          []Wave
+	Closed map[string]bool
+	Waves  []Wave
+	// Unreadable names the parts of the rules that could not be decoded and are left out.
+	Unreadable     []string
 	workspaceByKey map[string]*WorkspaceGrant
 	queueByName    map[string]*Queue
 }
