rulekeeper, executor: rules of a process that has just started need a confirmation

Cause: a host that started while the ledger was away took its rules from another host and judged callers by them, though that host may have missed the withdrawal of a key.

Change: callers are judged only by rules that were known to be the latest at least once since the process started; until then the host is not ready.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -122,7 +122,7 @@
 	a.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
 	a.elector = elector.New(deps.Ledger, a.rules, a.conns, cfg.Host, cfg.Peers, nonce, a.minLease, a.newExecutor, clock, log, elector.WithCPUShare(a.cpuShare))
 	a.jobs = router.New(a.rules, a.elector, a.conns)
-	a.requestAPI = responder.New(keyauthenticator.New(a.rules.Current), jobmaker.New(a.jobs), a.callerLimits, &settings, log, a.monitor.ObserveAnswer)
+	a.requestAPI = responder.New(keyauthenticator.New(a.rules.Confirmed), jobmaker.New(a.jobs), a.callerLimits, &settings, log, a.monitor.ObserveAnswer)
 	a.inspection = inspector.New(a.status, a.elector, a.conns, a.monitor.Handle)
 	return a
 }
@@ -221,7 +221,7 @@
 	switch {
 	case a.stopping.Load():
 		return false, "this host is stopping"
-	case a.rules.Current() == nil:
+	case a.rules.Confirmed() == nil:
 		return false, "the rules are not known yet"
 	}
 	return true, ""
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,7 +49,7 @@
 
 // Rules implements yuccapaddle.JobService.
 func (r *Router) Rules() *yuccapaddle.Rules {
-	return r.rules.Current()
+	return r.rules.Confirmed()
 }
 
 // Pending implements yuccapaddle.JobService.
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -75,6 +75,16 @@
 	return nil
 }
 
+// Confirmed returns the rules in force, nil until they were known to be the latest at least
+// once since this process started. Before that they may be from a host that has missed
+// changes, for instance the withdrawal of a key.
+func (r *RuleKeeper) Confirmed() *yuccapaddle.Rules {
+	if r.confirmedAt.Load() == 0 {
+		return nil
+	}
+	return r.Current()
+}
+
 // Changed returns a channel that is closed when other rules come into force than those
 // that Current returns after the call.
 func (r *RuleKeeper) Changed() <-chan struct{} {
--- a/internal/rulekeeper/rulekeeper_test.go
+++ b/internal/rulekeeper/rulekeeper_test.go
@@ -50,3 +50,17 @@
 		c.Check(r.ConfirmedAt().After(confirmed), qt.IsTrue)
 	})
 }
+
+// TestUnconfirmedAfterRestart checks that a process that has just started does not judge
+// callers by rules that another host passed on while the ledger was away: that host may
+// not know that a key was withdrawn.
+func TestUnconfirmedAfterRestart(t *testing.T) {
+	c, source := qt.New(t), &numberedRules{version: 5}
+	r := rulekeeper.New(source, 2500, yuccapaddle.SystemClock{}, zap.NewNop())
+	c.Check(r.Confirmed(), qt.IsNil)
+	c.Assert(r.Offer([]byte("4"), "host"), qt.IsNil)
+	c.Check(r.Current().Version, qt.Equals, int64(4))
+	c.Check(r.Confirmed(), qt.IsNil)
+	c.Assert(r.Refresh(t.Context()), qt.IsNil)
+	c.Check(r.Confirmed().Version, qt.Equals, int64(5))
+}
