scheduler, forwarder: what may have run is not settled as not run

Cause, read from the code and shown by tests: a request that was settled as unknown had its results dropped at the upstreams, which are asked for them later and then answer that nothing ran; a host that had just become active dropped them too when the finished task was reported before its first tick. An unknown submission was told with ran=false.

Change: results are kept until they have settled the outcome.

TestUnsettledKeepsResults and TestUnsettledAtNewHost failed before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -112,7 +112,7 @@
 	}
 	o = yuccapaddle.Outcome{ID: r.ID, Workspace: r.Workspace, RetryAfter: time.Now().Add(retryAfter)}
 	if sent {
-		o.Verdict, o.MayHaveRun = yuccapaddle.VerdictUnknown, false
+		o.Verdict, o.MayHaveRun = yuccapaddle.VerdictUnknown, true
 		o.Reason = fmt.Sprintf("it is not known whether the request was accepted, ask again by its id: %v", err)
 		return o
 	}
--- a/internal/scheduler/launch.go
+++ b/internal/scheduler/launch.go
@@ -237,10 +237,16 @@
 // finish stops tracking a gang and proposes the record of its outcome; once that
 // is committed, the upstreams drop the results.
 func (s *Scheduler) finish(tg *trackedGang, r keeper.Record) {
+	s.end(tg, r)
+	s.forgetResults(tg)
+}
+
+// end stops tracking a gang and proposes the record of its outcome. The upstreams keep
+// the results, which are asked for until they settle the outcome.
+func (s *Scheduler) end(tg *trackedGang, r keeper.Record) {
 	s.untrack(tg.gang.Key)
 	s.propose(r)
 	s.needsPlan = true
-	s.forgetResults(tg)
 }
 
 // forgetResults has the upstreams drop the results of a gang once the records
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"yuccapaddle"
@@ -154,14 +155,14 @@
 
 // handleOrphanTask handles a task whose lease belongs to no placed gang. The lease
 // is stopped if the task is still active; otherwise its results are dropped, unless
-// queryUnsettled is asking for them.
+// they are needed to settle a request whose outcome is unknown.
 func (s *Scheduler) handleOrphanTask(upstream string, t *yuccapaddle.TaskReport) {
 	active := t.State == yuccapaddle.TaskReserved || t.State == yuccapaddle.TaskRunning
 	if active {
 		s.stopOrphanLease(upstream, t.Lease)
 		return
 	}
-	if s.unsettledByLease[t.Lease] != nil {
+	if s.isUnsettled(t.Lease) {
 		return // the reply to the stop settles the request
 	}
 	lease := t.Lease
@@ -172,6 +173,15 @@
 	})
 }
 
+// isUnsettled reports whether a lease belongs to a request whose outcome is unknown. A host
+// that has just become active may not have asked for it yet.
+func (s *Scheduler) isUnsettled(lease string) bool {
+	if s.unsettledByLease[lease] != nil {
+		return true
+	}
+	return slices.ContainsFunc(s.state.Unsettled(), func(g *yuccapaddle.Gang) bool { return g.Lease() == lease })
+}
+
 // handleCheckpoint records that a task has saved its work, and stops the gang if it
 // is being evicted and all its tasks have.
 func (s *Scheduler) handleCheckpoint(tg *trackedGang, sh *share, rank int) {
--- a/internal/scheduler/stop.go
+++ b/internal/scheduler/stop.go
@@ -184,6 +184,10 @@
 		s.finish(tg, maybeAnsweredRecord(&o, s.now))
 		return
 	}
+	if v == yuccapaddle.VerdictUnknown {
+		s.end(tg, keeper.End(&o, s.now))
+		return
+	}
 	s.finish(tg, keeper.End(&o, s.now))
 }
 
