recorder: a commit whose reply is lost is looked up, by the usual latency

Each cost 0.7 s before the commit was repeated, and the reply of the repetition was lost as well: three commits took 1.7 to 2.8 s, and nothing was accepted meanwhile.

Change: the first attempt waits eight times the highest latency of late, at least 150 ms; after an attempt without a reply the head is read, which tells whether it was applied.

TestLostReplies failed before: 30 of 60 jobs refused.

--- a/internal/executor/outage_test.go
+++ b/internal/executor/outage_test.go
@@ -1,7 +1,9 @@
 package executor_test
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +90,48 @@
 		Steps: []yuccapaddle.Step{{Count: 1, Need: yuccapaddle.Need{CPU: 1000}}},
 	}
 }
+
+// lossyLedger is a Ledger that loses the reply of every second commit, while it answers the
+// others and the reads at once.
+type lossyLedger struct {
+	*bookkeeper.Bookkeeper
+	commits int
+}
+
+// Commit implements yuccapaddle.Ledger.
+func (l *lossyLedger) Commit(ctx context.Context, t yuccapaddle.Transaction) (uint64, error) {
+	rev, err := l.Bookkeeper.Commit(ctx, t)
+	if l.commits++; l.commits%2 == 1 || err != nil {
+		return rev, err
+	}
+	<-ctx.Done()
+	return 0, yuccapaddle.ErrUnknown
+}
+
+// maxAcceptTime is how long a caller may wait on average until its job is accepted while
+// replies are lost.
+const maxAcceptTime = 500 * time.Millisecond
+
+// TestLostReplies checks that jobs are accepted while half of the replies to commits are
+// lost: the ledger answers, so there is no reason to refuse any.
+func TestLostReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 8)
+		r.lossy = true
+		r.takeOver()
+		defer r.close()
+		const jobs = 60
+		refused, waited := 0, time.Duration(0)
+		for i := range jobs {
+			start := time.Now()
+			if err := r.exec.Submit(t.Context(), r.smallJob(fmt.Sprintf("%016x", i))); err != nil {
+				refused++
+			}
+			waited += time.Since(start)
+			time.Sleep(50 * time.Millisecond)
+		}
+		r.c.Check(refused, qt.Equals, 0)
+		r.c.Check(waited/jobs <= maxAcceptTime, qt.IsTrue, qt.Commentf("accepted after %v on average", waited/jobs))
+		r.waitForState(fmt.Sprintf("%016x", jobs-1), "batch", yuccapaddle.JobCompleted, 10*time.Second)
+	})
+}
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -52,7 +52,7 @@
 	var err error
 	r.workers, err = e.registry.Workers(ctx)
 	r.arrivedAt = e.clock.Now()
-	attempts.Note(err == nil)
+	attempts.Note(err == nil, r.arrivedAt.Sub(r.sentAt))
 	e.meter.Observe("registrations", outcomeLabel(err), r.arrivedAt.Sub(r.sentAt))
 	if (err != nil) != e.registryDown {
 		e.registryDown = err != nil
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -50,6 +50,7 @@
 	logs          logs
 	clock         yuccapaddle.Clock // of the executor, the system's if nil
 	meter         yuccapaddle.Meter // of the executor, none if nil
+	lossy         bool              // the ledger loses replies, see lossyLedger
 	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
@@ -192,7 +193,11 @@
 	}
 	r.hosts++
 	name := fmt.Sprintf("h%d", r.hosts)
-	rec, err := recorder.Claim(r.t.Context(), r.ledger, name, name, name, yuccapaddle.Lock{Key: "lock-" + name, Address: name})
+	var ledger yuccapaddle.Ledger = r.ledger
+	if r.lossy {
+		ledger = &lossyLedger{Bookkeeper: r.ledger}
+	}
+	rec, err := recorder.Claim(r.t.Context(), ledger, name, name, name, yuccapaddle.Lock{Key: "lock-" + name, Address: name})
 	r.c.Assert(err, qt.IsNil)
 	out := zapcore.AddSync(io.MultiWriter(testWriter{r.t}, &r.logs))
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel))
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -34,9 +34,8 @@
 // Timeout of one call to the ledger, and bounds of the backoff between attempts.
 const (
 	callTimeout = 700 * time.Millisecond
-	// shortCallTimeout is that of most calls while the ledger does not answer, so that its
-	// return is noticed soon.
-	shortCallTimeout = 250 * time.Millisecond
+	// shortCallTimeout is the least timeout of a commit, see package attempter.
+	shortCallTimeout = 150 * time.Millisecond
 	minBackoff       = 20 * time.Millisecond
 	maxBackoff       = 100 * time.Millisecond
 )
@@ -69,6 +68,7 @@
 	head     head   // as last seen in the ledger
 	revision uint64 // of the head
 	count    uint64 // of the latest transaction, whether it was applied or not
+	attempts *attempter.Attempter
 }
 
 // Claim makes this host the writer of the records, and sets the lock in the same
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the head key: %w", err)
 	}
-	r := &Recorder{ledger: ledger, revision: e.Revision}
+	r := &Recorder{ledger: ledger, revision: e.Revision, attempts: attempter.New(callTimeout, shortCallTimeout)}
 	if e.Revision != 0 {
 		if err := json.Unmarshal(e.Value, &r.head); err != nil {
 			return nil, fmt.Errorf("decode the head key: %w", err)
@@ -252,10 +252,11 @@
 	defer r.mu.Unlock()
 	r.count++
 	backoff := minBackoff
-	attempts := attempter.New(callTimeout, shortCallTimeout)
 	for {
-		err := r.attempt(ctx, t, attempts.Timeout())
-		attempts.Note(!errors.Is(err, yuccapaddle.ErrUnknown))
+		err := r.attempt(ctx, t, r.attempts.Timeout())
+		if errors.Is(err, yuccapaddle.ErrUnknown) && r.appliedAfterAll(ctx) {
+			return nil
+		}
 		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, yuccapaddle.ErrInvalid) {
 			return err
 		}
@@ -269,6 +270,17 @@
 	}
 }
 
+// appliedAfterAll reads the head after an attempt without a reply, and reports whether the
+// present transaction was applied. A ledger that loses the replies of commits may answer
+// reads all the same, which is sooner than to repeat the commit until its reply arrives.
+func (r *Recorder) appliedAfterAll(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
+	defer cancel()
+	next := r.head
+	next.Count = r.count
+	return r.resolveConflict(callCtx, next) == nil
+}
+
 // commit attempts a new transaction, and repeats it only if its failure was due to an
 // earlier one. It must be called with mu held, or before the Recorder is shared.
 func (r *Recorder) commit(ctx context.Context, t yuccapaddle.Transaction) error {
@@ -293,7 +305,9 @@
 	t.Set = append([]yuccapaddle.Change{{Key: headKey, Value: value}}, t.Set...)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	start := time.Now()
 	rev, err := r.ledger.Commit(callCtx, t)
+	r.attempts.Note(!errors.Is(err, yuccapaddle.ErrUnknown), time.Since(start))
 	if err == nil {
 		r.head, r.revision = next, rev
 		return nil
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -169,7 +169,7 @@
 	defer cancel()
 	at := r.clock.Now()
 	data, err := r.ruleSource.Read(ctx)
-	r.attempts.Note(err == nil)
+	r.attempts.Note(err == nil, r.clock.Now().Sub(at))
 	if err != nil {
 		return err
 	}
