--- a/batch.go
+++ b/batch.go
@@ -74,6 +74,13 @@
 	Percent int
 }
 
+// StoredJob is a job as it was read from the ledger: the encoded job, its state and its
+// parts.
+type StoredJob struct {
+	Job, State []byte
+	Parts      [][]byte
+}
+
 // JobRecord is the stored form of a job. Job is empty if it is unchanged since
 // the last commit, and Parts holds only the parts that have changed.
 type JobRecord struct {
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -10,7 +10,6 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
-	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -25,7 +24,7 @@
 
 // loaded is what this host reads before its first decision.
 type loaded struct {
-	records  []recorder.Stored
+	records  []yuccapaddle.StoredJob
 	registry registryRead
 	readable bool // the registrations have been read
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -129,15 +129,9 @@
 	return r.epoch
 }
 
-// Stored is a job as it was read from the ledger.
-type Stored struct {
-	Job, State []byte
-	Parts      [][]byte
-}
-
 // Load reads all jobs that have a state. A job without one is incomplete, since the state
 // is saved last.
-func (r *Recorder) Load(ctx context.Context) ([]Stored, error) {
+func (r *Recorder) Load(ctx context.Context) ([]yuccapaddle.StoredJob, error) {
 	var jobs, states, parts []yuccapaddle.Entry
 	g, ctx := errgroup.WithContext(ctx)
 	for prefix, list := range map[string]*[]yuccapaddle.Entry{jobPrefix: &jobs, statePrefix: &states, partPrefix: &parts} {
@@ -156,7 +150,7 @@
 }
 
 // join puts the records of each job together.
-func join(jobs, states, parts []yuccapaddle.Entry) []Stored {
+func join(jobs, states, parts []yuccapaddle.Entry) []yuccapaddle.StoredJob {
 	stateByID := make(map[string][]byte, len(states))
 	for _, s := range states {
 		stateByID[strings.TrimPrefix(s.Key, statePrefix)] = s.Value
@@ -166,11 +160,11 @@
 		id, _, _ := strings.Cut(strings.TrimPrefix(p.Key, partPrefix), "/")
 		partsByID[id] = append(partsByID[id], p.Value)
 	}
-	list := make([]Stored, 0, len(states))
+	list := make([]yuccapaddle.StoredJob, 0, len(states))
 	for _, j := range jobs {
 		id := strings.TrimPrefix(j.Key, jobPrefix)
 		if state := stateByID[id]; state != nil {
-			list = append(list, Stored{Job: j.Value, State: state, Parts: partsByID[id]})
+			list = append(list, yuccapaddle.StoredJob{Job: j.Value, State: state, Parts: partsByID[id]})
 		}
 	}
 	return list
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -29,6 +29,9 @@
 	// activePollInterval is the most time between two reads of the active host, from which
 	// the others have the rules.
 	activePollInterval = 400 * time.Millisecond
+	// maxPollBytesPerSecond makes the active host read large rules less often, since hosts
+	// may have slow links.
+	maxPollBytesPerSecond = 16_000
 	readTimeout        = 600 * time.Millisecond
 	// shortReadTimeout and retryInterval apply while the rules cannot be read and the host
 	// needs them to place tasks.
@@ -231,7 +234,9 @@
 	case err != nil:
 		return retryInterval
 	}
-	return min(pause, activePollInterval)
+	data, _ := r.Data()
+	bytesTime := time.Duration(len(data)) * time.Second / maxPollBytesPerSecond
+	return min(pause, max(activePollInterval, bytesTime))
 }
 
 func (r *RuleKeeper) logReadResult(err error) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,8 +75,12 @@
 	c.startJobs()
 	c.startRequests()
 	time.Sleep(quietPeriod)
+	kinds := firstFaultKinds
+	if seed >= extendedFaultsSeed {
+		kinds = allFaultKinds
+	}
 	for range *faultCount {
-		b.inject(binary, rng)
+		b.inject(binary, rng, kinds)
 		time.Sleep(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
 	}
 	b.heal(binary)
@@ -100,13 +104,21 @@
 	}
 }
 
-// inject injects one random fault. Faults that last end in the background, so
-// that several may overlap.
-func (b *testbed) inject(binary string, rng *rand.Rand) {
+const (
+	// firstFaultKinds is the number of kinds of faults of the seeds below
+	// extendedFaultsSeed, so that these go on injecting what they did.
+	firstFaultKinds    = 9
+	allFaultKinds      = 12
+	extendedFaultsSeed = 1000
+)
+
+// inject injects one random fault of the first kinds. Faults that last end in the
+// background, so that several may overlap.
+func (b *testbed) inject(binary string, rng *rand.Rand, kinds int) {
 	h := b.hosts[rng.IntN(len(b.hosts))]
 	w := b.workers[rng.IntN(len(b.workers))]
 	duration := time.Duration(300+rng.IntN(3500)) * time.Millisecond
-	switch rng.IntN(9) {
+	switch rng.IntN(kinds) {
 	case 0:
 		b.restartHost(binary, h, syscall.SIGKILL, duration/4)
 	case 1:
@@ -135,6 +147,42 @@
 			w.proxy.setMode(modePass)
 			b.setDeregistered(w, false)
 		})
+	default:
+		b.injectAtMany(binary, rng, h, duration)
+	}
+}
+
+// injectAtMany injects one random fault that concerns several hosts.
+func (b *testbed) injectAtMany(binary string, rng *rand.Rand, h *host, duration time.Duration) {
+	switch rng.IntN(allFaultKinds - firstFaultKinds) {
+	case 0: // one host hands over while another is frozen
+		frozen := b.hosts[rng.IntN(len(b.hosts))]
+		frozen.signal(syscall.SIGSTOP)
+		b.afterDelay(duration, func() { frozen.signal(syscall.SIGCONT) })
+		if frozen != h {
+			b.restartHost(binary, h, syscall.SIGTERM, duration/4)
+		}
+	case 1: // the store fails a third of the hosts
+		failed := b.hosts[:(len(b.hosts)+2)/3]
+		m := mode(1 + rng.IntN(4))
+		for _, h := range failed {
+			h.storeProxy.setMode(m)
+		}
+		b.afterDelay(duration, func() {
+			for _, h := range failed {
+				h.storeProxy.setMode(modePass)
+			}
+		})
+	case 2: // all hosts are lost at once
+		for _, h := range b.hosts {
+			h.signal(syscall.SIGKILL)
+		}
+		for _, h := range b.hosts {
+			<-h.exited()
+		}
+		for _, h := range b.hosts {
+			b.startHost(binary, h)
+		}
 	}
 }
 
