--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -32,7 +32,7 @@
 	// maxPollBytesPerSecond makes the active host read large rules less often, since hosts
 	// may have slow links.
 	maxPollBytesPerSecond = 16_000
-	readTimeout        = 600 * time.Millisecond
+	readTimeout           = 600 * time.Millisecond
 	// shortReadTimeout and retryInterval apply while the rules cannot be read and the host
 	// needs them to place tasks.
 	shortReadTimeout = 250 * time.Millisecond
