--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -153,19 +153,9 @@
 	requests := newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(guard.Unary), grpc.StreamInterceptor(guard.Stream))
 	peer.RegisterJobsServer(peers, jobserver.New(a.elector, a.status))
-	listeners := []struct {
-		address string
-		serve   func(net.Listener) error
-	}{{a.cfg.Peers, peers.Serve}, {a.cfg.Readiness, readiness.Serve}, {a.cfg.Metrics, metrics.Serve}, {a.cfg.Requests, requests.Serve}, {a.cfg.Callers, a.callerServer.Serve}}
-	for _, s := range listeners {
-		if s.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", s.address, err)
-		}
-		group.Go("listener "+s.address, func() error { return s.serve(l) })
+	servers := []server{{a.cfg.Peers, peers.Serve}, {a.cfg.Readiness, readiness.Serve}, {a.cfg.Metrics, metrics.Serve}, {a.cfg.Requests, requests.Serve}, {a.cfg.Callers, a.callerServer.Serve}}
+	if err := serveAll(group, servers); err != nil {
+		return err
 	}
 	group.Go("rules", func() error { return a.rules.Run(ctx, a.elector.MustReadRules, a.elector.Active) })
 	group.Go("role", func() error { return a.elector.Run(ctx) })
@@ -187,6 +177,43 @@
 	return err
 }
 
+// server serves the connections that a listener accepts on an address.
+type server struct {
+	address string
+	serve   func(net.Listener) error
+}
+
+// serveAll listens on the addresses that are not empty and serves them in the group. If it
+// cannot listen on one of them, it serves none.
+func serveAll(group *supervisor.Supervisor, servers []server) error {
+	listeners := make([]net.Listener, len(servers))
+	for i, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			closeAll(listeners)
+			return fmt.Errorf("listen on %s: %w", s.address, err)
+		}
+		listeners[i] = l
+	}
+	for i, s := range servers {
+		if l := listeners[i]; l != nil {
+			group.Go("listener "+s.address, func() error { return s.serve(l) })
+		}
+	}
+	return nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		if l != nil {
+			_ = l.Close() // nothing was accepted on it
+		}
+	}
+}
+
 func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, Name: "yuccapaddle", MaxRequestBodySize: maxBodyBytes, IdleTimeout: idleTimeout,
