--- a/internal/assembler/listen_test.go
+++ b/internal/assembler/listen_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"yuccapaddle/internal/portpicker"
 	"yuccapaddle/internal/supervisor"
 )
 
@@ -17,10 +18,8 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer taken.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := portpicker.New().Address()
 	c.Assert(err, qt.IsNil)
-	address := free.Addr().String()
-	c.Assert(free.Close(), qt.IsNil)
 	group, _ := supervisor.New(t.Context(), zap.NewNop())
 	none := func(net.Listener) error { return nil }
 	err = serveAll(group, []server{{"", none}, {address, none}, {taken.Addr().String(), none}})
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -191,7 +191,7 @@
 			received = true
 		}
 		e.applyHeartbeat(address, beat, delays.sentAt(e.clock.Now(), beat.GetSentNs()))
-		if watch.roleFree(ctx, beat) {
+		if watch.observe(ctx, beat) {
 			e.log.Info("the active host has lost its lease", zap.String("address", address))
 			return false
 		}
@@ -209,10 +209,10 @@
 	nextVouchAt time.Time
 }
 
-// roleFree reports whether this host should look for another active host: the lock is held
-// by another one, or has been absent for so long that the active host will not take it
-// back. Until then it vouches for the active host.
-func (l *lockWatch) roleFree(ctx context.Context, beat *peer.Beat) bool {
+// observe handles a heartbeat, and reports whether this host should look for another active
+// host: the lock is held by another one, or has been absent for so long that the active
+// host will not take it back. Until then this host vouches for the active one.
+func (l *lockWatch) observe(ctx context.Context, beat *peer.Beat) bool {
 	now := l.e.clock.Now()
 	if beat.GetLeased() {
 		l.unleasedAt, l.absentAt = time.Time{}, time.Time{}
--- a/internal/elector/hosts.go
+++ b/internal/elector/hosts.go
@@ -54,6 +54,8 @@
 	t.noteLocked(address, direct)
 }
 
+// noteLocked is note for a caller that holds mu, and returns the entry of the host. For this
+// host itself that is an entry which is not kept.
 func (t *hostTable) noteLocked(address string, direct bool) *hostEntry {
 	if address == "" || address == t.self {
 		return &hostEntry{}
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -40,16 +40,16 @@
 	rec *recorder.Recorder
 	log *zap.Logger
 
-	id         uint64    // of the lease
-	renewedAt  time.Time // when the last renewal that succeeded was sent
-	over       bool      // the ledger has answered that the lease has ended
-	renewals   int       // waiting for a reply
-	relocking  bool      // the lock is being set again
-	asking     bool      // other hosts are being asked
-	askAt      time.Time // no questions are sent before
-	refusals   int       // of renewals since the last success
-	othersHave time.Time // since when the ledger is known to answer another host, zero if it is not
-	results    chan func() error
+	id               uint64    // of the lease
+	renewedAt        time.Time // when the last renewal that succeeded was sent
+	over             bool      // the ledger has answered that the lease has ended
+	renewals         int       // waiting for a reply
+	relocking        bool      // the lock is being set again
+	asking           bool      // other hosts are being asked
+	askAt            time.Time // no questions are sent before
+	refusals         int       // of renewals since the last success
+	othersAnsweredAt time.Time // since when the ledger is known to answer another host, zero if it is not
+	results          chan func() error
 }
 
 // keepLease renews the lease until the context ends or the role is lost. While the ledger
@@ -118,7 +118,7 @@
 	if l.doubtful() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
 		l.ask(ctx, g)
 	}
-	if !l.othersHave.IsZero() && l.e.clock.Now().Sub(l.othersHave) > handoverPatience {
+	if !l.othersAnsweredAt.IsZero() && l.e.clock.Now().Sub(l.othersAnsweredAt) > handoverPatience {
 		return l.handOver("no answer")
 	}
 	return nil
@@ -172,10 +172,10 @@
 			l.renewedAt = sentAt
 			l.e.renewedAt.Store(sentAt.UnixNano())
 		}
-		l.refusals, l.othersHave = 0, time.Time{}
+		l.refusals, l.othersAnsweredAt = 0, time.Time{}
 	case isRefusal(err):
 		l.refusals++
-		if !l.othersHave.IsZero() && sentAt.After(l.othersHave) {
+		if !l.othersAnsweredAt.IsZero() && sentAt.After(l.othersAnsweredAt) {
 			return l.handOver("refused")
 		}
 	}
@@ -255,16 +255,17 @@
 		case replaced:
 			return recorder.ErrReplaced
 		case !reached:
-			l.othersHave = time.Time{}
-		case l.doubtful() && l.othersHave.IsZero():
-			l.othersHave = l.e.clock.Now()
+			l.othersAnsweredAt = time.Time{}
+		case l.doubtful() && l.othersAnsweredAt.IsZero():
+			l.othersAnsweredAt = l.e.clock.Now()
 		}
 		return nil
 	})
 }
 
-// laterActive asks the hosts that have not vouched for this one of late whether they know
-// of a later active host. Those that do not vouch for this host by that.
+// laterActive asks the hosts that have not vouched for this one of late, and reports
+// whether one of them knows of a later active host. The answer of a host that knows of
+// none counts as its vouch.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
 	silent := e.hosts.notVouched(now.Add(-peerConfirmValidity / 2))
 	later := false
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -147,9 +147,9 @@
 	return counts
 }
 
-// KnowsSince returns the epoch of this host once it knows every job that a host of an
-// earlier epoch has accepted, and 0 before.
-func (e *Executor) KnowsSince() uint64 {
+// LoadedEpoch returns the epoch of this host once the records of its predecessors are
+// loaded, so that it knows every job that one of them has accepted, and 0 before.
+func (e *Executor) LoadedEpoch() uint64 {
 	if !e.restored.Load() {
 		return 0
 	}
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -65,9 +65,9 @@
 // until it succeeds or the context ends.
 func (e *Executor) read() (loaded, error) {
 	var l loaded
-	registry := make(chan struct{})
+	registryDone := make(chan struct{})
 	e.group.Go("first registrations", func() error {
-		defer close(registry)
+		defer close(registryDone)
 		var err error
 		l.registry, err = e.readRegistry(attempter.New(registryTimeout, shortRegistryTimeout))
 		l.readable = err == nil
@@ -89,7 +89,7 @@
 			return loaded{}, e.ctx.Err()
 		}
 	}
-	<-registry
+	<-registryDone
 	return l, nil
 }
 
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -126,7 +126,7 @@
 	}
 	// Read before the call: a host that has not loaded all jobs yet may refuse one that it
 	// does not know of.
-	epoch := e.KnowsSince()
+	epoch := e.LoadedEpoch()
 	answer, err := f(e)
 	var infeasible *yuccapaddle.InfeasibleError
 	switch {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -10,9 +10,9 @@
 	// host of that epoch.
 	maybeExecuted bool
 	epoch         uint64
-	// knowsSince is set if the request was refused by an active host that knows all jobs
-	// which hosts of earlier epochs have accepted.
-	knowsSince uint64
+	// loadedEpoch is that of the active host that refused the request, if it knows all jobs
+	// that hosts of earlier epochs have accepted, 0 otherwise.
+	loadedEpoch uint64
 }
 
 // attempts tells whether any of several attempts at a request may have been carried out.
@@ -29,7 +29,7 @@
 		t.unknown = true
 		t.latestEpoch = max(t.latestEpoch, a.epoch)
 	}
-	if a.knowsSince > t.latestEpoch {
+	if a.loadedEpoch > t.latestEpoch {
 		t.unknown = false
 	}
 }
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -10,7 +10,7 @@
 func TestAttempts(t *testing.T) {
 	lost := attempt{maybeExecuted: true, epoch: 4}
 	unsent := attempt{epoch: 4}
-	refusedBy := func(epoch uint64) attempt { return attempt{err: errRefused, knowsSince: epoch} }
+	refusedBy := func(epoch uint64) attempt { return attempt{err: errRefused, loadedEpoch: epoch} }
 	for name, test := range map[string]struct {
 		attempts []attempt
 		want     bool
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -174,7 +174,7 @@
 	case err != nil:
 		return attempt{err: err, epoch: epoch, maybeExecuted: sent() && status.Code(err) != codes.InvalidArgument}
 	case answer.GetRefused():
-		return attempt{err: refusal(answer.GetWhy()), knowsSince: answer.GetEpoch()}
+		return attempt{err: refusal(answer.GetWhy()), loadedEpoch: answer.GetEpoch()}
 	case answer.GetInactive():
 		return attempt{err: errNoActiveHost}
 	}
@@ -182,16 +182,16 @@
 }
 
 func callLocal(ctx context.Context, e *executor.Executor, local localCall) attempt {
-	knowsSince := e.KnowsSince()
+	loadedEpoch := e.LoadedEpoch()
 	answer, err := local(ctx, e)
 	var infeasible *yuccapaddle.InfeasibleError
 	switch {
 	case err == nil:
 		return attempt{answer: answer}
 	case errors.Is(err, executor.ErrLedgerUnavailable):
-		return attempt{err: errRefused, knowsSince: knowsSince}
+		return attempt{err: errRefused, loadedEpoch: loadedEpoch}
 	case errors.As(err, &infeasible):
-		return attempt{err: err, knowsSince: knowsSince}
+		return attempt{err: err, loadedEpoch: loadedEpoch}
 	}
 	return attempt{err: err, epoch: e.Epoch(), maybeExecuted: !errors.Is(err, yuccapaddle.ErrNotAccepted)}
 }
