elector: every follower looks at the lock before it vouches

Cause, found when the change was read: followers that are not among the first in the order of claims looked at the lock only after 3 s without a renewed lease, and vouched until then. A former host that cannot reach the next one, while both reach the followers, could so be confirmed longer than its successor allows for.

Change: a follower looks at the lock, then vouches, every 0.6 s; both calls together are shorter than the wait for a heartbeat.

--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -28,16 +28,20 @@
 	heartbeatTimeoutIntervals = 3
 	// heartbeatsPerHostList: one heartbeat in this many lists addresses.
 	heartbeatsPerHostList = 20
-	// firstRanks is how many followers get every heartbeat and watch the lock while the
-	// lease is not renewed. The others leave that to them for othersWait.
+	// firstRanks is how many followers get every heartbeat and, while the lease is not
+	// renewed, look at the lock at each. The others look before they vouch.
 	firstRanks = 4
-	othersWait = 3 * time.Second
 	// regainTime is how long the lock may be absent, while heartbeats arrive and the
 	// ledger answers followers, before they claim the role. The active host takes the lock
 	// back, or hands the role over, well within it.
 	regainTime = 1500 * time.Millisecond
-	// vouchInterval is the least time between two calls of Vouch.
+	// vouchInterval is the least time between two calls of Vouch. With lookTimeout it is
+	// part of the time that predecessorRenewPeriod allows for.
 	vouchInterval = 600 * time.Millisecond
+	// lookTimeout and vouchTimeout together are shorter than minHeartbeatTimeout, since no
+	// heartbeat is received meanwhile.
+	lookTimeout  = 200 * time.Millisecond
+	vouchTimeout = 200 * time.Millisecond
 )
 
 // errNotActive ends the heartbeat streams of a host that is not, or no longer, active.
@@ -204,7 +208,6 @@
 	e           *Elector
 	client      peer.JobsClient
 	leader      string
-	unleasedAt  time.Time // since when, zero while the lease is renewed
 	absentAt    time.Time // since when the lock was absent at each look, zero if it was not
 	nextVouchAt time.Time
 }
@@ -213,27 +216,28 @@
 // host: the lock is held by another one, or has been absent for so long that the active
 // host will not take it back. Until then this host vouches for the active one.
 func (l *lockWatch) observe(ctx context.Context, beat *peer.Beat) bool {
-	now := l.e.clock.Now()
 	if beat.GetLeased() {
-		l.unleasedAt, l.absentAt = time.Time{}, time.Time{}
+		l.absentAt = time.Time{}
 		return false
 	}
-	if l.unleasedAt.IsZero() {
-		l.unleasedAt = now
+	now := l.e.clock.Now()
+	vouch := !now.Before(l.nextVouchAt)
+	if beat.GetRank() > firstRanks && !vouch {
+		return false
 	}
-	if !now.Before(l.nextVouchAt) {
+	if l.checkLock(ctx, now) {
+		return true
+	}
+	if vouch {
 		l.nextVouchAt = now.Add(vouchInterval)
 		l.vouch(ctx, beat)
 	}
-	if beat.GetRank() > firstRanks && now.Sub(l.unleasedAt) < othersWait {
-		return false
-	}
-	return l.checkLock(ctx, now)
+	return false
 }
 
 // vouch tells the active host that this one knows of no later one.
 func (l *lockWatch) vouch(ctx context.Context, beat *peer.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 	defer cancel()
 	_, err := l.client.Vouch(ctx, &peer.VouchRequest{Address: l.e.address, Epoch: beat.GetEpoch(), SentNs: beat.GetSentNs()})
 	if err != nil && status.Code(err) != codes.Unimplemented { // hosts of an earlier version ask by themselves
@@ -243,7 +247,7 @@
 
 // checkLock looks at the lock once, and reports whether the role is free.
 func (l *lockWatch) checkLock(ctx context.Context, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	lock, err := l.e.ledger.Get(ctx, lockKey)
 	switch {
