--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -127,13 +127,12 @@
 	return e.committing && e.now.Sub(e.commitStartedAt) > commitStallAfter
 }
 
-// refuse rejects a job because the ledger does not answer.
-func (e *Executor) refuse(s submission, detail string, since time.Time) {
+// refuse rejects a job because the ledger does not answer. delay says since when.
+func (e *Executor) refuse(s submission, detail string, delay zap.Field) {
 	if !s.withdraw() {
 		return
 	}
-	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", detail),
-		zap.Int64("commit_ms_ago", e.now.Sub(since).Milliseconds()))
+	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", detail), delay)
 	s.result <- admission{err: ErrLedgerUnavailable}
 }
 
@@ -147,7 +146,7 @@
 		case !e.committing, e.known(s.job.ID):
 			e.admit(s)
 		case e.commitStalled():
-			e.refuse(s, "the ledger does not answer", e.commitStartedAt)
+			e.refuse(s, "the ledger does not answer", zap.Int64("commit_ms_ago", e.now.Sub(e.commitStartedAt).Milliseconds()))
 		default:
 			e.pendingSubmissions = append(e.pendingSubmissions, s)
 		}
@@ -163,7 +162,7 @@
 			kept = append(kept, s)
 			continue
 		}
-		e.refuse(s, "the job records cannot be read", s.receivedAt)
+		e.refuse(s, "the job records cannot be read", zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
 	}
 	e.pendingSubmissions = kept
 }
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -116,9 +116,9 @@
 	return &peer.ReachReply{Reached: s.elector.ReachesLedger(ctx)}, nil
 }
 
-// withExecutor runs f with the executor, if this host is active in the epoch wanted, 0 for any.
-// The answer has Inactive
-// set only if nothing was done, so that the caller may safely retry elsewhere.
+// withExecutor runs f with the executor, if this host is active in the epoch wanted, 0 for
+// any. The answer has Inactive set only if nothing was done, so that the caller may safely
+// retry elsewhere.
 func (s *JobServer) withExecutor(wanted uint64, f func(*executor.Executor) (*peer.JobAnswer, error)) (*peer.JobAnswer, error) {
 	e := s.elector.LocalExecutor()
 	if e == nil || (wanted != 0 && wanted != e.Epoch()) {
