--- a/internal/executor/known_test.go
+++ b/internal/executor/known_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/standin/bookkeeper"
@@ -46,9 +47,10 @@
 			ids := []string{"0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004"}
 			errs := make([]error, len(ids))
 			exec := r.exec
+			var submissions errgroup.Group
 			r.ledger.SetFault(bookkeeper.FaultLostReply)
 			for i, id := range ids {
-				r.group.Go(func() error {
+				submissions.Go(func() error {
 					errs[i] = exec.Submit(t.Context(), r.smallJob(id))
 					return nil
 				})
@@ -58,6 +60,7 @@
 			r.stop()
 			time.Sleep(time.Second)
 			r.ledger.SetFault(bookkeeper.FaultNone)
+			r.c.Assert(submissions.Wait(), qt.IsNil)
 			r.takeOver()
 			for i, id := range ids {
 				_, found, err := r.exec.Show(t.Context(), id, "batch", time.Time{})
--- a/internal/executor/outage_test.go
+++ b/internal/executor/outage_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/standin/bookkeeper"
@@ -61,8 +62,9 @@
 		r.ledger.SetFault(bookkeeper.FaultTimeout)
 		ids := []string{"0000000000000001", "0000000000000002", "0000000000000003"}
 		errs := make([]error, len(ids))
+		var submissions errgroup.Group
 		for i, id := range ids {
-			r.group.Go(func() error {
+			submissions.Go(func() error {
 				errs[i] = r.exec.Submit(t.Context(), r.smallJob(id))
 				return nil
 			})
@@ -71,6 +73,7 @@
 		time.Sleep(4 * time.Second)
 		r.ledger.SetFault(bookkeeper.FaultNone)
 		time.Sleep(4 * time.Second)
+		r.c.Assert(submissions.Wait(), qt.IsNil)
 		for i, id := range ids {
 			report, found, err := r.exec.Show(t.Context(), id, "batch", time.Time{})
 			r.c.Assert(err, qt.IsNil)
