elector, connector: a lost active host's line tells how much has arrived since

The logs of the incident could not tell a host that had fallen silent from one whose next message was still arriving: both ended as a stream that the follower cancelled. The line has the age of the last heartbeat and the bytes that have come from other hosts since it.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -2,8 +2,11 @@
 package connector
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -24,8 +27,9 @@
 
 // Connector opens connections on first use. It is safe for concurrent use.
 type Connector struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu       sync.Mutex
+	conns    map[string]*grpc.ClientConn
+	received atomic.Int64 // bytes, on all connections
 }
 
 // New returns a Connector without connections.
@@ -44,6 +48,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(sendTracker{}),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -58,6 +63,35 @@
 	return peer.NewJobsClient(conn), nil
 }
 
+// Received returns the number of bytes that have arrived from all other hosts, those of
+// messages that are not complete included.
+func (c *Connector) Received() int64 {
+	return c.received.Load()
+}
+
+// dial opens a connection whose received bytes are counted.
+func (c *Connector) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, received: &c.received}, nil
+}
+
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // Drop closes the connection to a host, which may have stopped answering, so that the
 // next call of Client opens a new one.
 func (c *Connector) Drop(address string) {
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -179,17 +179,20 @@
 		return false
 	}
 	received := false
+	beatAt, bytesAtBeat := openedAt, e.conns.Received()
 	watch := &lockWatch{e: e, client: client, leader: address}
 	delays := &delayMeter{openedAt: openedAt}
 	for {
 		beat, err := stream.Recv()
 		if err != nil {
 			if received {
-				e.log.Info("the active host is lost", zap.String("address", address), zap.Error(err))
+				e.log.Info("the active host is lost", zap.String("address", address), zap.Error(err),
+					zap.Int64("heartbeat_ms_ago", e.clock.Now().Sub(beatAt).Milliseconds()), zap.Int64("bytes_since", e.conns.Received()-bytesAtBeat))
 			}
 			return status.Code(err) == codes.Aborted
 		}
 		watchdog.Reset(heartbeatTimeout(beat))
+		beatAt, bytesAtBeat = e.clock.Now(), e.conns.Received()
 		if !received {
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
