--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -91,6 +91,7 @@
 	*elector.Elector
 	address string
 	ledger  *refusingLedger
+	rules   *rulekeeper.RuleKeeper
 	stop    context.CancelFunc
 	peers   *grpc.Server
 }
@@ -112,11 +113,18 @@
 func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration, opts ...elector.Option) *host {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
+	return newHostOn(t, c, g, store, i, lease, l, fixedRules{}, opts...)
+}
+
+// newHostOn is newHost for a host that serves its peers on a listener.
+func newHostOn(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration,
+	l net.Listener, source yuccapaddle.RuleSource, opts ...elector.Option,
+) *host {
 	name, address := fmt.Sprintf("h%d", i), l.Addr().String()
-	h := &host{address: address, ledger: &refusingLedger{Bookkeeper: store}, peers: grpc.NewServer()}
 	clock := yuccapaddle.SystemClock{}
-	rules := rulekeeper.New(fixedRules{}, 2500, clock, zap.NewNop())
+	rules := rulekeeper.New(source, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
+	h := &host{address: address, ledger: &refusingLedger{Bookkeeper: store}, rules: rules, peers: grpc.NewServer()}
 	build := func(rec *recorder.Recorder, _ time.Time) (*executor.Executor, func(context.Context) error) {
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
