elector, rulefetcher, rulesender: rules are fetched in parts beside the heartbeats

Cause: the heartbeat carried the whole rules as one message, which had to arrive within the heartbeat timeout of 0.7 s. Where it did not, the follower ended the stream and was sent the whole rules again, from the first byte on. All followers did so at once, which filled the active host's link, so that hosts with fast links lost it as well. Nothing in this ends by itself. The class: a time limit on the whole of a transfer whose size grows, with a retry from the start, and liveness that waits behind bulk data. The answers to Who had the same fault within 0.3 s.

Change: heartbeats tell revision and digest; rules are fetched compressed, in parts, each with a time limit of its own, from the offset that was reached. A stream keeps to one version. 64 kB of a connection are under way at most. Hosts of an earlier version get what they did.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -23,6 +23,9 @@
 	reconnectMaxDelay   = 400 * time.Millisecond
 	reconnectMultiplier = 1.6
 	reconnectJitter     = 0.2
+	// windowBytes is how much of a stream, and of a connection, may be under way. A
+	// heartbeat waits at most behind that much on a slow link.
+	windowBytes = 64 << 10
 )
 
 // Connector opens connections on first use. It is safe for concurrent use.
@@ -49,6 +52,8 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(sendTracker{}),
 		grpc.WithContextDialer(c.dial),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -20,7 +20,9 @@
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/rulefetcher"
 	"yuccapaddle/internal/rulekeeper"
+	"yuccapaddle/internal/rulesender"
 	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/supervisor"
 )
@@ -74,6 +76,8 @@
 type Elector struct {
 	ledger   yuccapaddle.Ledger
 	rules    *rulekeeper.RuleKeeper
+	sender   *rulesender.RuleSender
+	fetcher  *rulefetcher.RuleFetcher
 	conns    *connector.Connector
 	build    buildFunc
 	log      *zap.Logger
@@ -126,7 +130,7 @@
 	minLeaseTTL time.Duration, build buildFunc, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Elector {
 	e := &Elector{
-		ledger: ledger, rules: rules, conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
+		ledger: ledger, rules: rules, sender: rulesender.New(rules), fetcher: rulefetcher.New(rules, clock), conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
 		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), hosts: newHostTable(address, clock), cpuShare: 1,
 	}
 	for _, o := range opts {
@@ -162,12 +166,13 @@
 }
 
 // MustReadRules reports whether this host has to read the rules from the ledger itself:
-// it is active, or no heartbeat has confirmed its rules recently.
+// it is active, or no heartbeat has confirmed its rules recently and it is not getting
+// others from a host. Both at once would take twice as long on a slow link.
 func (e *Elector) MustReadRules() bool {
 	if e.localExecutor.Load() != nil {
 		return true
 	}
-	return e.rules.Stale()
+	return e.rules.Stale() && !e.fetcher.Progressing()
 }
 
 // Pending returns the number of jobs in a queue that have not started.
@@ -314,22 +319,29 @@
 
 // askOthers returns the address of the active host according to some of the other hosts,
 // for when the ledger does not answer. The answer with the highest epoch counts. It is ""
-// if none of them knows, or if that is this host.
+// if none of them knows, or if that is this host; this host then has the latest rules of
+// those that it asked, which otherwise come from the active host.
 func (e *Elector) askOthers(ctx context.Context) string {
 	var latest *peer.WhoReply
+	var source rulesOffer
 	others := e.hosts.addresses()
 	e.askHosts(ctx, others[:min(maxHostsAsked, len(others))], dialTimeout, func(address string, reply *peer.WhoReply) {
-		if err := e.offerRules(reply.GetRules()); err != nil {
+		if err := e.offerRules(reply.GetRules()); err != nil { // of a host of an earlier version
 			e.log.Warn("cannot decode the rules received from another host", zap.String("address", address), zap.Error(err))
 		}
+		if reply.GetRulesRevision() > source.revision {
+			source = rulesOffer{address: address, revision: reply.GetRulesRevision(), digest: reply.GetRulesDigest()}
+		}
 		if reply.GetAddress() != "" && (latest == nil || reply.GetEpoch() > latest.GetEpoch()) {
 			latest = reply
 		}
 	})
-	if latest.GetAddress() == e.address {
-		return ""
+	address := latest.GetAddress()
+	if address != "" && address != e.address {
+		return address
 	}
-	return latest.GetAddress()
+	e.fetchOffered(ctx, source)
+	return ""
 }
 
 // askHosts asks hosts at the same time which host is active, and calls each, once at a
@@ -362,25 +374,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, revision := e.rules.Data()
-	return client.Who(ctx, &peer.WhoRequest{RulesRevision: revision})
-}
-
-// offerRules applies rules received from another host unless they are older than those
-// in force. Empty data means that the other host sent none.
-func (e *Elector) offerRules(data []byte) error {
-	if len(data) == 0 {
-		return nil
-	}
-	return e.rules.Offer(data, "host")
+	_, revision, _ := e.rules.Data()
+	return client.Who(ctx, &peer.WhoRequest{RulesRevision: revision, WithoutRules: true})
 }
 
 // Who returns which host is active as far as this one knows, and its rules if the caller
-// has others.
+// has others and does not fetch them.
 func (e *Elector) Who(req *peer.WhoRequest) *peer.WhoReply {
-	data, revision := e.rules.Data()
-	reply := &peer.WhoReply{RulesRevision: revision}
-	if revision != req.GetRulesRevision() {
+	data, revision, digest := e.rules.Data()
+	reply := &peer.WhoReply{RulesRevision: revision, RulesDigest: digest}
+	if !req.GetWithoutRules() && revision != req.GetRulesRevision() {
 		reply.Rules = data
 	}
 	if exec := e.localExecutor.Load(); exec != nil {
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -14,6 +14,7 @@
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/supervisor"
 )
 
 const (
@@ -79,7 +80,8 @@
 // followerState is what a follower is known to have, so that only changes are sent.
 type followerState struct {
 	address       string
-	rulesRevision uint64
+	fetchesRules  bool   // heartbeats carry no rules
+	rulesRevision uint64 // of the rules that heartbeats have carried last
 	pending       map[string]int64
 	heartbeats    int // number sent so far
 }
@@ -93,7 +95,7 @@
 	}
 	e.hosts.addFollower(req.GetAddress(), req.GetCpuMillis())
 	defer e.hosts.removeFollower(req.GetAddress())
-	f := &followerState{address: req.GetAddress(), rulesRevision: req.GetRulesRevision()}
+	f := &followerState{address: req.GetAddress(), fetchesRules: req.GetFetchesRules(), rulesRevision: req.GetRulesRevision()}
 	for e.localExecutor.Load() == exec {
 		changed := e.rules.Changed() // before the rules are read, so that no change is missed
 		beat := e.nextHeartbeat(exec, f)
@@ -121,9 +123,7 @@
 		beat.Hosts = e.hosts.heardDirectly()
 	}
 	f.heartbeats++
-	if data, revision := e.rules.Data(); revision != f.rulesRevision {
-		beat.Rules, f.rulesRevision = data, revision
-	}
+	e.addRules(beat, f)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if f.pending == nil || !maps.Equal(f.pending, e.pending) {
@@ -132,6 +132,19 @@
 	return beat
 }
 
+// addRules adds to a heartbeat which rules this host has, or the rules themselves for a
+// follower of an earlier version if they have changed.
+func (e *Elector) addRules(beat *peer.Beat, f *followerState) {
+	data, revision, digest := e.rules.Data()
+	if f.fetchesRules {
+		beat.RulesRevision, beat.RulesDigest = revision, digest
+		return
+	}
+	if revision != f.rulesRevision {
+		beat.Rules, f.rulesRevision = data, revision
+	}
+}
+
 // heartbeatInterval returns the time between two heartbeats to a follower of that rank.
 func (e *Elector) heartbeatInterval(rank int) time.Duration {
 	if rank <= firstRanks {
@@ -158,6 +171,8 @@
 // follow receives heartbeats from the active host until they stop or its role is free, and
 // reports whether it has handed its role over.
 func (e *Elector) follow(ctx context.Context, address string) (handedOver bool) {
+	g, ctx := supervisor.New(ctx, e.log)
+	defer func() { _ = g.Wait() }() // its functions return no errors
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.lostLeader = address
@@ -168,12 +183,12 @@
 		e.log.Warn("cannot connect to the active host", zap.String("address", address), zap.Error(err))
 		return false
 	}
-	_, revision := e.rules.Data()
+	_, revision, _ := e.rules.Data()
 	openedAt := e.clock.Now()
 	watchdog := time.AfterFunc(minHeartbeatTimeout, cancel)
 	defer watchdog.Stop()
 	stream, err := client.Follow(ctx, &peer.FollowRequest{
-		Host: e.host, Address: e.address, RulesRevision: revision, CpuMillis: int64(e.cpuShare * 1000),
+		Host: e.host, Address: e.address, RulesRevision: revision, CpuMillis: int64(e.cpuShare * 1000), FetchesRules: true,
 	})
 	if err != nil {
 		return false
@@ -181,6 +196,7 @@
 	received := false
 	beatAt, bytesAtBeat := openedAt, e.conns.Received()
 	watch := &lockWatch{e: e, client: client, leader: address}
+	rules := &ruleFollower{e: e, client: client, leader: address, group: g}
 	delays := &delayMeter{openedAt: openedAt}
 	for {
 		beat, err := stream.Recv()
@@ -197,7 +213,9 @@
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
 		}
-		e.applyHeartbeat(address, beat, delays.sentAt(e.clock.Now(), beat.GetSentNs()))
+		sentAt := delays.sentAt(e.clock.Now(), beat.GetSentNs())
+		e.applyHeartbeat(address, beat, sentAt)
+		rules.observe(ctx, beat, sentAt)
 		if watch.observe(ctx, beat) {
 			e.log.Info("the active host has lost its lease", zap.String("address", address))
 			return false
@@ -279,9 +297,6 @@
 	if err := e.offerRules(beat.GetRules()); err != nil {
 		e.log.Warn("cannot decode the rules received from the active host", zap.Error(err))
 	}
-	if beat.GetFresh() {
-		e.rules.Confirm(sentAt)
-	}
 	e.rank.Store(beat.GetRank())
 	e.hosts.note(address, true)
 	for _, a := range beat.GetHosts() {
--- a/internal/elector/slowlink_test.go
+++ b/internal/elector/slowlink_test.go
@@ -14,6 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/connector"
+	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/standin/bookkeeper"
 )
 
@@ -200,3 +202,26 @@
 		waitForVersion(c, hosts, 2)
 	})
 }
+
+// TestFollowerOfEarlierVersion checks that a follower which does not fetch rules gets them
+// with the heartbeats and with the answer to Who, and one that fetches them does not.
+func TestFollowerOfEarlierVersion(t *testing.T) {
+	withHosts(t, 0, func(c *qt.C, hosts []*host) {
+		conns := connector.New()
+		defer conns.Close()
+		client, err := conns.Client(activeHost(hosts).address)
+		c.Assert(err, qt.IsNil)
+		for _, fetches := range []bool{false, true} {
+			stream, err := client.Follow(t.Context(), &peer.FollowRequest{Host: "h9", Address: "h9:1", FetchesRules: fetches})
+			c.Assert(err, qt.IsNil)
+			beat, err := stream.Recv()
+			c.Assert(err, qt.IsNil)
+			c.Check(string(beat.GetRules()) == "r", qt.Equals, !fetches)
+			c.Check(beat.GetRulesDigest() == 1, qt.Equals, fetches)
+			reply, err := client.Who(t.Context(), &peer.WhoRequest{WithoutRules: fetches})
+			c.Assert(err, qt.IsNil)
+			c.Check(string(reply.GetRules()) == "r", qt.Equals, !fetches)
+			c.Check(reply.GetRulesDigest(), qt.Equals, uint64(1))
+		}
+	})
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -105,6 +105,11 @@
 	return s.elector.Who(req), nil
 }
 
+// Rules implements peer.JobsServer.
+func (s *JobServer) Rules(req *peer.RulesRequest, stream grpc.ServerStreamingServer[peer.RulesPart]) error {
+	return s.elector.SendRules(req, stream)
+}
+
 // Vouch implements peer.JobsServer.
 func (s *JobServer) Vouch(_ context.Context, req *peer.VouchRequest) (*peer.VouchReply, error) {
 	s.elector.HandleVouch(req)
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -95,12 +95,12 @@
 }
 
 // Data returns the rules in the encoding that hosts pass to each other, and their
-// revision; nil and 0 if there are none yet.
-func (r *RuleKeeper) Data() ([]byte, uint64) {
+// revision and digest; nil and 0 if there are none yet.
+func (r *RuleKeeper) Data() (data []byte, revision, digest uint64) {
 	if s := r.current.Load(); s != nil {
-		return s.data, s.rules.Revision
+		return s.data, s.rules.Revision, s.rules.Digest
 	}
-	return nil, 0
+	return nil, 0, 0
 }
 
 // ConfirmedAt returns the last time at which the rules in force were known to be the
@@ -234,7 +234,7 @@
 	case err != nil:
 		return retryInterval
 	}
-	data, _ := r.Data()
+	data, _, _ := r.Data()
 	bytesTime := time.Duration(len(data)) * time.Second / maxPollBytesPerSecond
 	return min(pause, max(activePollInterval, bytesTime))
 }
