applier: a repeated change is found in the last full audit segment

What operators could see: a change whose answer was lost, sent again with its ID, was made a second time or told as a conflict with itself, if it was the last of the 200 entries of a segment and another change had come since. Cause: only the segment within the configuration was searched. The last full one is searched too. TestRepeatAfterRotation failed before (revision 201 and 202 in place of 200). The attempt is a function of its own.

--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -83,31 +83,11 @@
 	mayBeWritten := false
 	var lastErr error
 	for range maxAttempts {
-		old, rev, err := a.readConfig(ctx)
-		if err != nil {
-			lastErr = err
-			if sleeper.Sleep(ctx, retryDelay) != nil {
-				break
-			}
-			continue
-		}
-		if audit := findAudit(old, c.ID); audit != nil {
-			return a.markAccepted(ctx, old, audit.Revision), old
-		}
-		next, result := nextConfig(old, c)
-		if next == nil {
-			return result, nil
-		}
-		if err := a.rotateAudit(ctx, next); err == nil {
-			err = a.writeConfig(ctx, next, rev)
-			mayBeWritten = mayBeWritten || errors.Is(err, yuccapaddle.ErrUnknown)
-			if err == nil {
-				return a.markAccepted(ctx, next, next.Revision), next
-			}
-			lastErr = err
-		} else {
-			lastErr = err
+		result, cfg, err := a.attempt(ctx, c, &mayBeWritten)
+		if err == nil {
+			return result, cfg
 		}
+		lastErr = err
 		if sleeper.Sleep(ctx, retryDelay) != nil {
 			break
 		}
@@ -119,6 +99,34 @@
 	return Result{Status: status, Reason: fmt.Sprintf("the platform's key-value service did not take the change: %v", lastErr)}, nil
 }
 
+// attempt tries once to make the change. The error is that of the key-value service;
+// mayBeWritten is set if the change may have been made in spite of it.
+func (a *Applier) attempt(ctx context.Context, c Change, mayBeWritten *bool) (Result, *yuccapaddle.Config, error) {
+	old, rev, err := a.readConfig(ctx)
+	if err != nil {
+		return Result{}, nil, err
+	}
+	audit, err := a.findAudit(ctx, old, c.ID)
+	if err != nil {
+		return Result{}, nil, err
+	}
+	if audit != nil {
+		return a.markAccepted(ctx, old, audit.Revision), old, nil
+	}
+	next, result := nextConfig(old, c)
+	if next == nil {
+		return result, nil, nil
+	}
+	if err := a.rotateAudit(ctx, next); err != nil {
+		return Result{}, nil, err
+	}
+	if err := a.writeConfig(ctx, next, rev); err != nil {
+		*mayBeWritten = *mayBeWritten || errors.Is(err, yuccapaddle.ErrUnknown)
+		return Result{}, nil, err
+	}
+	return a.markAccepted(ctx, next, next.Revision), next, nil
+}
+
 // markAccepted marks the revision in the permit. From then on, no host that knows
 // only an older configuration can renew its permit to start tasks.
 func (a *Applier) markAccepted(ctx context.Context, cfg *yuccapaddle.Config, revision uint64) Result {
@@ -183,10 +191,30 @@
 	return fmt.Sprintf("%s%08d", auditSegmentPrefix, n)
 }
 
-func findAudit(cfg *yuccapaddle.Config, id string) *yuccapaddle.Audit {
-	for i := range cfg.Audit {
-		if cfg.Audit[i].ChangeID == id {
-			return &cfg.Audit[i]
+// findAudit returns the entry of a change in the latest segments of the audit trail, nil if
+// it is in neither. The change may have filled the last full segment.
+func (a *Applier) findAudit(ctx context.Context, cfg *yuccapaddle.Config, id string) (*yuccapaddle.Audit, error) {
+	if audit := findChange(cfg.Audit, id); audit != nil || cfg.Segments == 0 {
+		return audit, nil
+	}
+	key := AuditSegmentKey(cfg.Segments - 1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := a.store.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", key, err)
+	}
+	var full []yuccapaddle.Audit
+	if err := json.Unmarshal(e.Value, &full); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", key, err)
+	}
+	return findChange(full, id), nil
+}
+
+func findChange(list []yuccapaddle.Audit, id string) *yuccapaddle.Audit {
+	for i := range list {
+		if list[i].ChangeID == id {
+			return &list[i]
 		}
 	}
 	return nil
