commander: config apply needs the revision that it is based on

A failed read is an error now; only where there is no configuration yet none is needed. TestApplyNeedsRevision failed before: one change was made for 500 and 503.

--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/spf13/cobra"
@@ -118,8 +119,8 @@
 		}
 		revision := *ifRevision
 		if revision == 0 {
-			if cfg, err := c.fetchConfig(); err == nil {
-				revision = cfg.Revision
+			if revision, err = c.revisionInForce(); err != nil {
+				return err
 			}
 		}
 		return c.change(cmd, applier.Change{Action: applier.ActionApply, Base: revision, Site: site, Reason: *reason})
@@ -127,6 +128,19 @@
 	return cmd
 }
 
+// revisionInForce returns the revision of the configuration, 0 if there is none yet.
+func (c *Commander) revisionInForce() (uint64, error) {
+	cfg, err := c.fetchConfig()
+	var e *exitError
+	switch {
+	case err == nil:
+		return cfg.Revision, nil
+	case errors.As(err, &e) && e.code == codeNotFound:
+		return 0, nil
+	}
+	return 0, err
+}
+
 func (c *Commander) configHistory() *cobra.Command {
 	cmd := &cobra.Command{Use: "history", Short: "Lists the revisions with who made them and why", Args: cobra.NoArgs}
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return c.showAudit(cmd, "") }
