maintainer: release the workers of machines that leave a wave

What callers could see: a machine that was taken out of a maintenance wave, or whose wave was withdrawn, before its maintenance got no new work any more until the active host changed. Its worker stayed drained, since only waves in force were looked at. A machine without a worker made the planner keep an entry for a worker without a name. TestWithdrawnWave and TestNoWorker failed before.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +74,7 @@
 
 // step advances every open wave.
 func (m *Maintainer) step(ctx context.Context) error {
+	m.releaseWithdrawn(ctx)
 	waves := m.openWaves()
 	if len(waves) == 0 {
 		return nil
@@ -94,6 +96,42 @@
 	return errors.Join(errs...)
 }
 
+// releaseWithdrawn lets the workers get new runs again whose machines were taken out of a
+// wave, or whose wave was withdrawn, before the maintenance.
+func (m *Maintainer) releaseWithdrawn(ctx context.Context) {
+	rules := m.rules()
+	if rules == nil {
+		return
+	}
+	ordered := map[int64][]string{}
+	for _, order := range rules.Waves {
+		ordered[order.Number] = order.Machines
+	}
+	for number, w := range m.waves {
+		machines, open := ordered[number]
+		for name := range w.drainingSince {
+			if w.done[name] || !w.down[name].IsZero() || slices.Contains(machines, name) {
+				continue
+			}
+			m.drain(ctx, w.workers[name], false)
+			delete(w.drainingSince, name)
+			delete(w.workers, name)
+		}
+		if !open {
+			delete(m.waves, number)
+		}
+	}
+}
+
+// drain stops or allows new runs on a worker and reports whether nothing runs there, and
+// whether it has to stay. A machine without a worker has nothing to drain.
+func (m *Maintainer) drain(ctx context.Context, worker string, drain bool) (empty, mustStay bool) {
+	if worker == "" {
+		return true, false
+	}
+	return m.drainer.Drain(ctx, worker, drain)
+}
+
 // openWaves returns the waves of the rules in force that are not completed. The time of
 // a wave starts when this host first sees it.
 func (m *Maintainer) openWaves() []*waveProgress {
@@ -167,7 +205,7 @@
 		}
 		delete(w.down, name)
 		w.done[name] = true
-		m.drainer.Drain(ctx, w.workers[name], false)
+		m.drain(ctx, w.workers[name], false)
 	}
 }
 
@@ -183,7 +221,7 @@
 	if w.drainingSince[name].IsZero() {
 		w.drainingSince[name], w.workers[name] = now, machine.Worker
 	}
-	empty, mustStay := m.drainer.Drain(ctx, machine.Worker, true)
+	empty, mustStay := m.drain(ctx, machine.Worker, true)
 	if !empty && (mustStay || now.Before(m.drainDeadline(w, name))) {
 		return nil
 	}
@@ -197,7 +235,7 @@
 		w.down[name], w.workers[name] = now, machine.Worker
 	case errors.Is(err, yuccapaddle.ErrNotOfWave):
 		w.done[name] = true
-		m.drainer.Drain(ctx, machine.Worker, false)
+		m.drain(ctx, machine.Worker, false)
 	case errors.Is(err, yuccapaddle.ErrOutdated):
 		return err
 	}
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 	backAt     map[string]time.Time
 	maintained map[string]int
 	completed  bool
+	drained    map[string]bool
+	noWorker   string    // machine that has no worker
 	busyUntil  time.Time // until then tasks run on the workers
 	outdated   bool      // orders are refused with ErrOutdated
 }
@@ -31,7 +34,7 @@
 var machineNames = []string{"m0", "m1", "m2", "m3"}
 
 func newFleet(c *qt.C, maxDown int) *fleet {
-	return &fleet{c: c, maxDown: maxDown, backAt: map[string]time.Time{}, maintained: map[string]int{}}
+	return &fleet{c: c, maxDown: maxDown, backAt: map[string]time.Time{}, maintained: map[string]int{}, drained: map[string]bool{}}
 }
 
 func (f *fleet) state(name string) yuccapaddle.MachineState {
@@ -45,7 +48,11 @@
 func (f *fleet) Machines(context.Context) ([]yuccapaddle.Machine, error) {
 	var list []yuccapaddle.Machine
 	for _, n := range machineNames {
-		list = append(list, yuccapaddle.Machine{Name: n, State: f.state(n), Worker: "s" + n})
+		m := yuccapaddle.Machine{Name: n, State: f.state(n), Worker: "s" + n}
+		if n == f.noWorker {
+			m.Worker = ""
+		}
+		list = append(list, m)
 	}
 	return list, nil
 }
@@ -82,7 +89,9 @@
 }
 
 // Drain implements yuccapaddle.Drainer.
-func (f *fleet) Drain(context.Context, string, bool) (empty, mustStay bool) {
+func (f *fleet) Drain(_ context.Context, worker string, drain bool) (empty, mustStay bool) {
+	f.c.Check(worker, qt.Not(qt.Equals), "")
+	f.drained[worker] = drain
 	return time.Now().After(f.busyUntil), false
 }
 
@@ -131,3 +140,35 @@
 func TestOutdated(t *testing.T) {
 	runWave(t, 1, func(fl *fleet) { fl.outdated = true }, func(fl *fleet) { fl.c.Check(fl.completed, qt.IsFalse) })
 }
+
+// TestNoWorker checks that a machine without a worker gets its maintenance without a drain.
+func TestNoWorker(t *testing.T) {
+	runWave(t, 2, func(fl *fleet) { fl.noWorker, fl.busyUntil = "m1", time.Now().Add(3*time.Second) }, func(fl *fleet) { fl.c.Check(fl.completed, qt.IsTrue) })
+}
+
+// TestWithdrawnWave checks that workers get new runs again when their machines are taken
+// out of a wave, or the wave is withdrawn, before the maintenance.
+func TestWithdrawnWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(qt.New(t), 4)
+		fl.busyUntil = time.Now().Add(time.Hour)
+		var rules atomic.Pointer[yuccapaddle.Rules]
+		set := func(waves ...yuccapaddle.Wave) {
+			rules.Store(&yuccapaddle.Rules{Waves: waves})
+			time.Sleep(2 * time.Second)
+		}
+		m := maintainer.New(fl, fl, rules.Load, yuccapaddle.SystemClock{}, "h", 7, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return m.Run(ctx) })
+		set(yuccapaddle.Wave{Number: 1, Machines: machineNames, DurationS: 1000, MaxDown: 4})
+		fl.c.Check(fl.drained, qt.DeepEquals, map[string]bool{"sm0": true, "sm1": true, "sm2": true, "sm3": true})
+		set(yuccapaddle.Wave{Number: 1, Machines: machineNames[2:], DurationS: 1000, MaxDown: 4})
+		fl.c.Check(fl.drained, qt.DeepEquals, map[string]bool{"sm0": false, "sm1": false, "sm2": true, "sm3": true})
+		set()
+		fl.c.Check(fl.drained, qt.DeepEquals, map[string]bool{"sm0": false, "sm1": false, "sm2": false, "sm3": false})
+		cancel()
+		fl.c.Check(g.Wait(), qt.IsNil)
+		fl.c.Check(fl.maintained, qt.HasLen, 0)
+	})
+}
