--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -141,7 +141,7 @@
 		if r.current.CompareAndSwap(old, next) {
 			changed := make(chan struct{})
 			close(*r.changed.Swap(&changed))
-			r.logChange(next.rules, source)
+			r.logChange(next, source)
 			return
 		}
 	}
@@ -156,9 +156,10 @@
 	return rules.Revision > old.Revision
 }
 
-func (r *RuleKeeper) logChange(rules *yuccapaddle.Rules, source string) {
+func (r *RuleKeeper) logChange(s *snapshot, source string) {
+	rules := s.rules
 	r.log.Info("rules in force", zap.Int64("version", rules.Version), zap.Uint64("revision", rules.Revision),
-		zap.Int("closed", len(rules.Closed)), zap.String("source", source))
+		zap.Int("closed", len(rules.Closed)), zap.Int("bytes", len(s.data)), zap.String("source", source))
 	if len(rules.Unreadable) > 0 {
 		r.log.Warn("parts of the rules cannot be read and are left out", zap.Strings("keys", rules.Unreadable))
 	}
