--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -12,6 +12,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
+	"yuccapaddle/internal/awaiter"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -32,11 +33,16 @@
 	// maxPollBytesPerSecond makes the active host read large rules less often, since hosts
 	// may have slow links.
 	maxPollBytesPerSecond = 16_000
-	readTimeout           = 600 * time.Millisecond
+	// readTimeout bounds the silence of a read, not the whole of it: rules may be large,
+	// and links slow.
+	readTimeout = 600 * time.Millisecond
 	// shortReadTimeout and retryInterval apply while the rules cannot be read and the host
 	// needs them to place tasks.
 	shortReadTimeout = 250 * time.Millisecond
 	retryInterval    = 100 * time.Millisecond
+	// readFraction bounds a whole read, as a fraction of the time within which a change
+	// must be in force: rules that come late are better than none.
+	readFraction = 4
 )
 
 // RuleKeeper holds the rules in force. It is safe for concurrent use, except for Run.
@@ -47,6 +53,7 @@
 	current       atomic.Pointer[snapshot]
 	confirmedAt   atomic.Int64 // Unix nanoseconds of the steady clock
 	unreadable    bool         // the last read by Run failed
+	arrived       int64        // bytes of the last read
 	attempts      *attempter.Attempter
 	changed       atomic.Pointer[chan struct{}] // closed when other rules come into force
 	applyWithinMS int64                         // in milliseconds
@@ -169,11 +176,8 @@
 // older than those in force confirm nothing, and are an error. It must not be
 // called while Run runs.
 func (r *RuleKeeper) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.attempts.Timeout())
-	defer cancel()
 	at := r.clock.Now()
-	data, err := r.ruleSource.Read(ctx)
-	r.attempts.Note(err == nil, r.clock.Now().Sub(at))
+	data, err := r.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -189,6 +193,16 @@
 	return nil
 }
 
+// read reads the rules once.
+func (r *RuleKeeper) read(ctx context.Context) ([]byte, error) {
+	ctx, wait := awaiter.New(ctx, r.attempts.Timeout(), r.applyTime(readFraction))
+	defer wait.Stop()
+	data, err := r.ruleSource.Read(ctx)
+	r.arrived = wait.Bytes()
+	r.attempts.Note(err == nil, wait.Longest())
+	return data, err
+}
+
 // Fresh reports whether the rules in force were read recently enough for this host to
 // confirm them to others.
 func (r *RuleKeeper) Fresh() bool {
@@ -216,9 +230,10 @@
 	for {
 		pause := idlePollInterval
 		if wanted() {
+			start := r.clock.Now()
 			err := r.Refresh(ctx)
 			r.logReadResult(err)
-			pause = r.pause(active(), err)
+			pause = r.pause(active(), err, r.clock.Now().Sub(start))
 		}
 		if sleeper.Sleep(ctx, pause) != nil {
 			return nil
@@ -226,10 +241,15 @@
 	}
 }
 
-// pause returns the time until the next read after one that ended with err.
-func (r *RuleKeeper) pause(active bool, err error) time.Duration {
+// pause returns the time until the next read after one that took some time and ended with
+// err.
+func (r *RuleKeeper) pause(active bool, err error, took time.Duration) time.Duration {
 	pause := r.applyTime(pollFraction)
 	switch {
+	case err != nil && r.arrived > 0 && active:
+		return max(retryInterval, took) // the next one begins anew, so leave the link to others
+	case err != nil && r.arrived > 0:
+		return max(pause, took)
 	case !active:
 		return pause
 	case err != nil:
@@ -242,7 +262,7 @@
 
 func (r *RuleKeeper) logReadResult(err error) {
 	if err != nil && !r.unreadable {
-		r.log.Warn("the rules cannot be read", zap.Error(err))
+		r.log.Warn("the rules cannot be read", zap.Int64("arrived", r.arrived), zap.Error(err))
 	}
 	if err == nil && r.unreadable {
 		r.log.Info("the rules can be read again")
