rulekeeper: end a read that has become needless

On a slow link that read goes on for a second or more while the heartbeats, which carry the same rules, wait behind it.

It counts neither as a failure nor for the latency.

--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,10 @@
 	readFraction = 4
 )
 
+// errConfirmed ends a read that has become needless: another host has confirmed the rules
+// in force.
+var errConfirmed = errors.New("the rules in force were confirmed meanwhile")
+
 // RuleKeeper holds the rules in force. It is safe for concurrent use, except for Run.
 type RuleKeeper struct {
 	ruleSource    yuccapaddle.RuleSource
@@ -55,8 +60,9 @@
 	unreadable    bool         // the last read by Run failed
 	arrived       int64        // bytes of the last read
 	attempts      *attempter.Attempter
-	changed       atomic.Pointer[chan struct{}] // closed when other rules come into force
-	applyWithinMS int64                         // in milliseconds
+	changed       atomic.Pointer[chan struct{}]           // closed when other rules come into force
+	endRead       atomic.Pointer[context.CancelCauseFunc] // ends the read in progress, nil if there is none
+	applyWithinMS int64                                   // in milliseconds
 }
 
 // snapshot is one version of the rules, with the bytes that it was decoded from.
@@ -116,8 +122,16 @@
 	return time.Unix(0, r.confirmedAt.Load())
 }
 
-// Confirm records that the rules in force were the latest ones at the given time.
+// Confirm records that the rules in force were the latest ones at the given time. A read
+// in progress ends if they need not be read for some time.
 func (r *RuleKeeper) Confirm(at time.Time) {
+	r.confirm(at)
+	if end := r.endRead.Load(); end != nil && !r.Stale() {
+		(*end)(errConfirmed)
+	}
+}
+
+func (r *RuleKeeper) confirm(at time.Time) {
 	ns := at.UnixNano()
 	for {
 		old := r.confirmedAt.Load()
@@ -189,16 +203,23 @@
 	if current := r.Current(); current.Digest != rules.Digest {
 		return fmt.Errorf("read version %d of the rules, older than version %d in force", rules.Version, current.Version)
 	}
-	r.Confirm(at)
+	r.confirm(at)
 	return nil
 }
 
-// read reads the rules once.
+// read reads the rules once. The error matches errConfirmed if that became needless.
 func (r *RuleKeeper) read(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	ctx, wait := awaiter.New(ctx, r.attempts.Timeout(), r.applyTime(readFraction))
 	defer wait.Stop()
+	r.endRead.Store(&cancel)
+	defer r.endRead.Store(nil)
 	data, err := r.ruleSource.Read(ctx)
 	r.arrived = wait.Bytes()
+	if err != nil && errors.Is(context.Cause(ctx), errConfirmed) {
+		return nil, errConfirmed
+	}
 	r.attempts.Note(err == nil, wait.Longest())
 	return data, err
 }
@@ -246,6 +267,8 @@
 func (r *RuleKeeper) pause(active bool, err error, took time.Duration) time.Duration {
 	pause := r.applyTime(pollFraction)
 	switch {
+	case errors.Is(err, errConfirmed):
+		return idlePollInterval
 	case err != nil && r.arrived > 0 && active:
 		return max(retryInterval, took) // the next one begins anew, so leave the link to others
 	case err != nil && r.arrived > 0:
@@ -261,6 +284,9 @@
 }
 
 func (r *RuleKeeper) logReadResult(err error) {
+	if errors.Is(err, errConfirmed) {
+		return
+	}
 	if err != nil && !r.unreadable {
 		r.log.Warn("the rules cannot be read", zap.Int64("arrived", r.arrived), zap.Error(err))
 	}
--- a/internal/rulekeeper/slow_test.go
+++ b/internal/rulekeeper/slow_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/awaiter"
@@ -88,3 +90,26 @@
 		})
 	}
 }
+
+// TestNeedlessReadEnds: a host that begins to read the rules itself, since nobody has
+// confirmed them for a while, stops once the active host does.
+func TestNeedlessReadEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, source := qt.New(t), &slowRules{arriving: 5 * time.Second}
+		core, logs := observer.New(zap.InfoLevel)
+		r := rulekeeper.New(source, 2500, yuccapaddle.SystemClock{}, zap.New(core))
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return r.Run(ctx, r.Stale, func() bool { return false }) })
+		time.Sleep(time.Second)
+		c.Assert(r.Offer([]byte("4"), "host"), qt.IsNil)
+		confirmed := time.Now()
+		r.Confirm(confirmed)
+		time.Sleep(600 * time.Millisecond)
+		cancel()
+		c.Assert(g.Wait(), qt.IsNil)
+		c.Assert(source.reads, qt.HasLen, 1)
+		c.Check(source.reads[0].to.Sub(confirmed) <= 20*time.Millisecond, qt.IsTrue)
+		c.Check(logs.FilterMessage("the rules cannot be read").Len(), qt.Equals, 0)
+	})
+}
