executor: bound reads of the registrations by silence

On a slow link the list of some thousand workers takes longer than 0.6 s, the timeout of the whole read. It was begun anew again and again, no task was placed, and the link was full.

After one that has used the link in vain the host leaves the link alone for as long. `registrations` tells how many bytes had arrived.

A read may take long now, so a takeover no longer waits for the first one to end, only for the time after which a silent one would. It goes on, and its result is the loop's next event: the read is not begun anew. What had come is applied before any submission.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -189,11 +189,15 @@
 	return e.stopErr
 }
 
-func (e *Executor) handleQueuedEvents() {
+func (e *Executor) handleEvents() {
 	for range len(e.events) {
 		f := <-e.events
 		f()
 	}
+}
+
+func (e *Executor) handleQueuedEvents() {
+	e.handleEvents()
 	for range len(e.submissions) {
 		e.handleSubmission(<-e.submissions)
 	}
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
-	"yuccapaddle/internal/attempter"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -22,21 +21,14 @@
 	loadPollInterval = 50 * time.Millisecond
 )
 
-// loaded is what this host reads before its first decision.
-type loaded struct {
-	records  []yuccapaddle.StoredJob
-	registry registryRead
-	readable bool // the registrations have been read
-}
-
 // load reads the job records and the registrations, at the same time, until it has the
 // records. Submissions that arrive meanwhile wait, and are refused if that takes long.
 func (e *Executor) load() error {
-	results := make(chan loaded, 1)
+	results := make(chan []yuccapaddle.StoredJob, 1)
 	e.group.Go("load", func() error {
-		l, err := e.read()
+		records, err := e.read()
 		if err == nil {
-			results <- l
+			results <- records
 		}
 		return err
 	})
@@ -51,54 +43,61 @@
 		case <-ticker.C:
 			e.readClock()
 			e.refuseOverdue()
-		case l := <-results:
+		case records := <-results:
 			e.readClock()
-			e.restore(&l)
+			e.restore(records)
+			e.handleEvents() // the registrations, before any submission
 			e.restored.Store(true)
-			e.group.Go("registrations", e.pollRegistry)
 			return nil
 		}
 	}
 }
 
-// read reads the job records and the registrations. It repeats the read of the records
-// until it succeeds or the context ends.
-func (e *Executor) read() (loaded, error) {
-	var l loaded
-	registryDone := make(chan struct{})
-	e.group.Go("first registrations", func() error {
-		defer close(registryDone)
-		var err error
-		l.registry, err = e.readRegistry(attempter.New(registryTimeout, shortRegistryTimeout))
-		l.readable = err == nil
-		return nil
-	})
+// read reads the job records. It repeats the read until it succeeds or the context ends.
+// Meanwhile the registrations are read, and wait among the events until the loop begins:
+// the planner needs the workers for its first decision. read waits for them as long as for
+// those of a service that is silent, since the records let it keep what runs.
+func (e *Executor) read() ([]yuccapaddle.StoredJob, error) {
+	first := make(chan struct{})
+	e.group.Go("registrations", func() error { return e.pollRegistry(first) })
+	enough := time.NewTimer(registryTimeout)
+	defer enough.Stop()
+	records, err := e.readRecords()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-first:
+	case <-enough.C:
+	case <-e.ctx.Done():
+	}
+	return records, nil
+}
+
+func (e *Executor) readRecords() ([]yuccapaddle.StoredJob, error) {
 	for {
 		ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
 		records, err := e.rec.Load(ctx)
 		cancel()
 		if err == nil {
-			l.records = records
-			break
+			return records, nil
 		}
 		if errors.Is(err, yuccapaddle.ErrInvalid) {
-			return loaded{}, fmt.Errorf("load the job records: %w", err)
+			return nil, fmt.Errorf("load the job records: %w", err)
 		}
 		e.log.Info("cannot load the job records yet", zap.Error(err))
 		if sleeper.Sleep(e.ctx, loadRetryInterval) != nil {
-			return loaded{}, e.ctx.Err()
+			return nil, e.ctx.Err()
 		}
 	}
-	<-registryDone
-	return l, nil
 }
 
 // restore gives the planner what was read, and follows the workers on which runs of the
 // former host may be in progress.
-func (e *Executor) restore(l *loaded) {
+func (e *Executor) restore(records []yuccapaddle.StoredJob) {
 	n := 0
-	for i := range l.records {
-		r := &l.records[i]
+	for i := range records {
+		r := &records[i]
 		if err := e.plan.Restore(r.Job, r.State, r.Parts); err != nil {
 			e.log.Error("skipping a job record that cannot be restored", zap.Error(err))
 			continue
@@ -111,9 +110,6 @@
 	for _, id := range e.plan.BusyWorkers() {
 		e.link(id) // its leases have to be tracked even if it never registers again
 	}
-	if l.readable {
-		e.applyRegistry(&l.registry) // the planner needs the workers for its first decision
-	}
 	e.log.Info("jobs loaded", zap.Int("jobs", n), zap.Uint64("epoch", e.rec.Epoch()),
 		zap.Int64("took_ms", e.now.Sub(e.startedAt).Milliseconds()))
 }
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -1,44 +1,62 @@
 package executor
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
+	"yuccapaddle/internal/awaiter"
 	"yuccapaddle/internal/sleeper"
 )
 
 const (
+	// registryTimeout bounds the silence of a read of the registrations, which may be a
+	// long list.
 	registryTimeout = 600 * time.Millisecond
 	// shortRegistryTimeout and registryRetryInterval apply while the registrations cannot
 	// be read: no task is placed until they are.
 	shortRegistryTimeout  = 250 * time.Millisecond
 	registryRetryInterval = 100 * time.Millisecond
+	// registryFraction bounds a whole read, as a fraction of Bounds.LeaveWithinMS.
+	registryFraction = 4
 )
 
-// pollRegistry reads the registrations until the context ends.
-func (e *Executor) pollRegistry() error {
+// pollRegistry reads the registrations until the context ends. It closes first after the
+// first attempt.
+func (e *Executor) pollRegistry(first chan<- struct{}) error {
 	attempts := attempter.New(registryTimeout, shortRegistryTimeout)
 	for {
-		pause := e.leaveTime(pollFraction)
 		read, err := e.readRegistry(attempts)
-		if err != nil {
-			pause = registryRetryInterval
-		} else {
+		if err == nil {
 			e.post(func() { e.applyRegistry(&read) })
 		}
-		if sleeper.Sleep(e.ctx, pause) != nil {
+		if first != nil {
+			close(first)
+			first = nil
+		}
+		if sleeper.Sleep(e.ctx, e.registryPause(&read, err)) != nil {
 			return e.ctx.Err()
 		}
 	}
 }
 
+// registryPause returns the time until the next read after one that ended with err.
+func (e *Executor) registryPause(read *registryRead, err error) time.Duration {
+	switch {
+	case err == nil:
+		return e.leaveTime(pollFraction)
+	case read.bytes > 0: // the next one begins anew, so leave the link to others
+		return max(registryRetryInterval, read.arrivedAt.Sub(read.sentAt))
+	}
+	return registryRetryInterval
+}
+
 // registryRead is the result of reading the registrations.
 type registryRead struct {
 	workers []yuccapaddle.Worker
+	bytes   int64 // that have arrived
 	// sentAt is the time before the call: the list is at least as new. arrivedAt is the
 	// time after it: the workers' clocks were read by then.
 	sentAt, arrivedAt time.Time
@@ -47,16 +65,16 @@
 // readRegistry reads the registrations once.
 func (e *Executor) readRegistry(attempts *attempter.Attempter) (registryRead, error) {
 	r := registryRead{sentAt: e.clock.Now()}
-	ctx, cancel := context.WithTimeout(e.ctx, attempts.Timeout())
-	defer cancel()
+	ctx, wait := awaiter.New(e.ctx, attempts.Timeout(), e.leaveTime(registryFraction))
+	defer wait.Stop()
 	var err error
 	r.workers, err = e.registry.Workers(ctx)
-	r.arrivedAt = e.clock.Now()
-	attempts.Note(err == nil, r.arrivedAt.Sub(r.sentAt))
+	r.arrivedAt, r.bytes = e.clock.Now(), wait.Bytes()
+	attempts.Note(err == nil, wait.Longest())
 	e.meter.Observe("registrations", outcomeLabel(err), r.arrivedAt.Sub(r.sentAt))
 	if (err != nil) != e.registryDown {
 		e.registryDown = err != nil
-		e.log.Info("registrations", zap.Bool("readable", !e.registryDown), zap.Error(err))
+		e.log.Info("registrations", zap.Bool("readable", !e.registryDown), zap.Int64("arrived", r.bytes), zap.Error(err))
 	}
 	return r, err
 }
