recorder: read job records for as long as they arrive

A host that takes over had 4 s for all pages of the records, and began with the first byte after that: with more records than its link carries in 4 s it never became able to work, and submissions were refused.

Each of the three lists ends after 1.5 s in which nothing arrives, and after 30 s in any case. A list that fails ends no other, and one that was read is not read again: since the claim no other host has written records, and the head that each commit expects stops late copies. A silent store is noticed after 1.5 s in place of 4 s.

--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -13,8 +12,6 @@
 )
 
 const (
-	// loadTimeout bounds one attempt to read all job records, which may be many pages.
-	loadTimeout       = 4 * time.Second
 	loadRetryInterval = 100 * time.Millisecond
 	// loadPollInterval is the time between two looks for submissions that have waited too
 	// long for the job records.
@@ -76,9 +73,7 @@
 
 func (e *Executor) readRecords() ([]yuccapaddle.StoredJob, error) {
 	for {
-		ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
-		records, err := e.rec.Load(ctx)
-		cancel()
+		records, err := e.rec.Load(e.ctx)
 		if err == nil {
 			return records, nil
 		}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -17,6 +17,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
+	"yuccapaddle/internal/awaiter"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -38,6 +39,11 @@
 	shortCallTimeout = 150 * time.Millisecond
 	minBackoff       = 20 * time.Millisecond
 	maxBackoff       = 100 * time.Millisecond
+	// loadSilence is how long a list of records may bring nothing until its read ends, and
+	// loadTimeout bounds the whole read. It is long, since the records may be many and the
+	// link slow; without them the host cannot be active.
+	loadSilence = 1500 * time.Millisecond
+	loadTimeout = 30 * time.Second
 )
 
 // head is the value of the head key. It names the writer of the records; Epoch rises
@@ -69,6 +75,7 @@
 	revision uint64 // of the head
 	count    uint64 // of the latest transaction, whether it was applied or not
 	attempts *attempter.Attempter
+	loaded   map[string][]yuccapaddle.Entry // lists of records that Load has read, by prefix
 }
 
 // Claim makes this host the writer of the records, and sets the lock in the same
@@ -130,23 +137,49 @@
 }
 
 // Load reads all jobs that have a state. A job without one is incomplete, since the state
-// is saved last.
+// is saved last. A list that was read is not read again if Load is called again after an
+// error: since the claim no other host has written records, and this one does so only
+// after a Load.
 func (r *Recorder) Load(ctx context.Context) ([]yuccapaddle.StoredJob, error) {
-	var jobs, states, parts []yuccapaddle.Entry
-	g, ctx := errgroup.WithContext(ctx)
-	for prefix, list := range map[string]*[]yuccapaddle.Entry{jobPrefix: &jobs, statePrefix: &states, partPrefix: &parts} {
+	prefixes := []string{jobPrefix, statePrefix, partPrefix}
+	lists := make([][]yuccapaddle.Entry, len(prefixes))
+	var g errgroup.Group // without a context: a list goes on if another fails
+	for i, prefix := range prefixes {
+		if list, ok := r.loaded[prefix]; ok {
+			lists[i] = list
+			continue
+		}
 		g.Go(func() error {
 			var err error
-			if *list, _, err = r.ledger.List(ctx, prefix); err != nil {
-				return fmt.Errorf("read the records under %s: %w", prefix, err)
-			}
-			return nil
+			lists[i], err = r.list(ctx, prefix)
+			return err
 		})
 	}
 	if err := g.Wait(); err != nil {
+		r.loaded = map[string][]yuccapaddle.Entry{}
+		for i, prefix := range prefixes {
+			if lists[i] != nil {
+				r.loaded[prefix] = lists[i]
+			}
+		}
 		return nil, err
 	}
-	return join(jobs, states, parts), nil
+	r.loaded = nil
+	return join(lists[0], lists[1], lists[2]), nil
+}
+
+// list reads the records under a prefix. The list is not nil unless there is an error.
+func (r *Recorder) list(ctx context.Context, prefix string) ([]yuccapaddle.Entry, error) {
+	ctx, wait := awaiter.New(ctx, loadSilence, loadTimeout)
+	defer wait.Stop()
+	list, _, err := r.ledger.List(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("read the records under %s: %w", prefix, err)
+	}
+	if list == nil {
+		list = []yuccapaddle.Entry{}
+	}
+	return list, nil
 }
 
 // join puts the records of each job together.
@@ -174,6 +207,7 @@
 // them. It retries until all are committed, the context ends, the ledger finds the call
 // invalid, or another host has become the writer (ErrReplaced).
 func (r *Recorder) Save(ctx context.Context, records, removed []yuccapaddle.JobRecord) error {
+	r.loaded = nil // they are about to change
 	groups, remove := make([][]yuccapaddle.Change, len(records)), recordKeys(removed)
 	for i := range records {
 		groups[i] = recordChanges(&records[i])
