recorder: let large commits be sent

Found by reading, not seen in a deployment. A commit had 0.7 s at most for its request and the reply. A job of some hundred kilobytes (a request of up to 1 MiB is taken in) needs longer on a link of 10 Mbit/s that is in use. The commit would be begun anew for ever, and as commits form a chain no other could follow. A batch of 160 kB could waste its first attempt of 0.15 s.

The time in which the request is sent at 1 MB/s is added to the timeout: 5 ms for 5 kB. Attempts with the full timeout take half of that rate after three attempts, and so on to an eighth. How much of a request has left cannot be seen, since the system buffers it; so the silence of the other side cannot be measured as for responses.

TestLargeCommit (600 kB at 300 kB/s) failed on the code before: unknown after a minute of attempts. TestAnswerLost and the tests of an outage are unchanged.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,6 +40,11 @@
 	shortCallTimeout = 150 * time.Millisecond
 	minBackoff       = 20 * time.Millisecond
 	maxBackoff       = 100 * time.Millisecond
+	// transferBytesPerSecond is what a link is taken to carry. For attempts with the full
+	// timeout it is halved after each attemptsPerHalving, up to maxHalvings times.
+	transferBytesPerSecond = 1_000_000
+	attemptsPerHalving     = 3
+	maxHalvings            = 3
 	// loadSilence is how long a list of records may bring nothing until its read ends, and
 	// loadTimeout bounds the whole read. It is long, since the records may be many and the
 	// link slow; without them the host cannot be active.
@@ -279,9 +285,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.count++
-	backoff := minBackoff
-	for {
-		err := r.attempt(ctx, t, r.attempts.Timeout())
+	backoff, transfer := minBackoff, transferTime(&t)
+	for n := 0; ; n++ {
+		timeout := r.attempts.Timeout()
+		if timeout < callTimeout {
+			timeout += transfer
+		} else {
+			timeout += transfer << min(n/attemptsPerHalving, maxHalvings)
+		}
+		err := r.attempt(ctx, t, timeout)
 		if errors.Is(err, yuccapaddle.ErrUnknown) && r.appliedAfterAll(ctx) {
 			return nil
 		}
@@ -298,6 +310,17 @@
 	}
 }
 
+// transferTime returns how long a transaction takes to be sent, beside the time in which a
+// small one is answered: with the timeout of a small one, a large commit would be begun
+// anew for ever on a slow link, and no other could follow it.
+func transferTime(t *yuccapaddle.Transaction) time.Duration {
+	n := 0
+	for i := range t.Set {
+		n += base64.StdEncoding.EncodedLen(len(t.Set[i].Value))
+	}
+	return time.Duration(n) * time.Second / transferBytesPerSecond
+}
+
 // appliedAfterAll reads the head after an attempt without a reply, and reports whether the
 // present transaction was applied. A ledger that loses the replies of commits may answer
 // reads all the same, which is sooner than to repeat the commit until its reply arrives.
