maintainer: bound the list of machines by silence

Found by reading. The list of all machines had 0.7 s for all of its pages: some 3,000 machines take longer at 10 Mbit/s, and no wave would advance. It ends now when nothing arrives for 0.7 s, and after 10 s.

TestLongList (1.5 s) failed on the code before: the wave was not completed.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -11,12 +11,16 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/awaiter"
 	"yuccapaddle/internal/sleeper"
 )
 
 const (
 	checkInterval = 400 * time.Millisecond
 	callTimeout   = 700 * time.Millisecond
+	// listTimeout bounds the read of the list of machines as long as it arrives; it ends
+	// when nothing has arrived for callTimeout.
+	listTimeout = 10 * time.Second
 	// drainFraction is the fraction of a machine's share of the wave's time that it may
 	// wait until nothing runs on it.
 	drainFraction = 0.8
@@ -77,9 +81,9 @@
 	if len(waves) == 0 {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, wait := awaiter.New(ctx, callTimeout, listTimeout)
 	machines, err := m.fleet.Machines(callCtx)
-	cancel()
+	wait.Stop()
 	if err != nil {
 		return err
 	}
