router: an unknown outcome is not also "not accepted"

Cause: the outcome was unknown, since the former host had committed the job without an answer. The caller's time ended while the next host loaded the records, so the last attempt was withdrawn, "not accepted". The error of the request wrapped both ErrUnknown and that of the last attempt, and so matched ErrNotAccepted, which is judged first.

The error of an unknown outcome keeps the text of the last attempt, but matches ErrUnknown alone. TestFailure failed with the error wrapped as before.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -1,6 +1,11 @@
 package router
 
-import "yuccapaddle/internal/peer"
+import (
+	"fmt"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/peer"
+)
 
 // attempt is the result of one attempt to have a request carried out.
 type attempt struct {
@@ -38,3 +43,13 @@
 func (t *attempts) notExecuted() bool {
 	return !t.unknown
 }
+
+// failure returns the error of a request whose last attempt ended with err. It matches
+// ErrNotAccepted if certainly no attempt was carried out. Otherwise it matches ErrUnknown
+// and nothing else: err may say that the last attempt was not accepted.
+func (t *attempts) failure(err error) error {
+	if t.notExecuted() {
+		return fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, err)
+	}
+	return fmt.Errorf("%w: %v", yuccapaddle.ErrUnknown, err)
+}
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"errors"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
 )
 
 // TestAttempts checks when a request that failed counts as not carried out.
@@ -33,3 +36,25 @@
 		})
 	}
 }
+
+// TestFailure checks that a request of which an earlier attempt may have been carried out
+// does not count as not accepted, or as refused for want of workers, because the last
+// attempt was. Found by a day with a slow store, region-slow-store of abrazo-norte, seed
+// 42886645700: a job that a former host had accepted was answered with 503 while its
+// successor loaded the records.
+func TestFailure(t *testing.T) {
+	for _, last := range []error{yuccapaddle.ErrNotAccepted, &yuccapaddle.InfeasibleError{Reason: "for more room"}} {
+		c := qt.New(t)
+		var tried attempts
+		tried.add(&attempt{maybeExecuted: true, epoch: 1})
+		tried.add(&attempt{err: last, epoch: 2})
+		err := tried.failure(last)
+		c.Check(err, qt.ErrorIs, yuccapaddle.ErrUnknown)
+		c.Check(errors.Is(err, last), qt.IsFalse)
+		c.Check(errors.Is(err, yuccapaddle.ErrNotAccepted), qt.IsFalse)
+		tried = attempts{}
+		tried.add(&attempt{err: last, epoch: 2})
+		c.Check(tried.failure(last), qt.ErrorIs, yuccapaddle.ErrNotAccepted)
+		c.Check(tried.failure(last), qt.ErrorIs, last)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,15 +126,11 @@
 		}
 		tried.add(&a)
 		if tried.notExecuted() && (isRefusal(a.err) || time.Now().After(deadline)) {
-			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, a.err)
+			return nil, tried.failure(a.err)
 		}
-		if sleeper.Sleep(ctx, retryInterval) == nil {
-			continue
+		if sleeper.Sleep(ctx, retryInterval) != nil {
+			return nil, tried.failure(a.err)
 		}
-		if tried.notExecuted() {
-			return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrNotAccepted, a.err)
-		}
-		return nil, fmt.Errorf("%w: %w", yuccapaddle.ErrUnknown, a.err)
 	}
 }
 
