--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
+	"yuccapaddle/internal/awaiter"
 	"yuccapaddle/internal/sleeper"
 )
 
@@ -32,13 +34,22 @@
 	// maxPollBytesPerSecond makes the active host read large rules less often, since hosts
 	// may have slow links.
 	maxPollBytesPerSecond = 16_000
-	readTimeout           = 600 * time.Millisecond
+	// readTimeout bounds the silence of a read, not the whole of it: rules may be large,
+	// and links slow.
+	readTimeout = 600 * time.Millisecond
 	// shortReadTimeout and retryInterval apply while the rules cannot be read and the host
 	// needs them to place tasks.
 	shortReadTimeout = 250 * time.Millisecond
 	retryInterval    = 100 * time.Millisecond
+	// readFraction bounds a whole read, as a fraction of the time within which a change
+	// must be in force: rules that come late are better than none.
+	readFraction = 4
 )
 
+// errConfirmed ends a read that has become needless: another host has confirmed the rules
+// in force.
+var errConfirmed = errors.New("the rules in force were confirmed meanwhile")
+
 // RuleKeeper holds the rules in force. It is safe for concurrent use, except for Run.
 type RuleKeeper struct {
 	ruleSource    yuccapaddle.RuleSource
@@ -47,9 +58,11 @@
 	current       atomic.Pointer[snapshot]
 	confirmedAt   atomic.Int64 // Unix nanoseconds of the steady clock
 	unreadable    bool         // the last read by Run failed
+	arrived       int64        // bytes of the last read
 	attempts      *attempter.Attempter
-	changed       atomic.Pointer[chan struct{}] // closed when other rules come into force
-	applyWithinMS int64                         // in milliseconds
+	changed       atomic.Pointer[chan struct{}]           // closed when other rules come into force
+	endRead       atomic.Pointer[context.CancelCauseFunc] // ends the read in progress, nil if there is none
+	applyWithinMS int64                                   // in milliseconds
 }
 
 // snapshot is one version of the rules, with the bytes that it was decoded from.
@@ -109,8 +122,16 @@
 	return time.Unix(0, r.confirmedAt.Load())
 }
 
-// Confirm records that the rules in force were the latest ones at the given time.
+// Confirm records that the rules in force were the latest ones at the given time. A read
+// in progress ends if they need not be read for some time.
 func (r *RuleKeeper) Confirm(at time.Time) {
+	r.confirm(at)
+	if end := r.endRead.Load(); end != nil && !r.Stale() {
+		(*end)(errConfirmed)
+	}
+}
+
+func (r *RuleKeeper) confirm(at time.Time) {
 	ns := at.UnixNano()
 	for {
 		old := r.confirmedAt.Load()
@@ -141,7 +162,7 @@
 		if r.current.CompareAndSwap(old, next) {
 			changed := make(chan struct{})
 			close(*r.changed.Swap(&changed))
-			r.logChange(next.rules, source)
+			r.logChange(next, source)
 			return
 		}
 	}
@@ -156,9 +177,10 @@
 	return rules.Revision > old.Revision
 }
 
-func (r *RuleKeeper) logChange(rules *yuccapaddle.Rules, source string) {
+func (r *RuleKeeper) logChange(s *snapshot, source string) {
+	rules := s.rules
 	r.log.Info("rules in force", zap.Int64("version", rules.Version), zap.Uint64("revision", rules.Revision),
-		zap.Int("closed", len(rules.Closed)), zap.String("source", source))
+		zap.Int("closed", len(rules.Closed)), zap.Int("bytes", len(s.data)), zap.String("source", source))
 	if len(rules.Unreadable) > 0 {
 		r.log.Warn("parts of the rules cannot be read and are left out", zap.Strings("keys", rules.Unreadable))
 	}
@@ -168,11 +190,8 @@
 // older than those in force confirm nothing, and are an error. It must not be
 // called while Run runs.
 func (r *RuleKeeper) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.attempts.Timeout())
-	defer cancel()
 	at := r.clock.Now()
-	data, err := r.ruleSource.Read(ctx)
-	r.attempts.Note(err == nil, r.clock.Now().Sub(at))
+	data, err := r.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -184,10 +203,27 @@
 	if current := r.Current(); current.Digest != rules.Digest {
 		return fmt.Errorf("read version %d of the rules, older than version %d in force", rules.Version, current.Version)
 	}
-	r.Confirm(at)
+	r.confirm(at)
 	return nil
 }
 
+// read reads the rules once. The error matches errConfirmed if that became needless.
+func (r *RuleKeeper) read(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, wait := awaiter.New(ctx, r.attempts.Timeout(), r.applyTime(readFraction))
+	defer wait.Stop()
+	r.endRead.Store(&cancel)
+	defer r.endRead.Store(nil)
+	data, err := r.ruleSource.Read(ctx)
+	r.arrived = wait.Bytes()
+	if err != nil && errors.Is(context.Cause(ctx), errConfirmed) {
+		return nil, errConfirmed
+	}
+	r.attempts.Note(err == nil, wait.Longest())
+	return data, err
+}
+
 // Fresh reports whether the rules in force were read recently enough for this host to
 // confirm them to others.
 func (r *RuleKeeper) Fresh() bool {
@@ -215,9 +251,10 @@
 	for {
 		pause := idlePollInterval
 		if wanted() {
+			start := r.clock.Now()
 			err := r.Refresh(ctx)
 			r.logReadResult(err)
-			pause = r.pause(active(), err)
+			pause = r.pause(active(), err, r.clock.Now().Sub(start))
 		}
 		if sleeper.Sleep(ctx, pause) != nil {
 			return nil
@@ -225,10 +262,17 @@
 	}
 }
 
-// pause returns the time until the next read after one that ended with err.
-func (r *RuleKeeper) pause(active bool, err error) time.Duration {
+// pause returns the time until the next read after one that took some time and ended with
+// err.
+func (r *RuleKeeper) pause(active bool, err error, took time.Duration) time.Duration {
 	pause := r.applyTime(pollFraction)
 	switch {
+	case errors.Is(err, errConfirmed):
+		return idlePollInterval
+	case err != nil && r.arrived > 0 && active:
+		return max(retryInterval, took) // the next one begins anew, so leave the link to others
+	case err != nil && r.arrived > 0:
+		return max(pause, took)
 	case !active:
 		return pause
 	case err != nil:
@@ -240,8 +284,11 @@
 }
 
 func (r *RuleKeeper) logReadResult(err error) {
+	if errors.Is(err, errConfirmed) {
+		return
+	}
 	if err != nil && !r.unreadable {
-		r.log.Warn("the rules cannot be read", zap.Error(err))
+		r.log.Warn("the rules cannot be read", zap.Int64("arrived", r.arrived), zap.Error(err))
 	}
 	if err == nil && r.unreadable {
 		r.log.Info("the rules can be read again")
