planner, executor: send no start above a capacity that has shrunk since

Callers would see tasks started on workers that are over their capacity, where they stand still or harm the others.

Cause: Startable looked at the worker and the run only. A start behind a commit that hung, a start sent again after one without an answer, and what a former host had placed went out on the capacity of the decision.

Change: right before a start is sent, the worker must hold it beside all runs that may be in progress there, by the registration known then; a gang's starts only if all its workers do. Members carry whether their start has been sent, so that as many go out as fit. What is held back is refused as unsent (over capacity), has not run, and is placed again in the next round.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -297,6 +297,7 @@
 		e.plan.HandleStartReply(st.Worker, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
 		return
 	}
+	e.plan.NoteStartSent(&st)
 	sentAt := e.now
 	o := yuccapaddle.StartOrder{
 		Task: st.Task, Run: st.Run, Payload: st.Payload, Checkpoint: st.Checkpoint, Ticket: st.Ticket, Once: st.Once,
--- /dev/null
+++ b/internal/planner/capacity.go
@@ -0,0 +1,60 @@
+package planner
+
+import "yuccapaddle"
+
+// Load pattern: the capacity of a worker shrinks and grows while it runs. Nothing is
+// stopped for that alone (docs/DESIGN.md), so a worker may be over its capacity; it gets no
+// new runs until it is within it again.
+
+// overCapacity reports whether the runs that may be in progress on the worker need more
+// than its capacity.
+func (w *worker) overCapacity() bool {
+	return !w.used.Fits(w.Capacity)
+}
+
+// fitsCapacity reports whether the start of an assignment on the worker keeps within the
+// capacities that are known now. For a gang it does only if the starts that the other
+// members may still need do as well.
+func (p *Planner) fitsCapacity(w *worker, x assignment) bool {
+	if !w.holds(x.u) {
+		return false
+	}
+	for i := range x.u.members {
+		m := &x.u.members[i]
+		if (m.unsent || m.adopted) && !m.ended && !p.worker(m.worker).holds(x.u) {
+			return false
+		}
+	}
+	return true
+}
+
+// holds reports whether the worker has the capacity for the unit's members there beside
+// the runs that may be in progress. Other runs whose start has not been sent do not count.
+func (w *worker) holds(u *unit) bool {
+	if !w.overCapacity() {
+		return true
+	}
+	occupied := yuccapaddle.Need{}
+	for _, x := range w.runs {
+		if x.u == u || !x.u.members[x.member].unsent {
+			occupied = occupied.Add(x.u.stepSpec().Room())
+		}
+	}
+	return occupied.Fits(w.Capacity)
+}
+
+// NoteStartSent records that a start is sent now: from then on the run may be in progress.
+func (p *Planner) NoteStartSent(st *yuccapaddle.RunStart) {
+	if x, ok := p.worker(st.Worker).runs[st.Task]; ok && x.u.run == st.Run {
+		x.u.members[x.member].unsent = false
+	}
+}
+
+// refusalDetail says why a start was refused, and for one that this host has not sent whether
+// that was for want of capacity.
+func (p *Planner) refusalDetail(w *worker, x assignment, reason yuccapaddle.Refusal) string {
+	if reason == yuccapaddle.RefusedUnsent && !p.fitsCapacity(w, x) {
+		return string(reason) + ": over capacity"
+	}
+	return string(reason)
+}
--- /dev/null
+++ b/internal/planner/capacity_test.go
@@ -0,0 +1,229 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/planner"
+)
+
+// fullCapacity is the capacity of a simulated worker before it changes.
+var fullCapacity = yuccapaddle.Need{CPU: workerCPU, Memory: 262144, GPU: gpus}
+
+// withGPUs returns fullCapacity with another number of accelerators.
+func withGPUs(n int) yuccapaddle.Need {
+	return yuccapaddle.Need{CPU: workerCPU, Memory: 262144, GPU: n}
+}
+
+// resize registers a worker with another capacity.
+func (sim *simulation) resize(id string, capacity yuccapaddle.Need) {
+	var list []yuccapaddle.Worker
+	for i := 0; ; i++ {
+		w, ok := sim.p.Worker(fmt.Sprintf("w%02d", i))
+		if !ok {
+			break
+		}
+		if w.ID == id {
+			w.Capacity = capacity
+		}
+		list = append(list, w)
+	}
+	sim.p.SetRegistrations(list)
+}
+
+// send treats starts as the executor does right before it sends them, and returns those
+// that are sent.
+func (sim *simulation) send(starts []yuccapaddle.RunStart) []yuccapaddle.RunStart {
+	var sent []yuccapaddle.RunStart
+	for _, s := range starts {
+		if !sim.p.Startable(&s) {
+			sim.p.HandleStartReply(s.Worker, s.Task, s.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
+			continue
+		}
+		sim.p.NoteStartSent(&s)
+		sent = append(sent, s)
+	}
+	return sent
+}
+
+// plan plans and returns the batch.
+func (sim *simulation) plan() yuccapaddle.Batch {
+	sim.p.SetTime(sim.now, sim.now)
+	sim.p.Plan()
+	return sim.p.TakeBatch()
+}
+
+// countByWorker counts starts by their worker.
+func countByWorker(starts []yuccapaddle.RunStart) map[string]int {
+	count := map[string]int{}
+	for _, s := range starts {
+		count[s.Worker]++
+	}
+	return count
+}
+
+// TestShrinkBeforeStart checks that a start is not sent if the worker has shrunk since it
+// was decided; that only as many are held back as it takes, and that they are placed
+// elsewhere at once, as runs that have certainly not started.
+func TestShrinkBeforeStart(t *testing.T) {
+	sim := newSimulation(t, 2)
+	for i := range 4 {
+		job := &yuccapaddle.Job{ID: fmt.Sprintf("b%d", i), Queue: queueBatch, Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: yuccapaddle.Need{GPU: 2}}}, Once: true}
+		sim.p.Submit(job)
+	}
+	starts := sim.plan().Starts
+	sim.c.Assert(countByWorker(starts), qt.DeepEquals, map[string]int{"w00": 4})
+	sim.resize("w00", withGPUs(5))
+	sent := sim.send(starts)
+	sim.c.Check(countByWorker(sent), qt.DeepEquals, map[string]int{"w00": 2})
+	for i := range 4 {
+		report, _, _ := sim.p.Report(fmt.Sprintf("b%d", i))
+		sim.c.Check(report.State.Final(), qt.IsFalse, qt.Commentf("%s", report.Reason))
+	}
+	sim.c.Check(countByWorker(sim.send(sim.plan().Starts)), qt.DeepEquals, map[string]int{"w01": 2})
+}
+
+// TestShrinkBeforeGang checks that no member of a gang is started if one of its workers has
+// shrunk since the decision, and that the gang is placed elsewhere at once.
+func TestShrinkBeforeGang(t *testing.T) {
+	sim := newSimulation(t, 4)
+	sim.submit("gang", queueBatch, yuccapaddle.Step{Count: 2, Need: yuccapaddle.Need{GPU: 8}, Gang: true})
+	starts := sim.plan().Starts
+	sim.c.Assert(starts, qt.HasLen, 2)
+	sim.resize(starts[1].Worker, withGPUs(7))
+	sim.c.Check(sim.send(starts), qt.HasLen, 0)
+	again := sim.send(sim.plan().Starts)
+	sim.c.Check(again, qt.HasLen, 2)
+	sim.c.Check(countByWorker(again)[starts[1].Worker], qt.Equals, 0)
+	report, _, _ := sim.p.Report("gang")
+	sim.c.Check(report.Runs, qt.Equals, 2)
+}
+
+// TestShrinkBeforeResend checks that an unanswered start is not sent again to a worker that
+// has shrunk: the first copy may be under way, so the run is stopped, and it is placed
+// elsewhere only when it is certainly over.
+func TestShrinkBeforeResend(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 8}})
+	first := sim.send(sim.plan().Starts)
+	sim.c.Assert(first, qt.HasLen, 1)
+	st := first[0]
+	sim.p.HandleStartReply(st.Worker, st.Task, st.Run, yuccapaddle.ErrNoAnswer)
+	sim.resize(st.Worker, withGPUs(7))
+	sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 0)
+	b := sim.plan()
+	sim.c.Check(b.Stops, qt.HasLen, 1)
+	sim.c.Check(b.Starts, qt.HasLen, 0, qt.Commentf("the first copy may still be carried out"))
+	sim.p.HandleStopConfirmed(st.Worker, st.Task, st.Run)
+	sim.p.HandlePollReply(st.Worker, &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+	again := sim.send(sim.plan().Starts)
+	sim.c.Assert(again, qt.HasLen, 1)
+	sim.c.Check(again[0].Worker, qt.Not(qt.Equals), st.Worker)
+}
+
+// TestShrunkAtTakeover checks that a host that has just become active starts nothing above
+// the capacities that it knows, whichever of records and registrations it reads first: run
+// "there" is in progress, the start of "unsent" may never have been sent.
+func TestShrunkAtTakeover(t *testing.T) {
+	for _, recordsFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint(recordsFirst), func(t *testing.T) {
+			sim := newSimulation(t, 2)
+			var list []yuccapaddle.Worker
+			for _, id := range []string{"w00", "w01"} {
+				w, _ := sim.p.Worker(id)
+				list = append(list, w)
+			}
+			list[0].Capacity = withGPUs(6)
+			rules := sim.p.Rules()
+			sim.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 3, Retention: time.Hour})
+			sim.p.SetTime(sim.now, sim.now)
+			sim.p.Configure(rules)
+			if !recordsFirst {
+				sim.p.SetRegistrations(list)
+			}
+			for id, part := range map[string]string{"there": `[{"r":1,"s":1,"m":[{"w":"w00"}]}]`, "unsent": `[{"r":1,"s":1,"m":[{"w":"w00"}]}]`} {
+				job := []byte(`{"id":"` + id + `","q":"batch","v":"svc","t":[{"n":1,"d":{"g":4}}]}`)
+				sim.c.Assert(sim.p.Restore(job, []byte(`{"s":"queued","o":1}`), [][]byte{[]byte(part)}), qt.IsNil)
+			}
+			if recordsFirst {
+				sim.p.SetRegistrations(list)
+			}
+			sim.submit("new", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}})
+			sim.c.Check(countByWorker(sim.send(sim.plan().Starts)), qt.DeepEquals, map[string]int{"w01": 1})
+			there := yuccapaddle.Run{Task: yuccapaddle.TaskID{Job: "there"}, Run: 1}
+			reply := &yuccapaddle.HoldReply{Incarnation: 1, Running: []yuccapaddle.Run{there}}
+			sim.p.HandlePollReply("w00", reply, sim.p.NextPoll())
+			sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 0)
+			sim.p.HandleStopConfirmed("w00", yuccapaddle.TaskID{Job: "unsent"}, 1)
+			sim.p.HandlePollReply("w00", reply, sim.p.NextPoll())
+			sim.c.Check(countByWorker(sim.send(sim.plan().Starts)), qt.DeepEquals, map[string]int{"w01": 1})
+		})
+	}
+}
+
+// TestShrunkGangAtTakeover checks that a host that has just become active sends no start of
+// a gang that is missing on one worker, if another of its workers has shrunk.
+func TestShrunkGangAtTakeover(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.resize("w01", withGPUs(6))
+	job := []byte(`{"id":"gang","q":"batch","v":"svc","t":[{"n":2,"d":{"g":8},"gang":true}]}`)
+	part := []byte(`[{"r":1,"s":1,"m":[{"w":"w00"},{"w":"w01"}]}]`)
+	sim.c.Assert(sim.p.Restore(job, []byte(`{"s":"queued","o":1}`), [][]byte{part}), qt.IsNil)
+	for _, id := range []string{"w00", "w01"} {
+		sim.p.HandlePollReply(id, &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+		sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 0)
+	}
+}
+
+// TestGrowthPlacesAtOnce checks that waiting work is placed as soon as the capacity has
+// grown, also if the worker has shrunk and grown since the planner last decided.
+func TestGrowthPlacesAtOnce(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.resize("w00", withGPUs(2))
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 4}})
+	sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 0)
+	sim.resize("w00", withGPUs(4))
+	sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 1)
+	sim.submit("b2", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 4}})
+	sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 0)
+	sim.resize("w00", withGPUs(0))
+	sim.resize("w00", withGPUs(8))
+	sim.c.Check(sim.send(sim.plan().Starts), qt.HasLen, 1)
+}
+
+// TestNothingStoppedForShrink checks that tasks which make progress are not stopped since
+// their worker's capacity has shrunk, and that they hold their room.
+func TestNothingStoppedForShrink(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 8, Need: oneGPUTask, Estimate: 5000})
+	sim.advance(time.Second)
+	sim.resize("w00", withGPUs(2))
+	sim.advance(5 * time.Second)
+	report, _, _ := sim.p.Report("b")
+	sim.c.Check(report, qt.DeepEquals, yuccapaddle.JobReport{State: yuccapaddle.JobCompleted, MayHaveRun: true, Runs: 1})
+	sim.c.Check(sim.stoppedSeconds, qt.Equals, 0.0)
+}
+
+// TestNoCapacityLeft checks that the reserve and the placing go on when all workers have
+// shrunk to nothing, and that the work is done when they have grown again.
+func TestNoCapacityLeft(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.submit("u", queueQuick, yuccapaddle.Step{Count: 8, Need: oneGPUTask, Estimate: 500})
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 8, Need: oneGPUTask, Estimate: 500})
+	sim.advance(100 * time.Millisecond)
+	sim.resize("w00", yuccapaddle.Need{})
+	sim.resize("w01", yuccapaddle.Need{})
+	sim.submit("b2", queueBatch, yuccapaddle.Step{Count: 2, Need: oneGPUTask, Estimate: 500, Gang: true, OneRack: true})
+	sim.advance(time.Second)
+	sim.c.Check(sim.runs, qt.HasLen, 0)
+	sim.resize("w00", fullCapacity)
+	sim.advance(time.Second)
+	for _, id := range []string{"u", "b", "b2"} {
+		report, _, _ := sim.p.Report(id)
+		sim.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
+	}
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -72,6 +72,7 @@
 	reported      bool      // a poll has listed it as running
 	pace          int       // percentage of full speed at which it may work
 	adopted       bool      // placed by a former host, and not reported to this one yet
+	unsent        bool      // its start has not been sent, by a former host neither
 }
 
 func newJob(spec *yuccapaddle.Job) *job {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -276,7 +276,7 @@
 	u.members = make([]member, len(workers))
 	for i, id := range workers {
 		w := p.workers[id]
-		u.members[i] = member{worker: id, progressAt: p.now, pace: fullPace}
+		u.members[i] = member{worker: id, progressAt: p.now, pace: fullPace, unsent: true}
 		w.addRun(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.startOrder(u, id, i))
 		p.addDecision(yuccapaddle.Decision{
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -114,6 +114,7 @@
 // has confirmed its stop. A later poll that does not list the run proves that it is not
 // in progress.
 func (p *Planner) confirmRun(m *member) {
+	m.unsent = false
 	if !m.confirmed {
 		m.confirmed, m.confirmedPoll = true, p.lastPoll
 	}
@@ -165,7 +166,8 @@
 		free = free.Add(x.u.stepSpec().Room())
 	}
 	for _, x := range unsent {
-		x.u.members[x.member].adopted = false
+		// The reply proves that the worker refuses what the former host may have sent.
+		x.u.members[x.member].adopted, x.u.members[x.member].unsent = false, true
 		if x.u.stopping { // because of another of its members
 			continue
 		}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -214,15 +214,16 @@
 	p.changed = true
 }
 
-// Startable reports whether a start may still be sent: the worker is usable, and the run
-// has not ended or been stopped since the start was ordered.
+// Startable reports whether a start may still be sent: the worker is usable, the run has not
+// ended or been stopped since the start was ordered, and it keeps within the capacities that
+// are known now.
 func (p *Planner) Startable(st *yuccapaddle.RunStart) bool {
 	w := p.workers[st.Worker]
 	if w == nil || !p.usable(w) {
 		return false
 	}
 	x, ok := w.runs[st.Task]
-	return ok && x.u.run == st.Run && !x.u.stopping
+	return ok && x.u.run == st.Run && !x.u.stopping && p.fitsCapacity(w, x)
 }
 
 // quarantined reports whether the worker is in quarantine after failures: other workers
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -117,6 +117,14 @@
 	tr.registration.Draining = true
 }
 
+// SetCapacity changes the capacity in the worker's registration. The worker itself does
+// not guard it.
+func (tr *TaskRunner) SetCapacity(capacity yuccapaddle.Need) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.registration.Capacity = capacity
+}
+
 // Running returns the tasks that are running, in no order.
 func (tr *TaskRunner) Running() []yuccapaddle.TaskID {
 	tr.mu.Lock()
