planner: place nothing on a worker that is over its capacity

A task without memory of its own, or one that takes spare processor time, was placed on a worker whose memory or processor time had shrunk below what runs there: only the resources that the task needs were compared.

Cause: tasksThatFit passes over resources of which the task needs none.

Change: a worker over its capacity in any resource is no candidate. What claims hold does not count for that, so work beside a claim is placed as before.

--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -66,6 +66,40 @@
 	return count
 }
 
+// TestShrunkWorkerGetsNothing checks that nothing is placed on a worker whose room is too
+// small after its capacity has shrunk. What is being stopped counts.
+func TestShrunkWorkerGetsNothing(t *testing.T) {
+	running := yuccapaddle.Step{Count: 6, Need: yuccapaddle.Need{CPU: 8000, Memory: 32000, GPU: 1}, Estimate: 60000}
+	tests := []struct {
+		name     string
+		capacity yuccapaddle.Need
+		before   func(sim *simulation)
+		step     yuccapaddle.Step
+	}{
+		{"too little room", withGPUs(7), nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 2}}},
+		{"less than in use", withGPUs(3), nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}}},
+		{"less memory than in use", yuccapaddle.Need{CPU: workerCPU, Memory: 131072, GPU: gpus}, nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}}},
+		{"less memory, spare task", yuccapaddle.Need{CPU: workerCPU, Memory: 131072, GPU: gpus}, nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 1000}, Spare: true}},
+		{"less processor time, spare task", yuccapaddle.Need{CPU: 24000, Memory: 262144, GPU: gpus}, nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 1000, Memory: 1000}, Spare: true}},
+		{"being stopped", withGPUs(6), func(sim *simulation) { sim.p.Cancel("b") }, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}}},
+		{"nothing at all", yuccapaddle.Need{}, nil, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 1}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.submit("b", queueBatch, running)
+			sim.advance(100 * time.Millisecond)
+			sim.c.Assert(sim.runs, qt.HasLen, 6)
+			sim.resize("w00", tt.capacity)
+			if tt.before != nil {
+				tt.before(sim)
+			}
+			sim.submit("b-more", queueBatch, tt.step)
+			sim.c.Check(sim.plan().Starts, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestShrinkBeforeStart checks that a start is not sent if the worker has shrunk since it
 // was decided; that only as many are held back as it takes, and that they are placed
 // elsewhere at once, as runs that have certainly not started.
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -119,7 +119,7 @@
 func (p *Planner) candidates(u *unit, n int, claimed map[string]yuccapaddle.Need) []candidate {
 	var list []candidate
 	for id, w := range p.workers {
-		if !p.usable(w) || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) {
+		if !p.usable(w) || w.overCapacity() || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) {
 			continue
 		}
 		free := w.free().Sub(claimed[id])
