planner: preemption first makes up for what a worker is over its capacity

An urgent task waited on a worker that was over its capacity in a resource that the task does not need: one victim or none was stopped, the worker remained over its capacity, and the claim ended after 2 s, again and again.

Cause: slots compared only the resources that the task needs.

Change: a worker has no slot before the victims' room makes up for all that is over; what is being stopped counts as freed, as before.

Before: two cases of TestPreemptOverCapacity failed (memory; memory and accelerators): the urgent task had not started after 1 s, and 8 and 7 runs used 112000 and 96000 MB of 64000. The case of accelerators alone held already.

--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -213,6 +213,36 @@
 	}
 }
 
+// TestPreemptOverCapacity checks that preemption on a worker that is over its capacity also
+// stops what is over, and that the urgent task starts once the worker holds it.
+func TestPreemptOverCapacity(t *testing.T) {
+	tests := []struct {
+		name     string
+		capacity yuccapaddle.Need
+		need     yuccapaddle.Need
+	}{
+		{"accelerators", withGPUs(4), yuccapaddle.Need{GPU: 2}},
+		{"memory that the urgent task does not need", yuccapaddle.Need{CPU: workerCPU, Memory: 64000, GPU: gpus}, yuccapaddle.Need{CPU: 1000}},
+		{"memory, and accelerators for the urgent task", yuccapaddle.Need{CPU: workerCPU, Memory: 64000, GPU: gpus}, yuccapaddle.Need{GPU: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.submit("b", queueBatch, yuccapaddle.Step{Count: 8, Need: yuccapaddle.Need{CPU: 5600, Memory: 16000, GPU: 1}, Estimate: 60000})
+			sim.advance(time.Second)
+			sim.c.Assert(sim.runs, qt.HasLen, 8)
+			sim.resize("w00", tt.capacity)
+			sim.submit("u", queueQuick, yuccapaddle.Step{Count: 1, Need: tt.need, Estimate: 10000})
+			for len(sim.startDelays) == 0 && sim.now.Sub(sim.submittedAt["u"]) < time.Second {
+				sim.advance(stepTime)
+			}
+			sim.c.Check(sim.startDelays, qt.HasLen, 1)
+			used := tt.need.Add(yuccapaddle.Need{CPU: 5600, Memory: 16000, GPU: 1}.Times(len(sim.runs) - 1))
+			sim.c.Check(used.Fits(tt.capacity), qt.IsTrue, qt.Commentf("%d runs use %+v", len(sim.runs), used))
+		})
+	}
+}
+
 // TestGrowthPlacesAtOnce checks that waiting work is placed as soon as the capacity has
 // grown, also if the worker has shrunk and grown since the planner last decided.
 func TestGrowthPlacesAtOnce(t *testing.T) {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -96,9 +96,10 @@
 
 // slots lists the slots for the unit's tasks on a worker. Each builds on the slots before
 // it and has only the further victims that it needs. Room of units that are stopping
-// already counts as free.
+// already counts as free. A worker that is over its capacity has no slot before the victims'
+// room makes up for that.
 func (p *Planner) slots(u *unit, w *worker, claimed yuccapaddle.Need) []slot {
-	free := w.free().Sub(claimed)
+	free := w.free()
 	var victims []*unit
 	for _, x := range w.runs {
 		switch {
@@ -112,8 +113,14 @@
 		return cmp.Or(cmp.Compare(p.lostWork(a), p.lostWork(b)), cmp.Compare(a.job.spec.ID, b.job.spec.ID), cmp.Compare(a.taskIndex, b.taskIndex))
 	})
 	limit := p.perWorkerLeft(u, w)
+	tasks := func() int {
+		if free.Negative() {
+			return 0
+		}
+		return tasksThatFit(u, u.width(), free.Sub(claimed), limit)
+	}
 	var list []slot
-	have := tasksThatFit(u, u.width(), free, limit)
+	have := tasks()
 	for range have {
 		list = append(list, slot{w: w})
 	}
@@ -123,7 +130,7 @@
 		free = free.Add(v.stepSpec().Room())
 		nextVictims = append(nextVictims, v)
 		cost += p.lostWork(v)
-		if n := tasksThatFit(u, u.width(), free, limit); n > have {
+		if n := tasks(); n > have {
 			list = append(list, slot{w: w, victims: nextVictims, cost: cost})
 			for range n - have - 1 {
 				list = append(list, slot{w: w})
--- a/job.go
+++ b/job.go
@@ -29,6 +29,11 @@
 	return Need{CPU: n.CPU * count, Memory: n.Memory * count, GPU: n.GPU * count}
 }
 
+// Negative reports whether n is below zero in any resource.
+func (n Need) Negative() bool {
+	return n.CPU < 0 || n.Memory < 0 || n.GPU < 0
+}
+
 // Fits reports whether n fits into room.
 func (n Need) Fits(room Need) bool {
 	return n.CPU <= room.CPU && n.Memory <= room.Memory && n.GPU <= room.GPU
