planner: give up a claim at once when its worker shrinks too far

An urgent task whose room is being freed on a worker that then shrinks below its need started 2.4 s after it was submitted, in place of 0.4 s.

Cause: a claim is given up only when a worker becomes unusable or after 2 s.

Change: it is also given up if the room will be missing even once what is being stopped has ended; the unit is then placed elsewhere, or claims other room, in the same round.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -12,6 +12,18 @@
 	return !w.used.Fits(w.Capacity)
 }
 
+// freeOnceStopped returns the capacity that no run holds once those that are being stopped
+// have ended.
+func (w *worker) freeOnceStopped() yuccapaddle.Need {
+	free := w.free()
+	for _, x := range w.runs {
+		if x.u.stopping {
+			free = free.Add(x.u.stepSpec().Room())
+		}
+	}
+	return free
+}
+
 // fitsCapacity reports whether the start of an assignment on the worker keeps within the
 // capacities that are known now. For a gang it does only if the starts that the other
 // members may still need do as well.
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -243,6 +243,26 @@
 	}
 }
 
+// TestShrunkClaim checks that an urgent task whose room is being freed on a worker is placed
+// elsewhere at once when that worker shrinks below its need.
+func TestShrunkClaim(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 16, Need: oneGPUTask, Estimate: 60000})
+	sim.advance(time.Second)
+	sim.submit("u", queueQuick, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 8}, Estimate: 1000})
+	sim.advance(100 * time.Millisecond)
+	claimed := ""
+	for _, r := range sim.runs {
+		if r.stopped {
+			claimed = r.worker
+		}
+	}
+	sim.c.Assert(claimed, qt.Not(qt.Equals), "")
+	sim.resize(claimed, withGPUs(6))
+	sim.advance(800 * time.Millisecond)
+	sim.c.Check(sim.startDelays, qt.HasLen, 1)
+}
+
 // TestGrowthPlacesAtOnce checks that waiting work is placed as soon as the capacity has
 // grown, also if the worker has shrunk and grown since the planner last decided.
 func TestGrowthPlacesAtOnce(t *testing.T) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -227,8 +227,8 @@
 }
 
 // tryPlaceClaimed places a unit on the workers of its claim once all have room. It drops
-// the claim and places the unit anew if a worker has become unusable, or if room is
-// still missing after claimTimeout.
+// the claim and places the unit anew if a worker has become unusable or will lack room even
+// once what is being stopped has ended, or if room is still missing after claimTimeout.
 func (p *Planner) tryPlaceClaimed(u *unit) bool {
 	taken := map[string]yuccapaddle.Need{}
 	for _, id := range u.claim {
@@ -239,7 +239,7 @@
 		}
 		taken[id] = taken[id].Add(u.stepSpec().Room())
 		if !taken[id].Fits(w.free()) {
-			if p.now.Sub(u.claimedAt) > claimTimeout {
+			if p.now.Sub(u.claimedAt) > claimTimeout || !taken[id].Fits(w.freeOnceStopped()) {
 				u.claim = nil
 				return p.tryPlace(u)
 			}
