planner: the refusal of a strict job tells a capacity that has shrunk

A strict job that the workers held before they shrank was refused with the count of tasks that they hold, as if they never would.

Change: the worker's highest registered capacity is kept for each of its incarnations; if the job would fit these, the reason names both counts. The job is still refused at once, since nobody knows when the capacity grows again.

Before: TestInfeasibleWhileShrunk failed on the missing words. Held already: the count is that of the present capacity, and after growth the job is feasible.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -12,6 +12,24 @@
 	return !w.used.Fits(w.Capacity)
 }
 
+// noteCapacity updates highestCapacity from the worker's next registration.
+func (w *worker) noteCapacity(reg *yuccapaddle.Worker) {
+	if w.Incarnation != reg.Incarnation {
+		w.highestCapacity = yuccapaddle.Need{}
+	}
+	w.highestCapacity = yuccapaddle.Need{
+		CPU:    max(w.highestCapacity.CPU, reg.Capacity.CPU),
+		Memory: max(w.highestCapacity.Memory, reg.Capacity.Memory),
+		GPU:    max(w.highestCapacity.GPU, reg.Capacity.GPU),
+	}
+}
+
+// present returns the capacity that the worker has registered last, and highest the most
+// that it has registered of each resource.
+func (w *worker) present() yuccapaddle.Need { return w.Capacity }
+
+func (w *worker) highest() yuccapaddle.Need { return w.highestCapacity }
+
 // freeOnceStopped returns the capacity that no run holds once those that are being stopped
 // have ended.
 func (w *worker) freeOnceStopped() yuccapaddle.Need {
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -311,3 +311,18 @@
 		sim.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
 	}
 }
+
+// TestInfeasibleWhileShrunk checks that the refusal of a strict job says so if the job
+// would fit the capacities that the workers have had before.
+func TestInfeasibleWhileShrunk(t *testing.T) {
+	sim := newSimulation(t, 2)
+	ask := func(count int) string {
+		step := yuccapaddle.Step{Count: count, Need: yuccapaddle.Need{GPU: 8}, Gang: true}
+		return sim.p.Infeasible(&yuccapaddle.Job{ID: "j", Queue: queueBatch, Steps: []yuccapaddle.Step{step}})
+	}
+	sim.resize("w01", withGPUs(7))
+	sim.c.Check(ask(2), qt.Equals, "for room: 2 tasks of 0 cpu, 0 MB, 8 gpu; the registered workers hold 1 such tasks at present, and 2 with the capacity that they have had")
+	sim.c.Check(ask(3), qt.Equals, "for room: 3 tasks of 0 cpu, 0 MB, 8 gpu; the registered workers hold 1 such tasks")
+	sim.resize("w01", fullCapacity)
+	sim.c.Check(ask(2), qt.Equals, "")
+}
--- a/internal/planner/infeasible.go
+++ b/internal/planner/infeasible.go
@@ -14,16 +14,20 @@
 	j := newJob(spec)
 	for i := range spec.Steps { // one unit for each step: all of its units need the same
 		u := &unit{job: j, stepIndex: i}
-		if most := p.capacityFor(u); most < u.width() {
-			return p.neededRoom(u) + "; the registered workers hold " + itoa(most) + " such tasks"
+		if most := p.capacityFor(u, (*worker).present); most < u.width() {
+			reason := p.neededRoom(u) + "; the registered workers hold " + itoa(most) + " such tasks"
+			if full := p.capacityFor(u, (*worker).highest); full >= u.width() {
+				reason += " at present, and " + itoa(full) + " with the capacity that they have had"
+			}
+			return reason
 		}
 	}
 	return ""
 }
 
 // capacityFor returns how many tasks of a unit, up to its width, the known workers could
-// hold within its span if they were empty.
-func (p *Planner) capacityFor(u *unit) int {
+// hold within its span if they were empty and had the given capacity.
+func (p *Planner) capacityFor(u *unit, capacity func(*worker) yuccapaddle.Need) int {
 	most := 0
 	tasks := map[string]int{}
 	for _, w := range p.workers {
@@ -31,7 +35,7 @@
 			continue
 		}
 		place := w.location(u.stepSpec().Span)
-		tasks[place] += tasksThatFit(u, u.width(), w.Capacity, u.stepSpec().PerWorker)
+		tasks[place] += tasksThatFit(u, u.width(), capacity(w), u.stepSpec().PerWorker)
 		most = max(most, tasks[place])
 	}
 	return most
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -25,6 +25,9 @@
 	startBackoffUntil   time.Time // it gets no new runs until then
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
+	// highestCapacity holds the most of each resource that it has registered in its present
+	// incarnation.
+	highestCapacity yuccapaddle.Need
 }
 
 // assignment is a member of a unit that is placed on a worker.
@@ -121,6 +124,7 @@
 				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg)})
 			}
 		}
+		w.noteCapacity(reg)
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
 	}
 	for id, w := range p.workers {
