planner: show operators a changed capacity, and workers over theirs

A change of a worker's capacity gave a line `worker listed` that did not tell what had changed, and `workers list` showed a worker over its capacity as "in".

Before: TestCapacityShown failed on the detail, the state and the count. The accelerators shown were the present ones already.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -30,6 +30,26 @@
 
 func (w *worker) highest() yuccapaddle.Need { return w.highestCapacity }
 
+// capacityChange says for the log how the worker's next registration changes its capacity, ""
+// if it does not or is its first one.
+func (w *worker) capacityChange(reg *yuccapaddle.Worker) string {
+	if !w.registered || w.Capacity == reg.Capacity {
+		return ""
+	}
+	change := " capacity " + describeNeed(reg.Capacity) + ", before " + describeNeed(w.Capacity)
+	if !w.used.Fits(reg.Capacity) {
+		change += ", " + stateOverCapacity
+	}
+	return change
+}
+
+// stateOverCapacity is the state of a worker that is over its capacity, for operators.
+const stateOverCapacity = "over capacity"
+
+func describeNeed(n yuccapaddle.Need) string {
+	return itoa(n.CPU) + " cpu, " + itoa(n.Memory) + " MB, " + itoa(n.GPU) + " gpu"
+}
+
 // freeOnceStopped returns the capacity that no run holds once those that are being stopped
 // have ended.
 func (w *worker) freeOnceStopped() yuccapaddle.Need {
@@ -84,7 +104,7 @@
 // that was for want of capacity.
 func (p *Planner) refusalDetail(w *worker, x assignment, reason yuccapaddle.Refusal) string {
 	if reason == yuccapaddle.RefusedUnsent && !p.fitsCapacity(w, x) {
-		return string(reason) + ": over capacity"
+		return string(reason) + ": " + stateOverCapacity
 	}
 	return string(reason)
 }
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -326,3 +327,26 @@
 	sim.resize("w01", fullCapacity)
 	sim.c.Check(ask(2), qt.Equals, "")
 }
+
+// TestCapacityShown checks what operators see of a change: the old and the new capacity in
+// the log, the present one in the status, and that a worker is over its capacity.
+func TestCapacityShown(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 8, Need: oneGPUTask, Estimate: 60000})
+	sim.advance(100 * time.Millisecond)
+	sim.resize("w00", withGPUs(3))
+	var details []string
+	for _, d := range sim.plan().Decisions {
+		if d.Event == "worker listed" {
+			details = append(details, d.Detail)
+		}
+	}
+	sim.c.Check(details, qt.DeepEquals, []string{"d r0 capacity 64000 cpu, 262144 MB, 3 gpu, before 64000 cpu, 262144 MB, 8 gpu, over capacity"})
+	st := sim.p.Status()
+	sim.c.Assert(st.Workers, qt.HasLen, 1)
+	sim.c.Check(st.Workers[0].Accelerators, qt.Equals, 3)
+	sim.c.Check(st.Workers[0].Used, qt.Equals, 8)
+	sim.c.Check(st.Workers[0].State, qt.Equals, "over capacity")
+	sim.submit("b2", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask})
+	sim.c.Check(strings.HasSuffix(sim.p.View("b2").Steps[0].Waits, ": 0 of 1 suited workers get new work"), qt.IsTrue, qt.Commentf("%s", sim.p.View("b2").Steps[0].Waits))
+}
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -47,11 +47,15 @@
 }
 
 // workerState returns the state of a worker for operators: "in" if it gets new runs,
-// "quarantined" if others are preferred, or else why it gets none.
+// "quarantined" if others are preferred, "over capacity" if it gets none until runs have
+// ended or its capacity has grown, or else why it gets none.
 func (p *Planner) workerState(w *worker) string {
 	if reason := p.unusableReason(w); reason != "" {
 		return reason
 	}
+	if w.overCapacity() {
+		return stateOverCapacity
+	}
 	if p.quarantined(w) {
 		return "quarantined"
 	}
@@ -111,7 +115,7 @@
 			continue
 		}
 		suited++
-		if p.usable(w) {
+		if p.usable(w) && !w.overCapacity() {
 			usable++
 		}
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -121,7 +121,7 @@
 		if !w.registered || w.Draining != reg.Draining || w.Incarnation != reg.Incarnation || w.Capacity != reg.Capacity {
 			p.changed = true
 			if !first || reg.Draining {
-				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg)})
+				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg) + w.capacityChange(reg)})
 			}
 		}
 		w.noteCapacity(reg)
