executor: follow a shrink in time where workers that leave have long

Where the platform allows workers that leave more than 4 s, starts went out on registrations that were older than the time within which a shrink must be followed.

Cause: how often registrations are read, and how old they may be for a start, were fractions of drain-ms or evacuate-ms alone.

Change: fractions of 4 s at most.

Before: TestRegistrationsAgeBounded failed with 20 s: 4 of 8 starts went above 4 accelerators 2 s after the shrink, and one went out on a registration of more than 4 s.

--- a/internal/executor/capacity_test.go
+++ b/internal/executor/capacity_test.go
@@ -181,3 +181,32 @@
 		r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: "there"}), qt.HasLen, 1)
 	})
 }
+
+// TestRegistrationsAgeBounded checks that a start goes out only on a registration that was
+// read soon before, and that the registrations are read often enough, also if the platform
+// allows long times for workers that leave: a capacity may have shrunk since.
+func TestRegistrationsAgeBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.leaveWithinMS = 20000
+		g := &gaugedRunner{rig: r}
+		r.runner = g
+		r.takeOver()
+		defer r.close()
+		time.Sleep(6 * time.Second)
+		r.resize("w0", 4)
+		time.Sleep(2 * time.Second) // for a registration and its read
+		r.submit("a", "batch", yuccapaddle.Step{Count: 8, Need: oneGPU, Estimate: 2000})
+		time.Sleep(time.Second)
+		r.c.Check(r.running("a"), qt.Equals, 4)
+		g.check()
+		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 10*time.Second)
+		r.platformHangs.Store(true)
+		time.Sleep(4 * time.Second)
+		r.submit("b", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
+		time.Sleep(time.Second)
+		r.c.Check(r.running("b"), qt.Equals, 0)
+		r.platformHangs.Store(false)
+		r.waitForState("b", "batch", yuccapaddle.JobCompleted, 10*time.Second)
+	})
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -21,11 +21,15 @@
 
 const (
 	eventQueueSize = 4096
-	// pollFraction and freshFraction are fractions of Bounds.LeaveWithinMS. The
-	// registrations are read again after the first; tasks are placed only while the
-	// last reads of the registrations and the rules are younger than the second.
+	// pollFraction and freshFraction are fractions of Bounds.LeaveWithinMS, or of
+	// shrinkWithinMS if that is less. The registrations are read again after the first;
+	// tasks are placed only while the last reads of the registrations and the rules are
+	// younger than the second.
 	pollFraction  = 0.28
 	freshFraction = 0.7
+	// shrinkWithinMS is the time after which a worker whose capacity has shrunk must get
+	// no start above it, in milliseconds.
+	shrinkWithinMS = 4000
 	// maxIdleWait is the longest that the loop waits without an event.
 	maxIdleWait = 200 * time.Millisecond
 	// commitStallAfter is how long a commit may take before new jobs are refused. It
@@ -238,9 +242,10 @@
 	return readAt.Add(e.leaveTime(freshFraction))
 }
 
-// leaveTime returns a fraction of Bounds.LeaveWithinMS.
+// leaveTime returns a fraction of the time within which a change of a worker must be
+// followed.
 func (e *Executor) leaveTime(fraction float64) time.Duration {
-	return time.Duration(fraction * float64(e.bounds.LeaveWithinMS) * float64(time.Millisecond))
+	return time.Duration(fraction * float64(min(e.bounds.LeaveWithinMS, shrinkWithinMS)) * float64(time.Millisecond))
 }
 
 // post queues an event for the loop and reports whether it did; it does not once the
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -51,6 +51,7 @@
 	clock         yuccapaddle.Clock // of the executor, the system's if nil
 	meter         yuccapaddle.Meter // of the executor, none if nil
 	lossy         bool              // the ledger loses replies, see lossyLedger
+	leaveWithinMS int64             // see executor.Bounds
 	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
@@ -87,7 +88,7 @@
 func newRig(t *testing.T, workers int) *rig {
 	r := &rig{
 		t: t, c: qt.New(t), ledger: bookkeeper.New(), workers: map[string]*taskrunner.TaskRunner{},
-		startLog: taskrunner.NewStartLog(), group: &errgroup.Group{},
+		startLog: taskrunner.NewStartLog(), group: &errgroup.Group{}, leaveWithinMS: 2500,
 	}
 	r.taskTime.Store(int64(2 * time.Second))
 	for i := range workers {
@@ -211,7 +212,7 @@
 	}
 	rules := rulekeeper.New(r, 2500, clock, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
-	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: 2500, Planner: yuccapaddle.PlanLimits{
+	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: r.leaveWithinMS, Planner: yuccapaddle.PlanLimits{
 		RemoteSlowdown: 3, Retention: 2 * time.Minute,
 	}}
 	runner := r.runner
