planner: a repeat that is not sent does not stop a run that is there

Cause: a start that is refused after one without an answer stops the run, also if the refusal is this host's own and the run is known to be there.

Change: such a refusal is passed over, unless the run is being stopped.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -78,6 +78,13 @@
 	return true
 }
 
+// runsWithoutResend reports whether the start of member i was to be sent again although the
+// worker has answered for the run since, so that nothing is lost if it is not.
+func (u *unit) runsWithoutResend(i int) bool {
+	m := &u.members[i]
+	return m.resends > 0 && m.confirmed && !u.stopping
+}
+
 // holds reports whether the worker has the capacity for the unit's members there beside
 // the runs that may be in progress. Other runs whose start has not been sent do not count.
 func (w *worker) holds(u *unit) bool {
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -160,6 +160,24 @@
 	sim.c.Check(again[0].Worker, qt.Not(qt.Equals), st.Worker)
 }
 
+// TestNeedlessResend checks that a run which is known to be there goes on if its start was to
+// be sent again and is held back.
+func TestNeedlessResend(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 8}})
+	sent := sim.send(sim.plan().Starts)
+	sim.c.Assert(sent, qt.HasLen, 1)
+	st := sent[0]
+	sim.p.HandleStartReply(st.Worker, st.Task, st.Run, yuccapaddle.ErrNoAnswer)
+	resends := sim.plan().Starts
+	sim.c.Assert(resends, qt.HasLen, 1)
+	reply := &yuccapaddle.HoldReply{Incarnation: 1, Running: []yuccapaddle.Run{{Task: st.Task, Run: st.Run}}}
+	sim.p.HandlePollReply(st.Worker, reply, sim.p.NextPoll())
+	sim.resize(st.Worker, withGPUs(7))
+	sim.c.Check(sim.send(resends), qt.HasLen, 0)
+	sim.c.Check(sim.plan().Stops, qt.HasLen, 0)
+}
+
 // TestShrunkAtTakeover checks that a host that has just become active starts nothing above
 // the capacities that it knows, whichever of records and registrations it reads first: run
 // "there" is in progress, the start of "unsent" may never have been sent.
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -44,6 +44,9 @@
 // should be polled at once.
 func (p *Planner) handleRefusal(w *worker, x assignment, reason yuccapaddle.Refusal) (pollNow bool) {
 	u := x.u
+	if reason == yuccapaddle.RefusedUnsent && u.runsWithoutResend(x.member) {
+		return false
+	}
 	p.addDecision(yuccapaddle.Decision{Event: "start refused", Job: u.job.spec.ID, Task: u.taskID(x.member).String(), Worker: w.ID, Run: u.run, Detail: p.refusalDetail(w, x, reason)})
 	m := &u.members[x.member]
 	switch reason {
