planner: repeat no start of a gang if a worker has shrunk below another one

Two starts of a gang were without an answer, and one worker shrank: the start on the other worker was sent again, and the gang was stopped right after.

Cause: before a start only those workers of a gang were looked at to which nothing had been sent yet.

Change: members whose start is sent again count too.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -71,13 +71,19 @@
 	}
 	for i := range x.u.members {
 		m := &x.u.members[i]
-		if (m.unsent || m.adopted) && !m.ended && !p.worker(m.worker).holds(x.u) {
+		if m.mayNeedStart() && !p.worker(m.worker).holds(x.u) {
 			return false
 		}
 	}
 	return true
 }
 
+// mayNeedStart reports whether a start of the member may still have to be sent: it has not
+// been, or not by this host, or is sent again.
+func (m *member) mayNeedStart() bool {
+	return !m.ended && !m.confirmed && (m.unsent || m.adopted || m.resends > 0)
+}
+
 // runsWithoutResend reports whether the start of member i was to be sent again although the
 // worker has answered for the run since, so that nothing is lost if it is not.
 func (u *unit) runsWithoutResend(i int) bool {
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -160,6 +160,23 @@
 	sim.c.Check(again[0].Worker, qt.Not(qt.Equals), st.Worker)
 }
 
+// TestShrinkBeforeGangResend checks that no unanswered start of a gang is sent again if one of
+// them may not be, since a worker has shrunk.
+func TestShrinkBeforeGangResend(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.submit("gang", queueBatch, yuccapaddle.Step{Count: 2, Need: yuccapaddle.Need{GPU: 8}, Gang: true})
+	starts := sim.send(sim.plan().Starts)
+	sim.c.Assert(starts, qt.HasLen, 2)
+	for _, s := range starts {
+		sim.p.HandleStartReply(s.Worker, s.Task, s.Run, yuccapaddle.ErrNoAnswer)
+	}
+	sim.resize(starts[1].Worker, withGPUs(7))
+	resends := sim.plan().Starts
+	sim.c.Assert(resends, qt.HasLen, 2)
+	sim.c.Check(sim.send(resends), qt.HasLen, 0)
+	sim.c.Check(sim.plan().Stops, qt.Not(qt.HasLen), 0)
+}
+
 // TestNeedlessResend checks that a run which is known to be there goes on if its start was to
 // be sent again and is held back.
 func TestNeedlessResend(t *testing.T) {
--- a/internal/planner/shrink_test.go
+++ b/internal/planner/shrink_test.go
@@ -54,6 +54,7 @@
 	over      int // steps in which a worker was over its capacity
 	unsent    int // starts held back right before they were sent
 	answers   []func()
+	sentGangs map[string]bool // jobs of gangs of which the last batch has sent a start
 	delayed   []delayedStart
 }
 
@@ -255,6 +256,7 @@
 		h.p.Plan()
 		b := h.p.TakeBatch()
 		h.pending, h.committed = &b, h.now
+		h.checkWhole(b.Decisions)
 		if h.chance(15) {
 			h.committed = h.now.Add(time.Duration(h.rng.Int64N(int64(longestCommit))))
 		}
@@ -279,18 +281,23 @@
 	for _, s := range b.Stops {
 		h.stop(s)
 	}
-	ordered, sent := map[string]int{}, map[string]int{}
+	h.sentGangs = map[string]bool{}
 	for _, s := range b.Starts {
-		ordered[s.Task.Job]++
-		if h.start(s) {
-			sent[s.Task.Job]++
+		if h.start(s) && h.steps[s.Task.Job].Gang {
+			h.sentGangs[s.Task.Job] = true
 		}
 	}
-	for id, n := range sent {
-		if step := h.steps[id]; step.Gang && ordered[id] == step.Count && n < step.Count {
-			h.t.Errorf("seed %d: of gang %s only %d of %d starts were sent", h.seed, id, n, step.Count)
+}
+
+// checkWhole checks that no start of a gang was held back for want of capacity while another
+// one of the same batch was sent. decisions are those that followed that batch.
+func (h *history) checkWhole(decisions []yuccapaddle.Decision) {
+	for _, d := range decisions {
+		if d.Event == "start refused" && d.Detail == "unsent: over capacity" && h.sentGangs[d.Job] {
+			h.t.Errorf("seed %d: at %v only some starts of gang %s were sent", h.seed, h.now.Sub(time.Unix(1000, 0)), d.Job)
 		}
 	}
+	h.sentGangs = nil
 }
 
 func (h *history) save(r *yuccapaddle.JobRecord) {
