--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -227,8 +227,8 @@
 }
 
 // tryPlaceClaimed places a unit on the workers of its claim once all have room. It drops
-// the claim and places the unit anew if a worker has become unusable, or if room is
-// still missing after claimTimeout.
+// the claim and places the unit anew if a worker has become unusable or will lack room even
+// once what is being stopped has ended, or if room is still missing after claimTimeout.
 func (p *Planner) tryPlaceClaimed(u *unit) bool {
 	taken := map[string]yuccapaddle.Need{}
 	for _, id := range u.claim {
@@ -239,7 +239,7 @@
 		}
 		taken[id] = taken[id].Add(u.stepSpec().Room())
 		if !taken[id].Fits(w.free()) {
-			if p.now.Sub(u.claimedAt) > claimTimeout {
+			if p.now.Sub(u.claimedAt) > claimTimeout || !taken[id].Fits(w.freeOnceStopped()) {
 				u.claim = nil
 				return p.tryPlace(u)
 			}
@@ -276,7 +276,7 @@
 	u.members = make([]member, len(workers))
 	for i, id := range workers {
 		w := p.workers[id]
-		u.members[i] = member{worker: id, progressAt: p.now, pace: fullPace}
+		u.members[i] = member{worker: id, progressAt: p.now, pace: fullPace, unsent: true}
 		w.addRun(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.startOrder(u, id, i))
 		p.addDecision(yuccapaddle.Decision{
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -25,6 +25,9 @@
 	startBackoffUntil   time.Time // it gets no new runs until then
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
+	// highestCapacity holds the most of each resource that it has registered in its present
+	// incarnation.
+	highestCapacity yuccapaddle.Need
 }
 
 // assignment is a member of a unit that is placed on a worker.
@@ -118,9 +121,10 @@
 		if !w.registered || w.Draining != reg.Draining || w.Incarnation != reg.Incarnation || w.Capacity != reg.Capacity {
 			p.changed = true
 			if !first || reg.Draining {
-				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg)})
+				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg) + w.capacityChange(reg)})
 			}
 		}
+		w.noteCapacity(reg)
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
 	}
 	for id, w := range p.workers {
@@ -214,15 +218,16 @@
 	p.changed = true
 }
 
-// Startable reports whether a start may still be sent: the worker is usable, and the run
-// has not ended or been stopped since the start was ordered.
+// Startable reports whether a start may still be sent: the worker is usable, the run has not
+// ended or been stopped since the start was ordered, and it keeps within the capacities that
+// are known now.
 func (p *Planner) Startable(st *yuccapaddle.RunStart) bool {
 	w := p.workers[st.Worker]
 	if w == nil || !p.usable(w) {
 		return false
 	}
 	x, ok := w.runs[st.Task]
-	return ok && x.u.run == st.Run && !x.u.stopping
+	return ok && x.u.run == st.Run && !x.u.stopping && p.fitsCapacity(w, x)
 }
 
 // quarantined reports whether the worker is in quarantine after failures: other workers
