planner, executor: failing tests of tasks that crash their workers

Callers saw the work beside such a task lost again and again: nothing counts a crash, so the task goes from worker to worker for ever. The stand-in of a worker can crash when a task of a given job starts.

--- /dev/null
+++ b/internal/executor/crash_test.go
@@ -0,0 +1,116 @@
+package executor_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/standin/taskrunner"
+)
+
+// absence is how long a crashed worker is away.
+const absence = 3 * time.Second
+
+// crashes counts the crashes of a rig's workers.
+type crashes struct {
+	mu   sync.Mutex
+	list []string // IDs of the crashed workers, in order
+}
+
+func (l *crashes) add(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, id)
+}
+
+func (l *crashes) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.list)
+}
+
+// newCrashRig returns a rig whose workers crash when they start a task of the job "bad".
+// They come back under their IDs, or under other ones at the same addresses.
+func newCrashRig(t *testing.T, workers int, sameID bool) (*rig, *crashes) {
+	r, log := newRig(t, workers), &crashes{}
+	first := map[string]*taskrunner.TaskRunner{}
+	for id, w := range r.workers {
+		first[id] = w
+	}
+	for id, w := range first {
+		next := w
+		if !sameID {
+			self := w.Worker()
+			self.ID = id + "x"
+			next = taskrunner.New(self, maxLeaseMS, r.taskResult, r.startLog)
+			r.workers[self.ID] = next
+			r.unregistered.Store(self.ID, true)
+		}
+		w.CrashOn("bad", func() {
+			log.add(id)
+			r.unregistered.Store(id, true)
+			time.AfterFunc(absence, func() {
+				next.Restart()
+				r.unregistered.Delete(next.Worker().ID)
+			})
+		})
+	}
+	return r, log
+}
+
+// TestCrashingTask checks that a task that crashes its workers is given up after the second
+// one, also if the active host changes right after a commit, and that the work beside it
+// completes.
+func TestCrashingTask(t *testing.T) {
+	takeOvers := map[string]time.Duration{ // after the first crash
+		"none": 0, "at once": time.Millisecond, "after a second": time.Second,
+		"when it is back": absence + 700*time.Millisecond, "when the leases are over": 6200 * time.Millisecond,
+	}
+	for name, delay := range takeOvers {
+		for _, sameID := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r, log := newCrashRig(t, 2*rackSize, sameID)
+					r.taskTime.Store(int64(5 * time.Second))
+					r.takeOver()
+					defer func() { r.close() }()
+					r.submit("good", "batch", yuccapaddle.Step{Count: 4, Need: oneGPU, Estimate: 5000})
+					r.submit("bad", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 5000})
+					for log.count() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					if delay > 0 {
+						time.Sleep(delay)
+						r.takeOver()
+					}
+					r.waitForState("bad", "batch", yuccapaddle.JobFailed, 40*time.Second)
+					r.c.Check(log.count(), qt.Equals, 2)
+					r.c.Check(r.explainedCause("bad"), qt.Matches,
+						"cause: failed: 2 workers have crashed under task bad.0.0.0, the last while nothing else ran there; it ran on w., w. when they crashed")
+					r.waitForState("good", "batch", yuccapaddle.JobCompleted, 30*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestCrashTakeoverAfterWrite checks that a crash counts if the active host is lost between
+// the commit of the placement and the worker's answer.
+func TestCrashTakeoverAfterWrite(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r, log := newCrashRig(t, 2*rackSize, sameID)
+			r.takeOver()
+			defer func() { r.close() }()
+			r.submit("bad", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
+			time.Sleep(5 * time.Millisecond) // the start is out, the crash is still to come
+			r.takeOver()
+			r.waitForState("bad", "batch", yuccapaddle.JobFailed, 40*time.Second)
+			r.c.Check(log.count(), qt.Equals, 2)
+		})
+	}
+}
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -59,6 +59,8 @@
 	startLog     *StartLog
 	gauge        float64
 	ticket       string
+	down         bool                     // it has crashed
+	crashOn      func(yuccapaddle.TaskID) // called with each task that starts, nil for none
 }
 
 type run struct {
@@ -91,6 +93,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.reset()
+	tr.down = false
 }
 
 // SetFault sets the fault from now on.
@@ -172,8 +175,11 @@
 // deliver lets handle carry an order out, subject to the current fault.
 func (tr *TaskRunner) deliver(ctx context.Context, handle func() error) error {
 	tr.mu.Lock()
-	fault := tr.fault
+	fault, down := tr.fault, tr.down
 	tr.mu.Unlock()
+	if down {
+		return yuccapaddle.ErrNoAnswer
+	}
 	switch fault {
 	case FaultUnreachable:
 		<-ctx.Done()
@@ -238,6 +244,9 @@
 	tr.runs[o.Task] = &run{order: o, startedAt: time.Now(), duration: duration, fails: fails, pacePercent: 100}
 	tr.starts = append(tr.starts, o)
 	tr.startLog.record(tr.registration.ID, o)
+	if tr.crashOn != nil {
+		tr.crashOn(o.Task)
+	}
 	return nil
 }
 
@@ -315,6 +324,9 @@
 	})
 	for err == nil && tr.noEnds() && time.Now().Before(waitUntil) && ctx.Err() == nil {
 		time.Sleep(pollInterval)
+		if tr.isDown() {
+			return reply, yuccapaddle.ErrNoAnswer
+		}
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
