planner: give up tasks that crash their workers, and try suspects alone

Callers saw their work lost again and again with a task of somebody else's that crashes each worker that starts it.

Cause: nothing counted a crash. A run that ended with the loss of its worker was placed anew, for ever, and on a worker full of other work.

A lost run now leaves a pending loss in the unit's record, which the registrations and the workers' answers settle (loss.go); a unit is given up after two crashes if nothing ran beside it at the latest, else after three (crash.go); units that were started shortly before a loss are tried where nothing else runs, for which they wait 2 s (suspect.go). The member's incarnation and address are committed with the placement, so that a change of the active host neither forgets a crash nor doubles one. A run that a former host placed on a worker that has restarted since is not started there again but counts as lost. `why` shows the count, and `explain` names the workers.

TestCrashedWorkerBack now hands in a task for a whole worker in place of a gang over both: the other worker is that of a suspect then, on purpose. In the executor's tests also the second life of a worker crashes. New with the code: TestUnansweredNotAlone, TestOverdueSuspects, TestWaitingSuspect.

--- a/internal/commander/why.go
+++ b/internal/commander/why.go
@@ -41,12 +41,12 @@
 	rows := [][]string{
 		{"JOB", "QUEUE", "WORKSPACE", "PRIORITY", "STATE", "ACCEPTED", "REASON"},
 		{v.ID, v.Queue, v.Workspace, strconv.Itoa(v.Priority), string(v.State), v.Accepted.Format("15:04:05.000"), v.Reason},
-		{"STEP", "TASKS", "DONE", "PLACED", "FAILURES", "WORKERS", "WAITS"},
+		{"STEP", "TASKS", "DONE", "PLACED", "FAILURES", "CRASHES", "WORKERS", "WAITS"},
 	}
 	for _, s := range v.Steps {
 		rows = append(rows, []string{
 			fmt.Sprintf("%d.%d", s.Occurrence, s.Step), strconv.Itoa(s.Tasks), strconv.Itoa(s.Done), strconv.Itoa(s.Placed),
-			strconv.Itoa(s.Failures), strings.Join(s.Workers, ","), s.Waits,
+			strconv.Itoa(s.Failures), strconv.Itoa(s.Crashes), strings.Join(s.Workers, ","), s.Waits,
 		})
 	}
 	return rows
--- a/internal/executor/crash_test.go
+++ b/internal/executor/crash_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,31 +38,34 @@
 // They come back under their IDs, or under other ones at the same addresses.
 func newCrashRig(t *testing.T, workers int, sameID bool) (*rig, *crashes) {
 	r, log := newRig(t, workers), &crashes{}
-	first := map[string]*taskrunner.TaskRunner{}
-	for id, w := range r.workers {
-		first[id] = w
-	}
-	for id, w := range first {
-		next := w
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		lives := []string{id, id} // IDs of the two lives of the worker
 		if !sameID {
-			self := w.Worker()
-			self.ID = id + "x"
-			next = taskrunner.New(self, maxLeaseMS, r.taskResult, r.startLog)
-			r.workers[self.ID] = next
+			lives[1] = id + "x"
+			self := r.workers[id].Worker()
+			self.ID = lives[1]
+			r.workers[self.ID] = taskrunner.New(self, maxLeaseMS, r.taskResult, r.startLog)
 			r.unregistered.Store(self.ID, true)
 		}
-		w.CrashOn("bad", func() {
-			log.add(id)
-			r.unregistered.Store(id, true)
-			time.AfterFunc(absence, func() {
-				next.Restart()
-				r.unregistered.Delete(next.Worker().ID)
-			})
-		})
+		r.workers[lives[0]].CrashOn("bad", func() { r.crash(log, lives[0], lives[1]) })
+		if !sameID {
+			r.workers[lives[1]].CrashOn("bad", func() { r.crash(log, lives[1], lives[1]) })
+		}
 	}
 	return r, log
 }
 
+// crash removes a crashed worker's registration, and lets it come back under an ID.
+func (r *rig) crash(log *crashes, id, next string) {
+	log.add(id)
+	r.unregistered.Store(id, true)
+	time.AfterFunc(absence, func() {
+		r.workers[next].Restart()
+		r.unregistered.Delete(next)
+	})
+}
+
 // TestCrashingTask checks that a task that crashes its workers is given up after the second
 // one, also if the active host changes right after a commit, and that the work beside it
 // completes.
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -185,6 +185,9 @@
 }
 
 func (e *Explainer) failureCause() string {
+	if l := e.lastWithMsg("failed"); strings.Contains(l.Detail, "workers have crashed under ") {
+		return "it ran on " + strings.Join(e.crashedWorkers(l.Detail), ", ") + " when they crashed"
+	}
 	workers := map[string]int{}
 	for i := range e.lines {
 		if e.lines[i].Msg == "ended" && e.lines[i].Detail == "failed" {
@@ -197,6 +200,22 @@
 	return "all failures were on one worker, which speaks for that worker's fault"
 }
 
+// crashedWorkers returns the workers whose crashes were counted for the task that the
+// reason names, in order.
+func (e *Explainer) crashedWorkers(reason string) []string {
+	var list []string
+	for i := range e.lines {
+		l := &e.lines[i]
+		if l.Msg == "crash" && (strings.HasSuffix(reason, "task "+l.Task) || strings.Contains(reason, "task "+l.Task+",")) {
+			list = append(list, l.Worker)
+		}
+	}
+	if len(list) == 0 {
+		return []string{"workers that these logs do not name"}
+	}
+	return list
+}
+
 func (e *Explainer) waitingCause() string {
 	l := e.lastWithMsg("waits", "placed", "ended", "stop", "start unanswered", "start refused")
 	if l == nil {
@@ -221,6 +240,8 @@
 			counts["starts without an answer"]++
 		case l.Msg == "waits":
 			counts["waited "+l.Detail]++
+		case l.Msg == "crash":
+			counts["crashes of its workers"]++
 		}
 	}
 	if n := len(e.activationsDuringJob()); n > 0 {
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -13,6 +13,9 @@
 
 const badJob = "bad"
 
+// trustTime is how long a suspect has to run before it is none any more.
+const trustTime = 3 * time.Second
+
 // badTask is the task of a job with one task that crashes its workers.
 var badTask = yuccapaddle.TaskID{Job: badJob}
 
@@ -103,6 +106,10 @@
 			cl.register()
 		},
 		"maintenance": func(cl *cluster, id string) { cl.p.SetMaintenance(id, true) },
+		"short maintenance": func(cl *cluster, id string) {
+			cl.p.SetMaintenance(id, true)
+			cl.after(absence+time.Second, func() { cl.p.SetMaintenance(id, false) })
+		},
 	}
 	for name, f := range leave {
 		t.Run(name, func(t *testing.T) {
@@ -368,9 +375,11 @@
 		first := cl.startedOn[yuccapaddle.TaskID{Job: "a"}][0]
 		cl.crash(first, how)
 		cl.play(absence + 200*time.Millisecond)
-		cl.submit("wide", queueBatch, yuccapaddle.Step{Count: 2, Gang: true, Need: yuccapaddle.Need{GPU: gpus - 1}, Estimate: 1000})
+		cl.submit("other", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: gpus}, Estimate: 9000})
 		cl.play(200 * time.Millisecond)
-		cl.c.Check(cl.report("wide").State, qt.Equals, yuccapaddle.JobRunning)
+		other := cl.startedOn[yuccapaddle.TaskID{Job: "other"}]
+		cl.c.Assert(other, qt.HasLen, 1)
+		cl.c.Check(other[0][:3], qt.Equals, first)
 		cl.play(leaseTime)
 		on := cl.startedOn[yuccapaddle.TaskID{Job: "a"}]
 		cl.c.Assert(on, qt.HasLen, 2)
@@ -420,9 +429,86 @@
 	task := yuccapaddle.TaskID{Job: "a"}
 	cl.crash(cl.startedOn[task][0], backAsOther)
 	cl.submit("more", queueBatch, yuccapaddle.Step{Count: 3 * gpus, Need: oneGPUTask, Estimate: 60000})
-	cl.play(leaseTime + 2900*time.Millisecond)
+	cl.play(leaseTime + 1900*time.Millisecond)
+	for other, r := range cl.runs {
+		cl.c.Check(r.stopped, qt.IsFalse, qt.Commentf("%s was stopped", other))
+	}
+	cl.play(time.Second)
 	cl.c.Assert(cl.startedOn[task], qt.HasLen, 2)
 	delay := cl.startedAt[task][1].Sub(cl.startedAt[task][0]) - leaseTime
 	cl.c.Check(delay < 2900*time.Millisecond, qt.IsTrue, qt.Commentf("it waited %v", delay))
 	cl.checkCompleted(10*time.Second, "a")
 }
+
+// TestUnansweredNotAlone checks that a crash before the worker has answered for the start
+// counts, but does not prove that the task was there: three such crashes are needed.
+func TestUnansweredNotAlone(t *testing.T) {
+	cl := newCluster(t, 2*perRack)
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 9000})
+	for n := 1; n <= 3; n++ {
+		starts := cl.waitForStart()
+		cl.c.Assert(starts, qt.HasLen, 1)
+		s := starts[0]
+		cl.p.HandleStartReply(s.Worker, s.Task, s.Run, yuccapaddle.ErrNoAnswer)
+		cl.crash(s.Worker, backAsOther)
+		cl.c.Check(cl.report("a").State.Final(), qt.IsFalse)
+	}
+	cl.c.Check(cl.waitForStart(), qt.HasLen, 0)
+	report := cl.report("a")
+	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
+	cl.c.Check(report.Reason, qt.Equals, "3 workers have crashed under task a.0.0.0")
+	cl.c.Check(cl.p.View("a").Steps[0].Crashes, qt.Equals, 3)
+}
+
+// waitForStart moves the time forward until there are starts, at most for ten seconds, and
+// returns them. It does not carry them out.
+func (cl *cluster) waitForStart() []yuccapaddle.RunStart {
+	for range 500 {
+		cl.now = cl.now.Add(stepTime)
+		cl.p.SetTime(cl.now, cl.now)
+		cl.doDue()
+		if starts := cl.starts(); len(starts) > 0 {
+			return starts
+		}
+	}
+	return nil
+}
+
+// TestOverdueSuspects checks that suspects for which there is only the worker that has
+// crashed under them are tried there one after the other.
+func TestOverdueSuspects(t *testing.T) {
+	cl := newCluster(t, 2)
+	cl.fill(2*gpus - 3)
+	cl.play(4 * time.Second)
+	for _, id := range []string{"p0", "p1", "p2"} {
+		cl.submit(id, queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 60000, Label: "a"})
+	}
+	cl.play(time.Second)
+	on := cl.startedOn[yuccapaddle.TaskID{Job: "p0"}]
+	cl.c.Assert(on, qt.HasLen, 1)
+	cl.crash(on[0], backAsOther)
+	cl.play(leaseTime + 2*time.Second + trustTime + time.Second)
+	suspects := 0
+	for _, id := range []string{"p0", "p1", "p2"} {
+		suspects += len(cl.startedOn[yuccapaddle.TaskID{Job: id}]) - 1
+	}
+	cl.c.Check(suspects, qt.Equals, 2, qt.Commentf("one after the other, each for %v", trustTime))
+}
+
+// TestWaitingSuspect checks that a suspect that waits for a place of its own remains one
+// while another task of its job runs: it is not placed beside others before its wait is over.
+func TestWaitingSuspect(t *testing.T) {
+	cl := newCluster(t, 3)
+	most := yuccapaddle.Step{Count: 3, Need: yuccapaddle.Need{GPU: gpus - 2}, Estimate: 60000}
+	cl.submit("most", queueBatch, most)
+	cl.play(5 * time.Second)
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 2, PerWorker: 1, Need: oneGPUTask, Estimate: 60000})
+	cl.play(time.Second)
+	task := yuccapaddle.TaskID{Job: "a"}
+	cl.c.Assert(cl.startedOn[task], qt.HasLen, 1)
+	cl.crash(cl.startedOn[task][0], backAsOther)
+	cl.play(leaseTime + 1900*time.Millisecond)
+	cl.c.Check(cl.startedOn[task], qt.HasLen, 1)
+	cl.play(time.Second)
+	cl.c.Check(cl.startedOn[task], qt.HasLen, 2)
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -52,16 +52,27 @@
 	avoidUntil           map[string]time.Time // by worker
 	claim                []string             // workers on which room is being freed for it, one for each member
 	claimedAt            time.Time
-	failureCounted       bool   // the current run has been counted in failures
-	mayHaveStartedBefore bool   // an earlier run may have started
-	waitNoted            bool   // what it waits for has been logged since it was last placed
-	lastEndReason        string // why the previous run ended
+	failureCounted       bool                 // the current run has been counted in failures
+	mayHaveStartedBefore bool                 // an earlier run may have started
+	waitNoted            bool                 // what it waits for has been logged since it was last placed
+	lastEndReason        string               // why the previous run ended
+	losses               []loss               // lost workers of which it is not known yet whether they have crashed
+	crashes              int                  // runs under which workers have crashed
+	crashedRun           int                  // the latest of these
+	crashedAlone         bool                 // nothing else was on the worker that crashed under that run
+	suspect              bool                 // it may have crashed its worker
+	placedAlone          bool                 // it was placed as a suspect where nothing else ran
+	avoidAddresses       map[string]time.Time // of workers, like avoidUntil
 }
 
 // member is one task of a unit's current run, on its worker.
 type member struct {
-	worker    string
-	confirmed bool // see confirmRun
+	worker string
+	// incarnation and address are those of the worker when it was placed there, zero if
+	// unknown.
+	incarnation int64
+	address     string
+	confirmed   bool // see confirmRun
 	// confirmedPoll is the number of the latest poll of any worker when it was confirmed.
 	confirmedPoll int64
 	neverStarted  bool      // it certainly has not started
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -17,9 +17,9 @@
 }
 
 // pick chooses a worker for each task of a unit, nil if there is no room. claimed is the
-// room on each worker that is kept for other units.
-func (p *Planner) pick(u *unit, claimed map[string]yuccapaddle.Need) []string {
-	candidates := p.candidates(u, u.width(), claimed)
+// room on each worker that is kept for other units, and c what may run on the workers.
+func (p *Planner) pick(u *unit, claimed map[string]yuccapaddle.Need, c company) []string {
+	candidates := p.candidates(u, u.width(), claimed, c)
 	if p.needsProvenWorkers(u) {
 		if list := p.chooseWorkers(u, p.provenOnly(candidates)); list != nil {
 			return list
@@ -55,7 +55,7 @@
 
 // pickUpTo chooses workers for up to n single tasks of the unit's step.
 func (p *Planner) pickUpTo(u *unit, n int, claimed map[string]yuccapaddle.Need) []string {
-	candidates := p.candidates(u, n, claimed)
+	candidates := p.candidates(u, n, claimed, companyTrusted)
 	rack := u.stepSpec().DataRack
 	if rack == "" {
 		return takeUpTo(candidates, n)
@@ -115,11 +115,11 @@
 
 // candidates lists the workers with room for at least one of n tasks of the unit: those
 // with the least free room first, quarantined ones last. It leaves out workers that the
-// unit avoids and the reserve for urgent jobs.
-func (p *Planner) candidates(u *unit, n int, claimed map[string]yuccapaddle.Need) []candidate {
+// unit avoids, those where it may not have the company, and the reserve for urgent jobs.
+func (p *Planner) candidates(u *unit, n int, claimed map[string]yuccapaddle.Need, c company) []candidate {
 	var list []candidate
 	for id, w := range p.workers {
-		if !p.usable(w) || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) {
+		if !p.usable(w) || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) || !p.suits(u, w, claimed[id], c) {
 			continue
 		}
 		free := w.free().Sub(claimed[id])
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -27,6 +27,7 @@
 	if !p.now.Before(p.nextTick) {
 		p.tick()
 	}
+	p.settleLosses()
 	if !p.changed {
 		return
 	}
@@ -46,6 +47,7 @@
 			p.checkRuns(j)
 		}
 	}
+	p.forgetSuspects()
 	p.removeExpired()
 	p.nextTick = p.now.Add(tickInterval)
 	p.wakeBy(p.nextTick)
@@ -64,6 +66,7 @@
 		case u.state == unitPlaced && !u.stepSpec().Endless && !u.job.spec.Once:
 			p.stopStalled(u)
 		}
+		p.clearTrusted(u)
 	}
 }
 
@@ -88,7 +91,7 @@
 
 // placeWaiting places the waiting units in order. Consecutive single tasks of one step
 // need the same and are placed in one pass. Once a single unit of a step could not be
-// placed, others of the step that avoid no workers are skipped for this round.
+// placed, others of the step that keep off no workers are skipped for this round.
 func (p *Planner) placeWaiting() {
 	p.workspaceNeeds = nil
 	unplaceable := map[stepKey]bool{}
@@ -104,11 +107,11 @@
 			p.placeSimilar(list[i-n : i])
 			continue
 		}
-		if unplaceable[u.key()] && len(u.avoidUntil) == 0 {
+		if unplaceable[u.key()] && !u.choosy() {
 			continue
 		}
 		if !p.tryPlace(u) {
-			unplaceable[u.key()] = true
+			unplaceable[u.key()] = unplaceable[u.key()] || !u.suspect
 			p.noteWait(u)
 		}
 	}
@@ -119,7 +122,7 @@
 // is at least 1.
 func countSimilar(list []*unit) int {
 	batchable := func(u *unit) bool {
-		return !u.stepSpec().Gang && len(u.avoidUntil) == 0 && u.claim == nil && u.failures == 0 && u.job.priority != 0
+		return !u.stepSpec().Gang && !u.choosy() && u.claim == nil && u.failures == 0 && u.job.priority != 0
 	}
 	n := 0
 	for n < len(list) && batchable(list[n]) && list[n].key() == list[0].key() {
@@ -181,15 +184,22 @@
 		return cmp.Or(
 			cmp.Compare(a.job.priority, b.job.priority),
 			cmp.Compare(a.job.spec.Accepted, b.job.spec.Accepted),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occurrence, b.occurrence),
-			cmp.Compare(a.stepIndex, b.stepIndex),
-			cmp.Compare(a.taskIndex, b.taskIndex),
+			a.compare(b),
 		)
 	})
 	return list
 }
 
+// compare orders units by the ID of their task.
+func (u *unit) compare(v *unit) int {
+	return cmp.Or(
+		cmp.Compare(u.job.spec.ID, v.job.spec.ID),
+		cmp.Compare(u.occurrence, v.occurrence),
+		cmp.Compare(u.stepIndex, v.stepIndex),
+		cmp.Compare(u.taskIndex, v.taskIndex),
+	)
+}
+
 // lowestPriority is the priority of jobs whose queue no longer exists.
 const lowestPriority = 100
 
@@ -217,7 +227,15 @@
 	if u.claim != nil {
 		return p.tryPlaceClaimed(u)
 	}
-	workers := p.pick(u, p.claimedRoom())
+	if u.suspect {
+		if placed, done := p.tryPlaceSuspect(u); done {
+			return placed
+		}
+	}
+	workers := p.pick(u, p.claimedRoom(), companyTrusted)
+	if workers == nil && u.choosy() {
+		workers = p.pickReluctantly(u)
+	}
 	if workers == nil {
 		p.requestAdvice(u)
 		return p.preempt(u)
@@ -233,7 +251,7 @@
 	taken := map[string]yuccapaddle.Need{}
 	for _, id := range u.claim {
 		w := p.workers[id]
-		if w == nil || !p.usable(w) {
+		if w == nil || !p.usable(w) || p.suspectBeside(u, w) {
 			u.claim = nil
 			return p.tryPlace(u)
 		}
@@ -272,11 +290,14 @@
 	u.run++
 	u.state, u.stopping, u.failureCounted = unitPlaced, false, false
 	u.placedAt = p.now
-	u.waitNoted = false
+	u.waitNoted, u.placedAlone = false, false
+	if u.suspect {
+		p.suspectHosts = nil
+	}
 	u.members = make([]member, len(workers))
 	for i, id := range workers {
 		w := p.workers[id]
-		u.members[i] = member{worker: id, progressAt: p.now, pace: fullPace}
+		u.members[i] = member{worker: id, incarnation: max(w.Incarnation, w.reportedIncarnation), address: w.Address, progressAt: p.now, pace: fullPace}
 		w.addRun(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.startOrder(u, id, i))
 		p.addDecision(yuccapaddle.Decision{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,10 @@
 	wakeAt             time.Time
 	nextTick           time.Time
 	claims             map[*unit]bool              // units for which running tasks are being preempted
+	unsettled          map[*unit]bool              // units with pending losses
+	settleBy           time.Time                   // when these are judged next
+	suspects           map[*unit]bool              // units that may have crashed their workers
+	suspectHosts       map[string][]*unit          // cache of suspectsOn, by worker
 	noReserve          bool                        // no workers are kept free for urgent work
 	noProvenPreference bool                        // gangs are placed without preference for proven workers
 	workersKnown       bool                        // the registrations have been read at least once
@@ -58,7 +62,7 @@
 func New(limits yuccapaddle.PlanLimits, opts ...Option) *Planner {
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
-		limits: limits, dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
+		limits: limits, dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -56,7 +56,7 @@
 	var all []slot
 	claimed := p.claimedRoom()
 	for id, w := range p.workers {
-		if !p.usable(w) || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) || p.quarantined(w) {
+		if !p.usable(w) || !p.eligible(u, w) || p.now.Before(u.avoidUntil[id]) || p.crashedUnder(u, w) || p.quarantined(w) || p.suspectBeside(u, w) {
 			continue
 		}
 		all = append(all, p.slots(u, w, claimed[id])...)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -28,12 +28,33 @@
 	Stopping             bool           `json:"x,omitempty"`
 	MayHaveStartedBefore bool           `json:"b,omitempty"`
 	Members              []memberRecord `json:"m,omitempty"`
+	Crashes              int            `json:"n,omitempty"`
+	CrashedRun           int            `json:"nr,omitempty"`
+	CrashedAlone         bool           `json:"na,omitempty"`
+	Suspect              bool           `json:"q,omitempty"`
+	PlacedAlone          bool           `json:"qa,omitempty"`
+	Losses               []lossRecord   `json:"l,omitempty"`
 }
 
 // memberRecord is the committed form of a member.
 type memberRecord struct {
-	Worker string `json:"w"`
-	Ended  bool   `json:"o,omitempty"`
+	Worker      string `json:"w"`
+	Ended       bool   `json:"o,omitempty"`
+	Incarnation int64  `json:"b,omitempty"`
+	Address     string `json:"a,omitempty"`
+}
+
+// lossRecord is the committed form of a pending loss.
+type lossRecord struct {
+	Run         int    `json:"r"`
+	Worker      string `json:"w"`
+	Address     string `json:"a,omitempty"`
+	Rack        string `json:"k,omitempty"`
+	Domain      string `json:"z,omitempty"`
+	Incarnation int64  `json:"b"`
+	Others      int    `json:"n,omitempty"`
+	Unanswered  bool   `json:"u,omitempty"`
+	LostAt      int64  `json:"at,omitempty"`
 }
 
 // unitsPerPart is the number of units in one part, so that the end of a run rewrites one
@@ -75,13 +96,22 @@
 	r := unitRecord{
 		Occurrence: u.occurrence, Step: u.stepIndex, Index: u.taskIndex, State: u.state,
 		Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Succeeded: u.succeeded, Stopping: u.stopping, MayHaveStartedBefore: u.mayHaveStartedBefore,
+		Crashes: u.crashes, CrashedRun: u.crashedRun, CrashedAlone: u.crashedAlone,
+		Suspect: u.suspect, PlacedAlone: u.placedAlone,
+	}
+	for i := range u.losses {
+		l := &u.losses[i]
+		r.Losses = append(r.Losses, lossRecord{
+			Run: l.run, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
+			Others: l.others, Unanswered: l.unanswered, LostAt: l.lostAt,
+		})
 	}
 	if !u.live() {
 		return r
 	}
 	for i := range u.members {
 		m := &u.members[i]
-		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended})
+		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address})
 	}
 	return r
 }
@@ -130,6 +160,9 @@
 	p.openOccurrences(j)
 	// The former host may have failed after it committed the parts and before the state.
 	p.completeIfDone(j)
+	for _, u := range j.units {
+		p.failIfCrashing(u)
+	}
 	return nil
 }
 
@@ -141,6 +174,8 @@
 				p.worker(u.members[i].worker).removeRun(u, i)
 			}
 		}
+		delete(p.suspects, u)
+		delete(p.unsettled, u)
 	}
 }
 
@@ -171,9 +206,14 @@
 	if r.Succeeded {
 		u.markDone()
 	}
+	u.crashes, u.crashedRun, u.crashedAlone = r.Crashes, r.CrashedRun, r.CrashedAlone
+	p.restoreLosses(u, r.Losses)
+	if r.Suspect {
+		u.suspect, u.placedAlone, p.suspects[u], p.suspectHosts = true, r.PlacedAlone, true, nil
+	}
 	u.placedAt = p.now
 	for _, m := range r.Members {
-		u.members = append(u.members, member{worker: m.Worker, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true})
+		u.members = append(u.members, member{worker: m.Worker, incarnation: m.Incarnation, address: m.Address, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true})
 		if !m.Ended {
 			p.worker(m.Worker).addRun(u, len(u.members)-1)
 		}
@@ -185,6 +225,20 @@
 	return nil
 }
 
+// restoreLosses restores the pending losses of a unit. This host has learned of them now.
+func (p *Planner) restoreLosses(u *unit, list []lossRecord) {
+	for i := range list {
+		r := &list[i]
+		u.losses = append(u.losses, loss{
+			run: r.Run, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
+			others: r.Others, unanswered: r.Unanswered, lostAt: r.LostAt, since: p.now,
+		})
+	}
+	if len(u.losses) > 0 {
+		p.trackLosses(u)
+	}
+}
+
 // findUnit returns the unit that a record belongs to, nil if there is none.
 func (j *job) findUnit(r *unitRecord) *unit {
 	for _, u := range j.units {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -54,6 +54,8 @@
 		p.handleMissing(w, running, poll)
 	}
 	p.adjustPaces(w, reply.Running)
+	p.clearAnswered(w, poll)
+	w.silentSince = time.Time{}
 }
 
 // noteRestart records that a worker has restarted. Confirmed runs that it no longer lists
@@ -89,7 +91,7 @@
 		return
 	}
 	m := &x.u.members[x.member]
-	m.reported, m.adopted = true, false
+	m.reported, m.adopted, m.incarnation = true, false, w.reportedIncarnation
 	p.confirmRun(m)
 	if r.Percent != m.percent {
 		m.percent, m.progressAt = r.Percent, p.now
@@ -130,18 +132,25 @@
 // handleMissing ends confirmed runs that a worker does not list any more, and has
 // startUnsent handle runs that a former host placed there and may not have started.
 func (p *Planner) handleMissing(w *worker, running map[yuccapaddle.TaskID]bool, poll int64) {
-	var unsent []assignment
+	var unsent, vanished, lost []assignment
 	for t, x := range w.runs {
 		m := &x.u.members[x.member]
-		if running[t] || poll <= m.confirmedPoll {
+		restarted := w.restartedUnder(m)
+		switch {
+		case running[t] || poll <= m.confirmedPoll:
 			continue
-		}
-		if m.adopted && !x.u.stopping {
+		case m.confirmed || m.adopted && restarted:
+			vanished = append(vanished, x)
+		case m.adopted && !x.u.stopping:
 			unsent = append(unsent, x)
 		}
-		if !m.confirmed {
-			continue
+		if restarted {
+			lost = append(lost, x)
 		}
+	}
+	p.noteLosses(w, lost)
+	for _, x := range vanished {
+		t := x.u.taskID(x.member)
 		p.addDecision(yuccapaddle.Decision{Event: "run vanished", Job: t.Job, Task: t.String(), Worker: w.ID, Run: x.u.run})
 		p.endMember(w, x.u, x.member, "the worker does not list it")
 	}
@@ -201,6 +210,7 @@
 	p.markJobRunning(u)
 	switch e.Cause {
 	case yuccapaddle.EndDone:
+		p.setSuspect(u, false)
 		u.succeeded = !u.stepSpec().Endless
 		w.strikes = 0
 		w.quarantinedUntil = time.Time{}
@@ -209,6 +219,7 @@
 		}
 	case yuccapaddle.EndFailed:
 		p.countFailure(w, u)
+		p.setSuspect(u, false)
 	}
 	p.endMember(w, u, x.member, string(e.Cause))
 }
@@ -251,6 +262,9 @@
 	m.ended = true
 	w.removeRun(u, i)
 	p.changed = true
+	if u.suspect {
+		p.suspectHosts = nil
+	}
 	p.markUnitDirty(u)
 	if u.live() {
 		if !u.succeeded && !u.stopping && u.stepSpec().Gang {
@@ -274,14 +288,17 @@
 }
 
 // failIfExhausted fails the job of a unit that may not run again, and reports whether it
-// has. Either the job may run only once and an earlier run may have started, or the unit
-// has used up the attempts of its queue.
+// has. The job may run only once and an earlier run may have started, or the unit crashes
+// its workers, or it has used up the attempts of its queue.
 func (p *Planner) failIfExhausted(u *unit) bool {
 	if u.job.spec.Once && u.mayHaveStartedBefore {
 		u.job.reason = "task " + u.taskID(0).String() + " may have run and is not repeatable: " + u.lastEndReason
 		p.finish(u.job, yuccapaddle.JobFailed)
 		return true
 	}
+	if p.failIfCrashing(u) {
+		return true
+	}
 	q := p.rules.Queue(u.job.spec.Queue)
 	if q == nil || q.Attempts <= 0 || u.failures < q.Attempts || u.stepSpec().Endless {
 		return false
@@ -306,7 +323,9 @@
 	if len(w.runs) > 0 {
 		p.addDecision(yuccapaddle.Decision{Event: "leases over", Worker: id})
 	}
-	for _, x := range w.assignments() {
+	runs := w.assignments()
+	p.noteLosses(w, runs)
+	for _, x := range runs {
 		p.endMember(w, x.u, x.member, "the lease is over")
 	}
 	clear(w.orphans)
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -71,6 +71,9 @@
 		p.stop(u, "a start was refused after one without an answer")
 		return false
 	}
+	if reason == yuccapaddle.RefusedReplaced {
+		p.noteLosses(w, []assignment{x})
+	}
 	p.endMember(w, u, x.member, "the start was refused: "+string(reason))
 	return false
 }
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -85,6 +85,7 @@
 // addUnitView adds a unit to the view of its step.
 func (p *Planner) addUnitView(v *yuccapaddle.StepView, u *unit) {
 	v.Failures += u.failures
+	v.Crashes += u.crashes
 	switch {
 	case u.state == unitDone:
 		v.Done += u.width()
@@ -126,6 +127,8 @@
 	switch {
 	case u.claim != nil:
 		reason = "room that is being freed"
+	case u.suspect:
+		reason = "room on a worker where nothing else runs, since it may have crashed one"
 	case p.needsTicket(u):
 		reason = "room on a worker with a ticket"
 	case u.stepSpec().Label != "":
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -22,6 +22,8 @@
 	lastFailure         time.Time
 	quarantinedUntil    time.Time
 	goneSince           time.Time // when it was first missing from the registrations
+	silentSince         time.Time // when it left the first poll without an answer, zero if it answers
+	leavingIncarnation  int64     // the latest one that was draining or to go into maintenance
 	startBackoffUntil   time.Time // it gets no new runs until then
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
@@ -121,8 +123,12 @@
 				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg)})
 			}
 		}
+		if reg.Draining {
+			w.leavingIncarnation = reg.Incarnation
+		}
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
 	}
+	p.settleBy = p.now
 	for id, w := range p.workers {
 		if present[id] {
 			continue
@@ -179,6 +185,9 @@
 // back in if maintenance is false, and reports whether nothing runs there.
 func (p *Planner) SetMaintenance(id string, maintenance bool) bool {
 	w := p.worker(id)
+	if maintenance {
+		w.leavingIncarnation = w.Incarnation
+	}
 	if w.inMaintenance != maintenance {
 		w.inMaintenance = maintenance
 		p.changed = true
@@ -210,19 +219,34 @@
 // SetResponsive records whether a worker answers polls.
 func (p *Planner) SetResponsive(id string, responsive bool) {
 	w := p.worker(id)
+	if !responsive && w.silentSince.IsZero() {
+		w.silentSince = p.now
+	}
 	w.unresponsive = !responsive
 	p.changed = true
 }
 
-// Startable reports whether a start may still be sent: the worker is usable, and the run
-// has not ended or been stopped since the start was ordered.
+// Startable reports whether a start may still be sent: the worker is usable and is not that
+// of a suspect alone, and the run has not ended or been stopped since the start was
+// ordered.
 func (p *Planner) Startable(st *yuccapaddle.RunStart) bool {
 	w := p.workers[st.Worker]
 	if w == nil || !p.usable(w) {
 		return false
 	}
 	x, ok := w.runs[st.Task]
-	return ok && x.u.run == st.Run && !x.u.stopping
+	return ok && x.u.run == st.Run && !x.u.stopping && (x.u.suspect || !p.aloneThere(w))
+}
+
+// aloneThere reports whether a suspect was placed on a worker because nothing else ran
+// there.
+func (p *Planner) aloneThere(w *worker) bool {
+	for _, v := range p.suspectsOn(w.ID) {
+		if v.placedAlone {
+			return true
+		}
+	}
+	return false
 }
 
 // quarantined reports whether the worker is in quarantine after failures: other workers
--- a/status.go
+++ b/status.go
@@ -72,8 +72,8 @@
 }
 
 // StepView is a step of one occurrence of a job. Tasks, Done and Placed count
-// tasks, and Failures counts failures of its tasks. Waits says what waiting tasks
-// wait for, empty if none do.
+// tasks, Failures counts failures of its tasks and Crashes their runs under which workers
+// have crashed. Waits says what waiting tasks wait for, empty if none do.
 type StepView struct {
 	Occurrence int      `json:"occurrence"`
 	Step       int      `json:"step"`
@@ -81,6 +81,7 @@
 	Done       int      `json:"done"`
 	Placed     int      `json:"placed"`
 	Failures   int      `json:"failures"`
+	Crashes    int      `json:"crashes,omitempty"`
 	Workers    []string `json:"workers,omitempty"`
 	Waits      string   `json:"waits,omitempty"`
 }
