planner: count crashes by task, and not against tasks lost in a crowd

Cause: crashes were counted by unit, so that a wide gang was hit by chance often. Besides, the losses of a gang were judged as each lease ended; while the others were not known yet, its other workers looked like a lost rack.

Crashes are now counted for each task. The losses of a run are kept until all of them are judged, and the workers of the run speak for no other cause. A crash with many others at the same time, a tenth of all workers, counts towards three only, and makes no suspects at the first time.

TestUnluckyGang, TestStaggeredLeases, TestCrowdNotAlone and TestCrowdNotSuspect failed before.

--- a/internal/planner/cluster_test.go
+++ b/internal/planner/cluster_test.go
@@ -42,9 +42,10 @@
 	crashing   map[string]bool // jobs whose tasks crash their workers
 	// crashingStep is the only step of these jobs whose tasks do so, nil for all.
 	crashingStep *int
-	due          []timed  // what happens later
-	crashed      []string // IDs of crashed workers, in order
-	beside       []int    // how many other tasks ran there
+	leaseStep    time.Duration // by which the leases of each crashed worker end later than those of the one before
+	due          []timed       // what happens later
+	crashed      []string      // IDs of crashed workers, in order
+	beside       []int         // how many other tasks ran there
 	startedOn    map[yuccapaddle.TaskID][]string
 	startedAt    map[yuccapaddle.TaskID][]time.Time
 	records      map[string]*yuccapaddle.StoredJob
@@ -178,7 +179,7 @@
 	delete(cl.registered, id)
 	cl.register()
 	cl.p.SetResponsive(id, false)
-	cl.after(leaseTime, func() { cl.expire(id) })
+	cl.after(leaseTime+time.Duration(len(cl.crashed)%perRack)*cl.leaseStep, func() { cl.expire(id) })
 	switch how {
 	case backAsOther:
 		cl.after(absence, func() { cl.comeBack(old, id+"x") })
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -1,19 +1,25 @@
 package planner
 
 import (
+	"maps"
+	"slices"
+
 	"yuccapaddle"
 )
 
 // Load pattern: a task crashes each worker that starts it, and with the worker all that
 // runs there. Placed again and again it takes one worker after the other. So crashes are
-// counted for each unit, and a unit under which several workers have crashed is given up.
-// Others that ran there are as likely to blame after one crash, and are hit by chance only
-// seldom again; so a unit is given up sooner if nothing ran beside it.
+// counted for each task, and a unit is given up when several workers have crashed under
+// one of its tasks. Others that ran there are as likely to blame after one crash, and are
+// hit by chance only seldom again; so a task is given up sooner if nothing ran beside it.
+// The crashes of a gang are those of its tasks: a wide one is hit by chance often, but
+// seldom the same task.
 
 const (
-	// maxCrashes is the number of crashes after which a unit is given up.
+	// maxCrashes is the number of crashes under a task after which it is given up.
 	maxCrashes = 3
-	// maxCrashesAlone is the same if nothing ran beside it at the latest crash.
+	// maxCrashesAlone is the same if nothing ran beside it at the latest crash, and that
+	// was not one of many at the same time.
 	maxCrashesAlone = 2
 )
 
@@ -25,20 +31,10 @@
 	EventNoCrash = "no crash"
 )
 
-// crash is the crash of one or more workers under one run of a unit.
-type crash struct {
-	loss     loss // that of the first worker, or of one where nothing ran beside the unit
-	evidence string
-	workers  int
-}
-
-// add adds a loss that has turned out to be a crash.
-func (c crash) add(l *loss, evidence string) crash {
-	if c.workers == 0 || !c.loss.alone() && l.alone() {
-		c.loss, c.evidence = *l, evidence
-	}
-	c.workers++
-	return c
+// crashCount counts the runs of a task under which its worker has crashed.
+type crashCount struct {
+	runs  int
+	alone bool // at the latest crash nothing ran beside it, and few other workers were lost
 }
 
 // countsCrashes reports whether crashes under the unit are counted: it may run again. Jobs
@@ -47,24 +43,38 @@
 	return u.state != unitDone && !u.succeeded && !u.job.state.Final() && !u.job.spec.Once
 }
 
-// countCrash counts the crash of a run, once for all workers it has taken with it, and
-// fails the job if that was one too many.
-func (p *Planner) countCrash(u *unit, c crash) {
-	if c.loss.run == u.crashedRun {
-		return
+// mostCrashes returns the number of crashes under the task of the unit that has had most.
+func (u *unit) mostCrashes() int {
+	most := 0
+	for _, c := range u.crashes {
+		most = max(most, c.runs)
+	}
+	return most
+}
+
+// countCrash counts a loss that has turned out to be a crash.
+func (p *Planner) countCrash(u *unit, l *loss, f finding) {
+	if u.crashes == nil {
+		u.crashes = map[int]crashCount{}
+	}
+	c := crashCount{runs: u.crashes[l.member].runs + 1, alone: l.alone() && !f.crowd}
+	u.crashes[l.member] = c
+	detail := "number " + itoa(c.runs) + ", " + l.describeCompany() + ": " + f.evidence
+	if f.crowd {
+		detail += ", and many others were lost with it"
 	}
-	u.crashes++
-	u.crashedRun, u.crashedAlone = c.loss.run, c.loss.alone()
-	p.addLossDecision(EventCrash, u, &c.loss, "the number "+itoa(u.crashes)+", "+c.loss.company()+": "+c.evidence)
-	p.avoidCrashed(u, &c.loss)
-	if u.crashes > 1 {
+	p.addLossDecision(EventCrash, u, l, detail)
+	p.avoidCrashed(u, l)
+	switch {
+	case c.runs > 1:
 		p.setSuspect(u, true)
+	case f.crowd && u.mostCrashes() == 1:
+		p.setSuspect(u, false)
 	}
-	p.failIfCrashing(u)
 }
 
-// company says what ran beside the unit on the lost worker.
-func (l *loss) company() string {
+// describeCompany says what ran beside the unit on the lost worker.
+func (l *loss) describeCompany() string {
 	switch {
 	case l.unanswered:
 		return "the start had no answer"
@@ -76,23 +86,26 @@
 
 // addLossDecision adds a decision on the loss of a worker to the batch.
 func (p *Planner) addLossDecision(event string, u *unit, l *loss, detail string) {
-	p.addDecision(yuccapaddle.Decision{Event: event, Job: u.job.spec.ID, Task: u.taskID(0).String(), Worker: l.worker, Run: l.run, Detail: detail})
+	p.addDecision(yuccapaddle.Decision{Event: event, Job: u.job.spec.ID, Task: u.taskID(l.member).String(), Worker: l.worker, Run: l.run, Detail: detail})
 }
 
-// failIfCrashing fails the job of a unit that crashes its workers, and reports whether it
-// has.
+// failIfCrashing fails the job of a unit of which a task crashes its workers, and reports
+// whether it has.
 func (p *Planner) failIfCrashing(u *unit) bool {
-	if !u.countsCrashes() || u.crashes < maxCrashesAlone || u.crashes < maxCrashes && !u.crashedAlone {
+	if len(u.crashes) == 0 || !u.countsCrashes() {
 		return false
 	}
-	what := itoa(u.crashes) + " workers have crashed under task " + u.taskID(0).String()
-	if u.width() > 1 {
-		what = "workers have crashed under " + itoa(u.crashes) + " runs of the gang of task " + u.taskID(0).String()
-	}
-	if u.crashedAlone {
-		what += ", the last while nothing else ran there"
+	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
+		c := u.crashes[member]
+		if c.runs < maxCrashesAlone || c.runs < maxCrashes && !c.alone {
+			continue
+		}
+		u.job.reason = itoa(c.runs) + " workers have crashed under task " + u.taskID(member).String()
+		if c.alone {
+			u.job.reason += ", the last while nothing else ran there"
+		}
+		p.finish(u.job, yuccapaddle.JobFailed)
+		return true
 	}
-	u.job.reason = what
-	p.finish(u.job, yuccapaddle.JobFailed)
-	return true
+	return false
 }
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -254,6 +254,33 @@
 	cl.c.Check(cl.crashed, qt.HasLen, 2*perRack)
 }
 
+// TestStaggeredLeases checks the same for a gang of which the workers' leases end one after
+// the other, so that a part of its losses is judged before the others are known.
+func TestStaggeredLeases(t *testing.T) {
+	cl := newCluster(t, 3*perRack)
+	cl.leaseStep = 100 * time.Millisecond
+	cl.submitBad(badJob, yuccapaddle.Step{Count: perRack, Gang: true, OneRack: true, Need: yuccapaddle.Need{GPU: gpus}, Estimate: 2000})
+	report := cl.playUntilFinal(badJob, time.Minute)
+	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
+	cl.c.Check(cl.startedOn[badTask], qt.HasLen, 2)
+}
+
+// TestUnluckyGang checks that a wide gang is not given up since the workers of its tasks
+// crash now and then: each time under another task.
+func TestUnluckyGang(t *testing.T) {
+	cl := newCluster(t, 3*perRack)
+	const width = 6
+	cl.submit("gang", queueBatch, yuccapaddle.Step{Count: width, Gang: true, Need: yuccapaddle.Need{GPU: gpus}, Estimate: 12000})
+	for member := range width {
+		cl.play(time.Second)
+		on := cl.startedOn[yuccapaddle.TaskID{Job: "gang", Index: member}]
+		cl.c.Assert(on, qt.HasLen, member+1)
+		cl.crash(on[member], backAsOther)
+		cl.play(leaseTime + 3*time.Second)
+	}
+	cl.checkCompleted(30*time.Second, "gang")
+}
+
 // TestCrashKinds checks that tasks of all kinds are given up, and that the other tasks of
 // their jobs stop.
 func TestCrashKinds(t *testing.T) {
@@ -512,3 +539,49 @@
 	cl.play(time.Second)
 	cl.c.Check(cl.startedOn[task], qt.HasLen, 2)
 }
+
+// TestCrowdNotAlone checks that a task is not given up for the second crash if many workers
+// crash at the same time, since that speaks for another cause, but for the third.
+func TestCrowdNotAlone(t *testing.T) {
+	for n := 1; n <= 3; n++ {
+		cl := newCluster(t, 3*perRack)
+		cl.submit("a", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 9000})
+		task := yuccapaddle.TaskID{Job: "a"}
+		for i := range n {
+			cl.play(time.Second)
+			cl.c.Assert(cl.startedOn[task], qt.HasLen, i+1)
+			first := cl.startedOn[task][i]
+			cl.crash(first, backAsOther)
+			for k, other := range cl.sortedWorkers() {
+				if k%4 == 0 && other != first {
+					cl.crash(other, backAsOther)
+				}
+			}
+			cl.play(leaseTime + 3*time.Second)
+		}
+		cl.c.Check(cl.report("a").State.Final(), qt.Equals, n == 3, qt.Commentf("after %d crashes", n))
+	}
+}
+
+// TestCrowdNotSuspect checks that tasks lost in a crowd for the first time do not wait for
+// places of their own.
+func TestCrowdNotSuspect(t *testing.T) {
+	cl := newCluster(t, 3*perRack)
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 4 * gpus, Need: oneGPUTask, Estimate: 60000})
+	for i := range 3 * perRack { // so that no worker is empty
+		cl.submit(fmt.Sprintf("m%02d", i), queueBatch, yuccapaddle.Step{Count: 1, PerWorker: 1, Need: yuccapaddle.Need{GPU: gpus / 2}, Estimate: 60000})
+	}
+	cl.play(time.Second)
+	var lost []yuccapaddle.TaskID
+	for k, id := range cl.sortedWorkers() {
+		if k%4 == 0 {
+			lost = append(lost, cl.tasksOn(id)...)
+			cl.crash(id, backAsOther)
+		}
+	}
+	cl.c.Assert(len(lost) > gpus, qt.IsTrue)
+	cl.play(leaseTime + 4*stepTime)
+	for _, task := range lost {
+		cl.c.Check(cl.startedOn[task], qt.HasLen, 2, qt.Commentf("%s waits", task))
+	}
+}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -56,10 +56,8 @@
 	mayHaveStartedBefore bool                 // an earlier run may have started
 	waitNoted            bool                 // what it waits for has been logged since it was last placed
 	lastEndReason        string               // why the previous run ended
-	losses               []loss               // lost workers of which it is not known yet whether they have crashed
-	crashes              int                  // runs under which workers have crashed
-	crashedRun           int                  // the latest of these
-	crashedAlone         bool                 // nothing else was on the worker that crashed under that run
+	losses               []loss               // lost workers of the runs of which not all are judged yet
+	crashes              map[int]crashCount   // by member
 	suspect              bool                 // it may have crashed its worker
 	placedAlone          bool                 // it was placed as a suspect where nothing else ran
 	avoidAddresses       map[string]time.Time // of workers, like avoidUntil
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -20,12 +20,19 @@
 	// companionSpan is the longest time between the restarts of workers that were lost
 	// together.
 	companionSpan = 3 * time.Second
+	// companionAbsence is the longest that workers are away which were lost together with one
+	// that has not come back.
+	companionAbsence = 10 * time.Second
 	// crashClockSlack allows for the difference between clocks when a restart is compared
 	// with the time of a loss.
 	crashClockSlack = time.Second
 	// minCompanions is how many other workers of a rack or failure domain have to be lost
 	// with a worker for its loss to be that of the rack or failure domain.
 	minCompanions = 2
+	// A worker is lost in a crowd if minCrowd others, and one in crowdShare of all, are lost
+	// with it.
+	minCrowd   = 4
+	crowdShare = 10
 	// lostForGood is how long a worker has to be away without having come back for its loss
 	// to count as a crash.
 	lostForGood = goneRetention
@@ -33,10 +40,11 @@
 	settleInterval = 100 * time.Millisecond
 )
 
-// loss is the loss of a worker on which a run of a unit was in progress, until it is known
-// whether the worker has crashed.
+// loss is the loss of a worker on which a member of a unit's run was in progress. It is kept
+// until all losses of the run are judged.
 type loss struct {
 	run         int
+	member      int
 	worker      string
 	address     string
 	rack        string
@@ -45,6 +53,7 @@
 	others      int   // runs of other units that were on the worker
 	unanswered  bool  // the worker had not answered for the run
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
+	outcome     verdict
 	// These are not committed: each host sees them anew.
 	since    time.Time // when this host learned of the loss
 	judgeAt  time.Time // when it is judged, once the worker is known to be back
@@ -85,14 +94,14 @@
 // or the loss is of no account for the unit.
 func (p *Planner) noteLoss(w *worker, x assignment) {
 	u, m := x.u, &x.u.members[x.member]
-	if m.ended || m.neverStarted || m.incarnation == 0 || m.incarnation <= w.leavingIncarnation || !u.countsCrashes() || u.crashedRun == u.run || u.hasLoss(w.ID) {
+	if m.ended || m.neverStarted || m.incarnation == 0 || m.incarnation <= w.leavingIncarnation || !u.countsCrashes() || u.hasLoss(x.member) {
 		return
 	}
-	if p.suspectAfterLoss(u, w) {
+	if p.suspectAfterLoss(u, x.member, w) {
 		p.setSuspect(u, true)
 	}
 	u.losses = append(u.losses, loss{
-		run: u.run, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
+		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
 		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted, lostAt: p.wall.Add(p.lostContact(w).Sub(p.now)).UnixMilli(),
 		since: p.now, poll: p.lastPoll,
 	})
@@ -106,9 +115,9 @@
 	p.settleBy = p.now
 }
 
-// hasLoss reports whether the loss of the worker is recorded for the current run.
-func (u *unit) hasLoss(worker string) bool {
-	return slices.ContainsFunc(u.losses, func(l loss) bool { return l.run == u.run && l.worker == worker })
+// hasLoss reports whether the loss of the member's worker is recorded for the current run.
+func (u *unit) hasLoss(member int) bool {
+	return slices.ContainsFunc(u.losses, func(l loss) bool { return l.run == u.run && l.member == member })
 }
 
 // lostContact returns when a lost worker was last in touch.
@@ -149,6 +158,13 @@
 	}
 }
 
+// finding is what is known of a loss.
+type finding struct {
+	outcome  verdict
+	evidence string
+	crowd    bool // many other workers were lost at the same time
+}
+
 // settleLosses judges the pending losses for which that can be done.
 func (p *Planner) settleLosses() {
 	if len(p.unsettled) == 0 || p.now.Before(p.settleBy) {
@@ -180,65 +196,77 @@
 	return latest
 }
 
-// settleUnit judges the pending losses of a unit. All crashes of one run count as one.
+// settleUnit judges the pending losses of a unit, and fails its job if it is to be given up.
 func (p *Planner) settleUnit(u *unit, atAddress map[string]*worker) {
-	crashes := map[int]crash{} // by run
-	var pending []loss
+	judged := 0
 	for i := range u.losses {
 		l := &u.losses[i]
-		outcome, evidence := p.judge(u, l, atAddress)
-		switch outcome {
+		if l.outcome != verdictPending {
+			continue
+		}
+		f := p.judge(u, l, atAddress)
+		switch f.outcome {
 		case verdictPending:
-			pending = append(pending, *l)
+			continue
 		case verdictCrash:
-			crashes[l.run] = crashes[l.run].add(l, evidence)
+			p.countCrash(u, l, f)
 		case verdictNoCrash:
-			p.addLossDecision(EventNoCrash, u, l, evidence)
+			p.addLossDecision(EventNoCrash, u, l, f.evidence)
 		}
+		l.outcome = f.outcome
+		judged++
 	}
-	if len(pending) == len(u.losses) {
-		u.losses = pending // judge may have changed them
+	dropped := u.dropJudged()
+	if judged == 0 && !dropped {
 		return
 	}
-	u.losses = slices.DeleteFunc(pending, func(l loss) bool { _, counted := crashes[l.run]; return counted })
 	p.markUnitDirty(u)
 	p.changed = true
-	for _, run := range slices.Sorted(maps.Keys(crashes)) {
-		p.countCrash(u, crashes[run])
-	}
-	if len(u.losses) == 0 && u.crashes == 0 {
+	if len(u.losses) == 0 && len(u.crashes) == 0 {
 		p.setSuspect(u, false)
 	}
+	p.failIfCrashing(u)
 }
 
-// judge says what a loss is known to be, and why.
-func (p *Planner) judge(u *unit, l *loss, atAddress map[string]*worker) (outcome verdict, evidence string) {
-	if l.answered {
-		return verdictNoCrash, "it answers with the incarnation it had"
-	}
-	if back, evidence := p.returned(l, atAddress); back != 0 {
-		if !p.readyToJudge(l, back) {
-			return verdictPending, ""
-		}
-		if place := p.lostTogether(u, l, back, atAddress); place != "" {
-			return verdictNoCrash, "it was lost with its " + place
+// dropJudged drops the losses of runs that are over and of which all losses are judged, and
+// reports whether there were any. Until then they tell which workers the run has lost.
+func (u *unit) dropJudged() bool {
+	before := len(u.losses)
+	open := map[int]bool{}
+	for i := range u.losses {
+		if l := &u.losses[i]; l.outcome == verdictPending || l.run == u.run && u.live() {
+			open[l.run] = true
 		}
-		return verdictCrash, evidence
 	}
-	w := p.workers[l.worker]
-	if p.now.Before(p.awaySince(w, l).Add(lostForGood)) {
-		return verdictPending, ""
-	}
-	if w != nil && w.registered {
-		return verdictNoCrash, "it is registered with the incarnation it had"
+	u.losses = slices.DeleteFunc(u.losses, func(l loss) bool { return !open[l.run] })
+	return len(u.losses) < before
+}
+
+// judge says what is known of a loss.
+func (p *Planner) judge(u *unit, l *loss, atAddress map[string]*worker) finding {
+	if l.answered {
+		return finding{outcome: verdictNoCrash, evidence: "it answers with the incarnation it had"}
 	}
-	if l.unplaced() {
-		return verdictNoCrash, "it is not known what else was lost with it"
+	back, evidence := p.returned(l, atAddress)
+	w := p.workers[l.worker]
+	switch {
+	case back != 0 && !p.readyToJudge(l, back):
+		return finding{}
+	case back != 0:
+	case p.now.Before(p.awaySince(w, l).Add(lostForGood)):
+		return finding{}
+	case w != nil && w.registered:
+		return finding{outcome: verdictNoCrash, evidence: "it is registered with the incarnation it had"}
+	case l.unplaced():
+		return finding{outcome: verdictNoCrash, evidence: "it is not known what else was lost with it"}
+	default:
+		evidence = "it has stayed away"
 	}
-	if place := p.lostTogether(u, l, 0, atAddress); place != "" {
-		return verdictNoCrash, "it was lost with its " + place
+	lost := p.lostWith(u, l, back, atAddress)
+	if place := lost.place(l); place != "" {
+		return finding{outcome: verdictNoCrash, evidence: "it was lost with its " + place}
 	}
-	return verdictCrash, "it has stayed away"
+	return finding{outcome: verdictCrash, evidence: evidence, crowd: lost.crowd()}
 }
 
 // returned returns the incarnation as which a lost worker has come back, 0 if it has not,
@@ -280,50 +308,85 @@
 	return l.since
 }
 
-// lostTogether returns the place, rack or failure domain, of which all other workers have
-// been lost with a worker, "" if there is none. back is the incarnation as which the worker
-// has come back, 0 if it has not. Workers that the same run has lost do not speak for the
-// place.
-func (p *Planner) lostTogether(u *unit, l *loss, back int64, atAddress map[string]*worker) string {
-	if p.allLost(u, l, back, atAddress, func(w *worker) bool { return w.Domain == l.domain && w.Rack == l.rack }) {
-		return "rack"
+// others are the workers other than a lost one, without those that the same run has lost:
+// they do not speak for another cause than the run.
+type others struct {
+	lost, living []*worker
+}
+
+// lostWith returns the others, divided by whether they were lost at the same time. back is
+// the incarnation as which the lost worker has come back, 0 if it has not.
+func (p *Planner) lostWith(u *unit, l *loss, back int64, atAddress map[string]*worker) others {
+	var o others
+	own := u.addressesOf(l.run)
+	since := p.awaySince(p.workers[l.worker], l)
+	for _, w := range p.workers {
+		switch {
+		case own[w.Address]:
+		case w.registered && l.restartedWith(back, w.Incarnation):
+			o.lost = append(o.lost, w)
+		case w.registered:
+			o.living = append(o.living, w)
+		case atAddress[w.Address] == nil && w.goneSince.Sub(since).Abs() <= companionSpan:
+			o.lost = append(o.lost, w)
+		}
 	}
-	if p.allLost(u, l, back, atAddress, func(w *worker) bool { return w.Domain == l.domain }) {
+	return o
+}
+
+// place returns the place around a lost worker, rack or failure domain, of which all others
+// have been lost, too, "" if there is none.
+func (o *others) place(l *loss) string {
+	inRack := func(w *worker) bool { return w.Domain == l.domain && w.Rack == l.rack }
+	inDomain := func(w *worker) bool { return w.Domain == l.domain }
+	switch {
+	case count(o.living, inRack) == 0 && count(o.lost, inRack) >= minCompanions:
+		return "rack"
+	case count(o.living, inDomain) == 0 && count(o.lost, inDomain) >= minCompanions:
 		return "failure domain"
 	}
 	return ""
 }
 
-func (p *Planner) allLost(u *unit, l *loss, back int64, atAddress map[string]*worker, inPlace func(*worker) bool) bool {
-	own := map[string]bool{}
-	for i := range u.losses {
-		if u.losses[i].run == l.run {
-			own[u.losses[i].address] = true
+// crowd reports whether many workers were lost at the same time, more than a task does.
+func (o *others) crowd() bool {
+	return len(o.lost) >= minCrowd && len(o.lost)*crowdShare >= len(o.lost)+len(o.living)
+}
+
+// count returns how many workers meet the condition.
+func count(list []*worker, condition func(*worker) bool) int {
+	n := 0
+	for _, w := range list {
+		if condition(w) {
+			n++
 		}
 	}
-	companions := 0
-	for _, w := range p.workers {
-		if !inPlace(w) || own[w.Address] {
-			continue
+	return n
+}
+
+// addressesOf returns the addresses of the workers of a run, as far as they are known.
+func (u *unit) addressesOf(run int) map[string]bool {
+	list := map[string]bool{}
+	for i := range u.losses {
+		if u.losses[i].run == run {
+			list[u.losses[i].address] = true
 		}
-		switch {
-		case w.registered && l.restartedWith(back, w.Incarnation):
-			companions++
-		case w.registered:
-			return false
-		case atAddress[w.Address] == nil && w.goneSince.Add(companionSpan).After(p.awaySince(p.workers[l.worker], l)):
-			companions++
+	}
+	if run == u.run {
+		for i := range u.members {
+			list[u.members[i].address] = true
 		}
 	}
-	return companions >= minCompanions
+	return list
 }
 
-// restartedWith reports whether a worker with that incarnation has been restarted with the
-// lost one, which has come back as another one, or, if back is 0, since the loss.
+// restartedWith reports whether a worker with that incarnation was restarted when the lost
+// one was: it has come back as back, or, if that is 0, it has not.
 func (l *loss) restartedWith(back, incarnation int64) bool {
-	if back == 0 {
-		return incarnation > l.lostAt-crashClockSlack.Milliseconds()
+	from, until := l.lostAt-crashClockSlack.Milliseconds(), l.lostAt+companionAbsence.Milliseconds()
+	if back != 0 {
+		from = max(min(l.lostAt, back)-crashClockSlack.Milliseconds(), back-companionSpan.Milliseconds())
+		until = back + companionSpan.Milliseconds()
 	}
-	from := max(min(l.lostAt, back)-crashClockSlack.Milliseconds(), back-companionSpan.Milliseconds())
-	return incarnation > l.incarnation && incarnation >= from && incarnation <= back+companionSpan.Milliseconds()
+	return incarnation > l.incarnation && incarnation >= from && incarnation <= until
 }
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"yuccapaddle"
 )
@@ -28,9 +30,7 @@
 	Stopping             bool           `json:"x,omitempty"`
 	MayHaveStartedBefore bool           `json:"b,omitempty"`
 	Members              []memberRecord `json:"m,omitempty"`
-	Crashes              int            `json:"n,omitempty"`
-	CrashedRun           int            `json:"nr,omitempty"`
-	CrashedAlone         bool           `json:"na,omitempty"`
+	Crashes              []crashRecord  `json:"n,omitempty"`
 	Suspect              bool           `json:"q,omitempty"`
 	PlacedAlone          bool           `json:"qa,omitempty"`
 	Losses               []lossRecord   `json:"l,omitempty"`
@@ -44,17 +44,26 @@
 	Address     string `json:"a,omitempty"`
 }
 
+// crashRecord is the committed form of the crashes under a member.
+type crashRecord struct {
+	Member int  `json:"i,omitempty"`
+	Runs   int  `json:"r"`
+	Alone  bool `json:"a,omitempty"`
+}
+
 // lossRecord is the committed form of a pending loss.
 type lossRecord struct {
-	Run         int    `json:"r"`
-	Worker      string `json:"w"`
-	Address     string `json:"a,omitempty"`
-	Rack        string `json:"k,omitempty"`
-	Domain      string `json:"z,omitempty"`
-	Incarnation int64  `json:"b"`
-	Others      int    `json:"n,omitempty"`
-	Unanswered  bool   `json:"u,omitempty"`
-	LostAt      int64  `json:"at,omitempty"`
+	Run         int     `json:"r"`
+	Member      int     `json:"i,omitempty"`
+	Worker      string  `json:"w"`
+	Address     string  `json:"a,omitempty"`
+	Rack        string  `json:"k,omitempty"`
+	Domain      string  `json:"z,omitempty"`
+	Incarnation int64   `json:"b"`
+	Others      int     `json:"n,omitempty"`
+	Unanswered  bool    `json:"u,omitempty"`
+	LostAt      int64   `json:"at,omitempty"`
+	Outcome     verdict `json:"v,omitempty"`
 }
 
 // unitsPerPart is the number of units in one part, so that the end of a run rewrites one
@@ -96,14 +105,16 @@
 	r := unitRecord{
 		Occurrence: u.occurrence, Step: u.stepIndex, Index: u.taskIndex, State: u.state,
 		Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Succeeded: u.succeeded, Stopping: u.stopping, MayHaveStartedBefore: u.mayHaveStartedBefore,
-		Crashes: u.crashes, CrashedRun: u.crashedRun, CrashedAlone: u.crashedAlone,
 		Suspect: u.suspect, PlacedAlone: u.placedAlone,
 	}
+	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
+		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: u.crashes[member].runs, Alone: u.crashes[member].alone})
+	}
 	for i := range u.losses {
 		l := &u.losses[i]
 		r.Losses = append(r.Losses, lossRecord{
-			Run: l.run, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
-			Others: l.others, Unanswered: l.unanswered, LostAt: l.lostAt,
+			Run: l.run, Member: l.member, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
+			Others: l.others, Unanswered: l.unanswered, LostAt: l.lostAt, Outcome: l.outcome,
 		})
 	}
 	if !u.live() {
@@ -206,8 +217,7 @@
 	if r.Succeeded {
 		u.markDone()
 	}
-	u.crashes, u.crashedRun, u.crashedAlone = r.Crashes, r.CrashedRun, r.CrashedAlone
-	p.restoreLosses(u, r.Losses)
+	p.restoreCrashes(u, r)
 	if r.Suspect {
 		u.suspect, u.placedAlone, p.suspects[u], p.suspectHosts = true, r.PlacedAlone, true, nil
 	}
@@ -225,13 +235,26 @@
 	return nil
 }
 
-// restoreLosses restores the pending losses of a unit. This host has learned of them now.
-func (p *Planner) restoreLosses(u *unit, list []lossRecord) {
-	for i := range list {
-		r := &list[i]
+// restoreCrashes restores the crashes and the losses of a unit. This host has learned of
+// them now. Members that the unit cannot have are passed over.
+func (p *Planner) restoreCrashes(u *unit, record *unitRecord) {
+	for _, c := range record.Crashes {
+		if c.Member < 0 || c.Member >= u.width() {
+			continue
+		}
+		if u.crashes == nil {
+			u.crashes = map[int]crashCount{}
+		}
+		u.crashes[c.Member] = crashCount{runs: c.Runs, alone: c.Alone}
+	}
+	for i := range record.Losses {
+		r := &record.Losses[i]
+		if r.Member < 0 || r.Member >= u.width() {
+			continue
+		}
 		u.losses = append(u.losses, loss{
-			run: r.Run, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
-			others: r.Others, unanswered: r.Unanswered, lostAt: r.LostAt, since: p.now,
+			run: r.Run, member: r.Member, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
+			others: r.Others, unanswered: r.Unanswered, lostAt: r.LostAt, outcome: r.Outcome, since: p.now,
 		})
 	}
 	if len(u.losses) > 0 {
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -85,7 +85,9 @@
 // addUnitView adds a unit to the view of its step.
 func (p *Planner) addUnitView(v *yuccapaddle.StepView, u *unit) {
 	v.Failures += u.failures
-	v.Crashes += u.crashes
+	for _, c := range u.crashes {
+		v.Crashes += c.runs
+	}
 	switch {
 	case u.state == unitDone:
 		v.Done += u.width()
--- a/internal/planner/suspect.go
+++ b/internal/planner/suspect.go
@@ -45,14 +45,14 @@
 	companyAny
 )
 
-// suspectAfterLoss reports whether a unit may be to blame for the loss of a worker: it was
-// started there shortly before, or a worker of an earlier run of it was lost, too.
-func (p *Planner) suspectAfterLoss(u *unit, w *worker) bool {
-	if p.lostContact(w).Sub(u.placedAt) <= recentStart || u.crashes > 0 {
+// suspectAfterLoss reports whether a unit may be to blame for the loss of a member's worker:
+// it was started there shortly before, or the member has lost one in an earlier run, too.
+func (p *Planner) suspectAfterLoss(u *unit, member int, w *worker) bool {
+	if p.lostContact(w).Sub(u.placedAt) <= recentStart || u.crashes[member].runs > 0 {
 		return true
 	}
 	for i := range u.losses {
-		if u.losses[i].run != u.run {
+		if l := &u.losses[i]; l.member == member && l.run != u.run && l.outcome != verdictNoCrash {
 			return true
 		}
 	}
@@ -167,7 +167,7 @@
 	if workers != nil || !u.suspect {
 		return workers
 	}
-	until := u.waitingSince.Add(apartWait * time.Duration(max(u.crashes, 1)))
+	until := u.waitingSince.Add(apartWait * time.Duration(max(u.mostCrashes(), 1)))
 	if p.now.Before(until) && !u.stepSpec().Endless {
 		p.wakeBy(until)
 		return nil
@@ -178,12 +178,10 @@
 // awaitsVerdict reports whether a unit is about to be given up or not: another crash of it
 // will be counted within companionWait, or not.
 func (p *Planner) awaitsVerdict(u *unit) bool {
-	if u.crashes == 0 {
-		return false
-	}
 	for i := range u.losses {
-		if p.now.Before(u.losses[i].judgeAt) {
-			p.wakeBy(u.losses[i].judgeAt)
+		l := &u.losses[i]
+		if l.outcome == verdictPending && u.crashes[l.member].runs > 0 && p.now.Before(l.judgeAt) {
+			p.wakeBy(l.judgeAt)
 			return true
 		}
 	}
