planner: a crash right after the start of a task counts against it in a crowd, too

Callers lost more work than needed while many tasks crashed their workers at once: the crashes counted as those of a crowd, so that each such task needed a third one. A task alone on a worker that is lost within 0.5 s of its placement is given up after the second in any case.

TestCrowdAfterStart failed before.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -18,8 +18,8 @@
 const (
 	// maxCrashes is the number of crashes under a task after which it is given up.
 	maxCrashes = 3
-	// maxCrashesAlone is the same if nothing ran beside it at the latest crash, and that
-	// was not one of many at the same time.
+	// maxCrashesAlone is the same if nothing ran beside it at the latest crash, and that was
+	// right after its start or not one of many at the same time.
 	maxCrashesAlone = 2
 )
 
@@ -34,7 +34,7 @@
 // crashCount counts the runs of a task under which its worker has crashed.
 type crashCount struct {
 	runs  int
-	alone bool // at the latest crash nothing ran beside it, and few other workers were lost
+	alone bool // at the latest crash nothing ran beside it, and that was not in a crowd
 }
 
 // countsCrashes reports whether crashes under the unit are counted: it may run again. Jobs
@@ -57,7 +57,8 @@
 	if u.crashes == nil {
 		u.crashes = map[int]crashCount{}
 	}
-	c := crashCount{runs: u.crashes[l.member].runs + 1, alone: l.alone() && !f.crowd}
+	chance := f.crowd && !l.soon
+	c := crashCount{runs: u.crashes[l.member].runs + 1, alone: l.alone() && !chance}
 	u.crashes[l.member] = c
 	detail := "number " + itoa(c.runs) + ", " + l.describeCompany() + ": " + f.evidence
 	if f.crowd {
@@ -68,7 +69,7 @@
 	switch {
 	case c.runs > 1:
 		p.setSuspect(u, true)
-	case f.crowd && u.mostCrashes() == 1:
+	case chance && u.mostCrashes() == 1:
 		p.setSuspect(u, false)
 	}
 }
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -585,3 +585,22 @@
 		cl.c.Check(cl.startedOn[task], qt.HasLen, 2, qt.Commentf("%s waits", task))
 	}
 }
+
+// TestCrowdAfterStart checks that a task whose workers crash right after its starts, while
+// nothing else runs there, is given up after two crashes also if many others crash at the
+// same time.
+func TestCrowdAfterStart(t *testing.T) {
+	cl := newCluster(t, 3*perRack)
+	cl.submitBad(badJob, shortTask)
+	for n := 1; n <= 2; n++ {
+		cl.waitForCrashes(len(cl.crashed) + 1)
+		for k, id := range cl.sortedWorkers() {
+			if k%4 == 0 {
+				cl.crash(id, backAsOther)
+			}
+		}
+	}
+	report := cl.playUntilFinal(badJob, 10*time.Second)
+	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
+	cl.c.Check(cl.startedOn[badTask], qt.HasLen, 2)
+}
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -33,6 +33,9 @@
 	// with it.
 	minCrowd   = 4
 	crowdShare = 10
+	// soonAfterStart is how long after a placement a worker has to be lost for the start to be
+	// its likely cause, also in a crowd.
+	soonAfterStart = 500 * time.Millisecond
 	// lostForGood is how long a worker has to be away without having come back for its loss
 	// to count as a crash.
 	lostForGood = goneRetention
@@ -52,6 +55,7 @@
 	incarnation int64
 	others      int   // runs of other units that were on the worker
 	unanswered  bool  // the worker had not answered for the run
+	soon        bool  // the worker was lost right after the placement
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
 	outcome     verdict
 	// These are not committed: each host sees them anew.
@@ -102,7 +106,7 @@
 	}
 	u.losses = append(u.losses, loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
-		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted, lostAt: p.wall.Add(p.lostContact(w).Sub(p.now)).UnixMilli(),
+		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted, soon: !m.adopted && p.lostContact(w).Sub(u.placedAt) <= soonAfterStart, lostAt: p.wall.Add(p.lostContact(w).Sub(p.now)).UnixMilli(),
 		since: p.now, poll: p.lastPoll,
 	})
 	p.trackLosses(u)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -62,6 +62,7 @@
 	Incarnation int64   `json:"b"`
 	Others      int     `json:"n,omitempty"`
 	Unanswered  bool    `json:"u,omitempty"`
+	Soon        bool    `json:"s,omitempty"`
 	LostAt      int64   `json:"at,omitempty"`
 	Outcome     verdict `json:"v,omitempty"`
 }
@@ -114,7 +115,7 @@
 		l := &u.losses[i]
 		r.Losses = append(r.Losses, lossRecord{
 			Run: l.run, Member: l.member, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
-			Others: l.others, Unanswered: l.unanswered, LostAt: l.lostAt, Outcome: l.outcome,
+			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, LostAt: l.lostAt, Outcome: l.outcome,
 		})
 	}
 	if !u.live() {
@@ -254,7 +255,7 @@
 		}
 		u.losses = append(u.losses, loss{
 			run: r.Run, member: r.Member, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
-			others: r.Others, unanswered: r.Unanswered, lostAt: r.LostAt, outcome: r.Outcome, since: p.now,
+			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, lostAt: r.LostAt, outcome: r.Outcome, since: p.now,
 		})
 	}
 	if len(u.losses) > 0 {
