--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -604,3 +604,23 @@
 	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
 	cl.c.Check(cl.startedOn[badTask], qt.HasLen, 2)
 }
+
+// TestSilentOverTakeover checks that a worker that was cut off while the active host changed
+// and is registered as before does not count as crashed, although nothing runs there any more
+// and so it is not asked.
+func TestSilentOverTakeover(t *testing.T) {
+	cl := newCluster(t, 2*perRack)
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 60000})
+	cl.play(time.Second)
+	first := cl.startedOn[yuccapaddle.TaskID{Job: "a"}][0]
+	w := cl.registered[first]
+	cl.crash(first, backNever)
+	cl.play(leaseTime + time.Second)
+	cl.takeOver()
+	cl.play(5 * time.Second)
+	cl.registered[first] = w
+	cl.register()
+	cl.play(40 * time.Second)
+	cl.c.Check(cl.p.View("a").Steps[0].Crashes, qt.Equals, 0)
+	cl.c.Check(cl.startedOn[yuccapaddle.TaskID{Job: "a"}], qt.HasLen, 2)
+}
--- a/internal/planner/fuzz_test.go
+++ b/internal/planner/fuzz_test.go
@@ -26,6 +26,8 @@
 	r := sim.p.TakeBatch().Records[0]
 	f.Add(r.Job, r.State, r.Parts[0])
 	f.Add([]byte(`{"id":"x","t":[{"n":1,"d":{}}],"x":3,"ev":1}`), []byte(`{"o":9}`), []byte(`[{"k":2,"r":1,"s":1,"m":[{"w":"w00"},{"w":"w00"}]}]`))
+	f.Add([]byte(`{"id":"x","t":[{"n":2,"d":{},"gang":true}]}`), []byte(`{"o":1}`),
+		[]byte(`[{"r":2,"q":true,"n":[{"i":1,"r":2}],"l":[{"r":1,"w":"w00","a":"a","b":-1},{"r":2,"i":1,"w":"w01","b":1,"v":1}]}]`))
 	f.Add([]byte(`{}`), []byte(`{}`), []byte(`[]`))
 	f.Fuzz(func(t *testing.T, job, state, part []byte) {
 		var spec yuccapaddle.Job
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -104,10 +104,11 @@
 	if p.suspectAfterLoss(u, x.member, w) {
 		p.setSuspect(u, true)
 	}
+	lostAt := p.lostContact(w)
 	u.losses = append(u.losses, loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
-		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted, soon: !m.adopted && p.lostContact(w).Sub(u.placedAt) <= soonAfterStart, lostAt: p.wall.Add(p.lostContact(w).Sub(p.now)).UnixMilli(),
-		since: p.now, poll: p.lastPoll,
+		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted, soon: !m.adopted && lostAt.Sub(u.placedAt) <= soonAfterStart,
+		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), since: p.now, poll: p.lastPoll,
 	})
 	p.trackLosses(u)
 	p.markUnitDirty(u)
@@ -274,7 +275,8 @@
 }
 
 // returned returns the incarnation as which a lost worker has come back, 0 if it has not,
-// and how that is known.
+// and how that is known. If its rack and failure domain are unknown, those of the worker
+// that is at its address now become the loss's.
 func (p *Planner) returned(l *loss, atAddress map[string]*worker) (incarnation int64, evidence string) {
 	w := p.workers[l.worker]
 	if w != nil && max(w.Incarnation, w.reportedIncarnation) > l.incarnation {
