--- /dev/null
+++ b/internal/planner/crash.go
@@ -0,0 +1,112 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"yuccapaddle"
+)
+
+// Load pattern: a task crashes each worker that starts it, and with the worker all that
+// runs there. Placed again and again it takes one worker after the other. So crashes are
+// counted for each task, and a unit is given up when several workers have crashed under
+// one of its tasks. Others that ran there are as likely to blame after one crash, and are
+// hit by chance only seldom again; so a task is given up sooner if nothing ran beside it.
+// The crashes of a gang are those of its tasks: a wide one is hit by chance often, but
+// seldom the same task.
+
+const (
+	// maxCrashes is the number of crashes under a task after which it is given up.
+	maxCrashes = 3
+	// maxCrashesAlone is the same if nothing ran beside it at the latest crash, and that was
+	// right after its start or not one of many at the same time.
+	maxCrashesAlone = 2
+)
+
+// Events of decisions on lost workers.
+const (
+	// EventCrash is a crash that is counted for a task.
+	EventCrash = "crash"
+	// EventNoCrash is the loss of a worker that is not counted.
+	EventNoCrash = "no crash"
+)
+
+// crashCount counts the runs of a task under which its worker has crashed.
+type crashCount struct {
+	runs  int
+	alone bool // at the latest crash nothing ran beside it, and that was not in a crowd
+}
+
+// countsCrashes reports whether crashes under the unit are counted: it may run again. Jobs
+// that may run only once end after one run in any case.
+func (u *unit) countsCrashes() bool {
+	return u.state != unitDone && !u.succeeded && !u.job.state.Final() && !u.job.spec.Once
+}
+
+// mostCrashes returns the number of crashes under the task of the unit that has had most.
+func (u *unit) mostCrashes() int {
+	most := 0
+	for _, c := range u.crashes {
+		most = max(most, c.runs)
+	}
+	return most
+}
+
+// countCrash counts a loss that has turned out to be a crash.
+func (p *Planner) countCrash(u *unit, l *loss, f finding) {
+	if u.crashes == nil {
+		u.crashes = map[int]crashCount{}
+	}
+	chance := f.crowd && !l.soon
+	c := crashCount{runs: u.crashes[l.member].runs + 1, alone: l.alone() && !chance}
+	u.crashes[l.member] = c
+	detail := "number " + itoa(c.runs) + ", " + l.describeCompany() + ": " + f.evidence
+	if f.crowd {
+		detail += ", and many others were lost with it"
+	}
+	p.addLossDecision(EventCrash, u, l, detail)
+	p.avoidCrashed(u, l)
+	switch {
+	case c.runs > 1:
+		p.setSuspect(u, true)
+	case chance && u.mostCrashes() == 1:
+		p.setSuspect(u, false)
+	}
+}
+
+// describeCompany says what ran beside the unit on the lost worker.
+func (l *loss) describeCompany() string {
+	switch {
+	case l.unanswered:
+		return "the start had no answer"
+	case l.others == 0:
+		return "alone"
+	}
+	return "beside " + itoa(l.others) + " others"
+}
+
+// addLossDecision adds a decision on the loss of a worker to the batch.
+func (p *Planner) addLossDecision(event string, u *unit, l *loss, detail string) {
+	p.addDecision(yuccapaddle.Decision{Event: event, Job: u.job.spec.ID, Task: u.taskID(l.member).String(), Worker: l.worker, Run: l.run, Detail: detail})
+}
+
+// failIfCrashing fails the job of a unit of which a task crashes its workers, and reports
+// whether it has.
+func (p *Planner) failIfCrashing(u *unit) bool {
+	if len(u.crashes) == 0 || !u.countsCrashes() {
+		return false
+	}
+	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
+		c := u.crashes[member]
+		if c.runs < maxCrashesAlone || c.runs < maxCrashes && !c.alone {
+			continue
+		}
+		u.job.reason = itoa(c.runs) + " workers have crashed under task " + u.taskID(member).String()
+		if c.alone {
+			u.job.reason += ", the last while nothing else ran there"
+		}
+		p.finish(u.job, yuccapaddle.JobFailed)
+		return true
+	}
+	return false
+}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"yuccapaddle"
 )
@@ -28,12 +30,41 @@
 	Stopping             bool           `json:"x,omitempty"`
 	MayHaveStartedBefore bool           `json:"b,omitempty"`
 	Members              []memberRecord `json:"m,omitempty"`
+	Crashes              []crashRecord  `json:"n,omitempty"`
+	Suspect              bool           `json:"q,omitempty"`
+	PlacedAlone          bool           `json:"qa,omitempty"`
+	Losses               []lossRecord   `json:"l,omitempty"`
 }
 
 // memberRecord is the committed form of a member.
 type memberRecord struct {
-	Worker string `json:"w"`
-	Ended  bool   `json:"o,omitempty"`
+	Worker      string `json:"w"`
+	Ended       bool   `json:"o,omitempty"`
+	Incarnation int64  `json:"b,omitempty"`
+	Address     string `json:"a,omitempty"`
+}
+
+// crashRecord is the committed form of the crashes under a member.
+type crashRecord struct {
+	Member int  `json:"i,omitempty"`
+	Runs   int  `json:"r"`
+	Alone  bool `json:"a,omitempty"`
+}
+
+// lossRecord is the committed form of a pending loss.
+type lossRecord struct {
+	Run         int     `json:"r"`
+	Member      int     `json:"i,omitempty"`
+	Worker      string  `json:"w"`
+	Address     string  `json:"a,omitempty"`
+	Rack        string  `json:"k,omitempty"`
+	Domain      string  `json:"z,omitempty"`
+	Incarnation int64   `json:"b"`
+	Others      int     `json:"n,omitempty"`
+	Unanswered  bool    `json:"u,omitempty"`
+	Soon        bool    `json:"s,omitempty"`
+	LostAt      int64   `json:"at,omitempty"`
+	Outcome     verdict `json:"v,omitempty"`
 }
 
 // unitsPerPart is the number of units in one part, so that the end of a run rewrites one
@@ -75,13 +106,24 @@
 	r := unitRecord{
 		Occurrence: u.occurrence, Step: u.stepIndex, Index: u.taskIndex, State: u.state,
 		Run: u.run, Failures: u.failures, Checkpoint: u.checkpoint, Succeeded: u.succeeded, Stopping: u.stopping, MayHaveStartedBefore: u.mayHaveStartedBefore,
+		Suspect: u.suspect, PlacedAlone: u.placedAlone,
+	}
+	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
+		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: u.crashes[member].runs, Alone: u.crashes[member].alone})
+	}
+	for i := range u.losses {
+		l := &u.losses[i]
+		r.Losses = append(r.Losses, lossRecord{
+			Run: l.run, Member: l.member, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
+			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, LostAt: l.lostAt, Outcome: l.outcome,
+		})
 	}
 	if !u.live() {
 		return r
 	}
 	for i := range u.members {
 		m := &u.members[i]
-		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended})
+		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address})
 	}
 	return r
 }
@@ -130,6 +172,9 @@
 	p.openOccurrences(j)
 	// The former host may have failed after it committed the parts and before the state.
 	p.completeIfDone(j)
+	for _, u := range j.units {
+		p.failIfCrashing(u)
+	}
 	return nil
 }
 
@@ -141,6 +186,8 @@
 				p.worker(u.members[i].worker).removeRun(u, i)
 			}
 		}
+		delete(p.suspects, u)
+		delete(p.unsettled, u)
 	}
 }
 
@@ -171,9 +218,13 @@
 	if r.Succeeded {
 		u.markDone()
 	}
+	p.restoreCrashes(u, r)
+	if r.Suspect {
+		u.suspect, u.placedAlone, p.suspects[u], p.suspectHosts = true, r.PlacedAlone, true, nil
+	}
 	u.placedAt = p.now
 	for _, m := range r.Members {
-		u.members = append(u.members, member{worker: m.Worker, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true})
+		u.members = append(u.members, member{worker: m.Worker, incarnation: m.Incarnation, address: m.Address, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true})
 		if !m.Ended {
 			p.worker(m.Worker).addRun(u, len(u.members)-1)
 		}
@@ -185,6 +236,33 @@
 	return nil
 }
 
+// restoreCrashes restores the crashes and the losses of a unit. This host has learned of
+// them now. Members that the unit cannot have are passed over.
+func (p *Planner) restoreCrashes(u *unit, record *unitRecord) {
+	for _, c := range record.Crashes {
+		if c.Member < 0 || c.Member >= u.width() {
+			continue
+		}
+		if u.crashes == nil {
+			u.crashes = map[int]crashCount{}
+		}
+		u.crashes[c.Member] = crashCount{runs: c.Runs, alone: c.Alone}
+	}
+	for i := range record.Losses {
+		r := &record.Losses[i]
+		if r.Member < 0 || r.Member >= u.width() {
+			continue
+		}
+		u.losses = append(u.losses, loss{
+			run: r.Run, member: r.Member, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
+			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, lostAt: r.LostAt, outcome: r.Outcome, since: p.now,
+		})
+	}
+	if len(u.losses) > 0 {
+		p.trackLosses(u)
+	}
+}
+
 // findUnit returns the unit that a record belongs to, nil if there is none.
 func (j *job) findUnit(r *unitRecord) *unit {
 	for _, u := range j.units {
