elector, rulesender, rulefetcher: send rules to few hosts at a time

Change: a host sends rules to three others at a time, one part of 16 kB a call. Who has to wait is told who has got them and asks there. So the hosts that can send multiply with each round. A follower that fetches goes on to the store if its rules have not been confirmed for half of the time that a change may take; fetched rules are confirmed by the heartbeat that told of them, before the follower would read them from the store as well; rules that are of no use to a follower are not fetched again.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -93,6 +93,7 @@
 	resigned      atomic.Bool
 	handedOver    atomic.Bool   // whether the role was last handed over to another host
 	heldLease     atomic.Uint64 // the ledger's lease on the lock key, while this host is active
+	fetchingRules atomic.Bool   // rules are being fetched from another host
 	rank          atomic.Int64  // place in the order of claims, from the latest heartbeat, 0 if unknown
 	// renewedAt is when the lease was last renewed, and peersConfirmedAt when half of the
 	// other hosts last knew of no later active host, both as UnixNano of clock.
@@ -130,7 +131,7 @@
 	minLeaseTTL time.Duration, build buildFunc, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Elector {
 	e := &Elector{
-		ledger: ledger, rules: rules, sender: rulesender.New(rules), fetcher: rulefetcher.New(rules, clock), conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
+		ledger: ledger, rules: rules, sender: rulesender.New(rules, clock), fetcher: rulefetcher.New(rules, address), conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
 		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), hosts: newHostTable(address, clock), cpuShare: 1,
 	}
 	for _, o := range opts {
@@ -167,12 +168,13 @@
 
 // MustReadRules reports whether this host has to read the rules from the ledger itself:
 // it is active, or no heartbeat has confirmed its rules recently and it is not getting
-// others from a host. Both at once would take twice as long on a slow link.
+// others from a host, or not soon enough. Both at once would take twice as long on a slow
+// link.
 func (e *Elector) MustReadRules() bool {
 	if e.localExecutor.Load() != nil {
 		return true
 	}
-	return e.rules.Stale() && !e.fetcher.Progressing()
+	return e.rules.Stale() && (!e.fetchingRules.Load() || e.rules.Overdue())
 }
 
 // Pending returns the number of jobs in a queue that have not started.
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -89,6 +89,7 @@
 // host is an Elector that serves its peers over the loopback interface.
 type host struct {
 	*elector.Elector
+	number  int // in the order of their creation
 	address string
 	ledger  *refusingLedger
 	rules   *rulekeeper.RuleKeeper
@@ -124,7 +125,7 @@
 	clock := yuccapaddle.SystemClock{}
 	rules := rulekeeper.New(source, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
-	h := &host{address: address, ledger: &refusingLedger{Bookkeeper: store}, rules: rules, peers: grpc.NewServer()}
+	h := &host{number: i, address: address, ledger: &refusingLedger{Bookkeeper: store}, rules: rules, peers: grpc.NewServer()}
 	build := func(rec *recorder.Recorder, _ time.Time) (*executor.Executor, func(context.Context) error) {
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -194,7 +194,7 @@
 		return false
 	}
 	received := false
-	beatAt, bytesAtBeat := openedAt, e.conns.Received()
+	beatAt, bytesAtBeat, longestGap := openedAt, e.conns.Received(), time.Duration(0)
 	watch := &lockWatch{e: e, client: client, leader: address}
 	rules := &ruleFollower{e: e, client: client, leader: address, group: g}
 	delays := &delayMeter{openedAt: openedAt}
@@ -203,11 +203,13 @@
 		if err != nil {
 			if received {
 				e.log.Info("the active host is lost", zap.String("address", address), zap.Error(err),
-					zap.Int64("heartbeat_ms_ago", e.clock.Now().Sub(beatAt).Milliseconds()), zap.Int64("bytes_since", e.conns.Received()-bytesAtBeat))
+					zap.Int64("heartbeat_ms_ago", e.clock.Now().Sub(beatAt).Milliseconds()), zap.Int64("bytes_since", e.conns.Received()-bytesAtBeat),
+					zap.Int64("longest_gap_ms", longestGap.Milliseconds()))
 			}
 			return status.Code(err) == codes.Aborted
 		}
 		watchdog.Reset(heartbeatTimeout(beat))
+		longestGap = max(longestGap, e.clock.Now().Sub(beatAt))
 		beatAt, bytesAtBeat = e.clock.Now(), e.conns.Received()
 		if !received {
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
--- a/internal/elector/rules.go
+++ b/internal/elector/rules.go
@@ -6,15 +6,22 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
 
 	"yuccapaddle/internal/peer"
+	"yuccapaddle/internal/rulefetcher"
+	"yuccapaddle/internal/sleeper"
 	"yuccapaddle/internal/supervisor"
 )
 
-// fetchTimeout bounds one attempt to fetch rules while this host looks for the active one.
-// The next attempt goes on where it ended.
-const fetchTimeout = callTimeout
+const (
+	// searchFetchTimeout bounds one attempt to fetch rules while this host looks for the
+	// active one. The next attempt goes on where it ended.
+	searchFetchTimeout = dialTimeout
+	// minFetchPause and maxFetchPause are the times after which a host is asked again that
+	// sent the rules to others.
+	minFetchPause = 50 * time.Millisecond
+	maxFetchPause = 400 * time.Millisecond
+)
 
 // rulesOffer is what a host tells of its rules.
 type rulesOffer struct {
@@ -22,9 +29,9 @@
 	revision, digest uint64
 }
 
-// SendRules streams the rules of this host.
-func (e *Elector) SendRules(req *peer.RulesRequest, stream grpc.ServerStreamingServer[peer.RulesPart]) error {
-	return e.sender.Send(req, stream)
+// RulesPart returns a part of the rules of this host.
+func (e *Elector) RulesPart(req *peer.RulesRequest) (*peer.RulesPart, error) {
+	return e.sender.Part(req)
 }
 
 // offerRules applies rules received from another host unless they are older than those
@@ -36,10 +43,11 @@
 	return e.rules.Offer(data, "host")
 }
 
-// wants reports whether rules differ from those in force and are newer.
+// wants reports whether rules differ from those in force and are newer, and were not of no
+// use here when they were fetched before.
 func (e *Elector) wants(revision, digest uint64) bool {
 	_, ownRevision, ownDigest := e.rules.Data()
-	return digest != ownDigest && revision > ownRevision
+	return digest != ownDigest && revision > ownRevision && !e.fetcher.Useless(revision, digest)
 }
 
 // fetchOffered fetches the rules that a host has offered, if this one wants them.
@@ -47,7 +55,7 @@
 	if offer.address == "" || offer.digest == 0 || !e.wants(offer.revision, offer.digest) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, searchFetchTimeout)
 	defer cancel()
 	client, err := e.conns.Client(offer.address)
 	if err == nil {
@@ -60,36 +68,97 @@
 
 // ruleFollower keeps the rules of a follower up to date with those of the active host.
 type ruleFollower struct {
-	e        *Elector
-	client   peer.JobsClient
-	leader   string
-	group    *supervisor.Supervisor
-	fetching atomic.Bool
+	e      *Elector
+	client peer.JobsClient
+	leader string
+	group  *supervisor.Supervisor
+	latest atomic.Pointer[rulesNews]
+}
+
+// rulesNews is what a heartbeat tells of the rules of the active host.
+type rulesNews struct {
+	revision, digest uint64
+	fresh            bool // they were the latest
+	sentAt           time.Time
 }
 
 // observe handles what a heartbeat tells of the rules, which was so when it was sent. The
 // rules are fetched beside the heartbeats, which must not wait for them.
 func (r *ruleFollower) observe(ctx context.Context, beat *peer.Beat, sentAt time.Time) {
-	revision, digest := beat.GetRulesRevision(), beat.GetRulesDigest()
-	if digest != 0 && r.e.wants(revision, digest) {
+	news := &rulesNews{beat.GetRulesRevision(), beat.GetRulesDigest(), beat.GetFresh(), sentAt}
+	r.latest.Store(news)
+	if news.digest != 0 && r.e.wants(news.revision, news.digest) {
 		r.fetch(ctx)
 		return
 	}
-	if _, _, own := r.e.rules.Data(); beat.GetFresh() && (digest == 0 || digest == own) {
-		r.e.rules.Confirm(sentAt)
+	r.confirm()
+}
+
+// confirm records that the rules in force are the latest if the last heartbeat says so. A
+// host of an earlier version sends its rules, and no digest.
+func (r *ruleFollower) confirm() {
+	news := r.latest.Load()
+	_, _, own := r.e.rules.Data()
+	if news.fresh && (news.digest == 0 || news.digest == own) {
+		r.e.rules.Confirm(news.sentAt)
 	}
 }
 
-// fetch starts a transfer unless one is in progress.
+// fetch starts to fetch the rules unless that is in progress.
 func (r *ruleFollower) fetch(ctx context.Context) {
-	if !r.fetching.CompareAndSwap(false, true) {
+	if !r.e.fetchingRules.CompareAndSwap(false, true) {
 		return
 	}
 	r.group.Go("rules", func() error {
-		defer r.fetching.Store(false)
-		if err := r.e.fetcher.Fetch(ctx, r.client); err != nil && ctx.Err() == nil {
+		defer r.e.fetchingRules.Store(false)
+		if err := r.fetchUntilDone(ctx); err != nil && ctx.Err() == nil {
 			r.e.log.Info("cannot fetch the rules", zap.String("address", r.leader), zap.Error(err))
 		}
+		r.confirm()
 		return nil
 	})
 }
+
+// fetchUntilDone fetches the rules that heartbeats tell of, until there are no others or an
+// attempt fails.
+func (r *ruleFollower) fetchUntilDone(ctx context.Context) error {
+	for pause := minFetchPause; ; pause = min(2*pause, maxFetchPause) {
+		if err := r.fetchOnce(ctx); err != nil {
+			return err
+		}
+		if news := r.latest.Load(); !r.e.wants(news.revision, news.digest) {
+			return nil
+		}
+		if err := sleeper.SleepJittered(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+// fetchOnce fetches the rules from the active host or, while that sends them to others, from
+// one that has got them. It is no error if that one cannot send them either.
+func (r *ruleFollower) fetchOnce(ctx context.Context) error {
+	err := r.e.fetcher.Fetch(ctx, r.client)
+	sources, busy := rulefetcher.Busy(err)
+	if !busy {
+		return err
+	}
+	if len(sources) == 0 {
+		return nil
+	}
+	if err := r.fetchFrom(ctx, sources[0]); err != nil {
+		if _, busy := rulefetcher.Busy(err); !busy {
+			r.e.log.Info("cannot fetch the rules", zap.String("address", sources[0]), zap.Error(err))
+		}
+	}
+	return nil
+}
+
+// fetchFrom fetches the rules from a host that has got them from the active one.
+func (r *ruleFollower) fetchFrom(ctx context.Context, address string) error {
+	client, err := r.e.conns.Client(address)
+	if err != nil {
+		return err
+	}
+	return r.e.fetcher.Fetch(ctx, client)
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -106,8 +106,8 @@
 }
 
 // Rules implements peer.JobsServer.
-func (s *JobServer) Rules(req *peer.RulesRequest, stream grpc.ServerStreamingServer[peer.RulesPart]) error {
-	return s.elector.SendRules(req, stream)
+func (s *JobServer) Rules(_ context.Context, req *peer.RulesRequest) (*peer.RulesPart, error) {
+	return s.elector.RulesPart(req)
 }
 
 // Vouch implements peer.JobsServer.
--- a/internal/rulefetcher/rulefetcher.go
+++ b/internal/rulefetcher/rulefetcher.go
@@ -12,14 +12,13 @@
 	"sync"
 	"time"
 
-	"yuccapaddle"
 	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/rulekeeper"
 )
 
 const (
-	// partTimeout is how long the next part may take. It does not grow with the rules.
-	partTimeout = 2 * time.Second
+	// partTimeout is how long a part may take. It does not grow with the rules.
+	partTimeout = 1500 * time.Millisecond
 	// maxRulesBytes is the size of the largest rules that are taken, before and after they
 	// are decompressed.
 	maxRulesBytes = 8 << 20
@@ -28,94 +27,118 @@
 // errInconsistent reports parts that do not belong together.
 var errInconsistent = errors.New("the parts of the rules do not belong together")
 
+// busyError reports a host that sends the rules to others already.
+type busyError struct{ sources []string }
+
+// Error implements error.
+func (e *busyError) Error() string {
+	return "the host sends the rules to others already"
+}
+
+// Busy reports whether an error of Fetch means that the host was busy, and returns other
+// hosts that have its rules.
+func Busy(err error) (sources []string, busy bool) {
+	var e *busyError
+	if !errors.As(err, &e) {
+		return nil, false
+	}
+	return e.sources, true
+}
+
 // RuleFetcher fetches rules, one version at a time.
 type RuleFetcher struct {
-	rules *rulekeeper.RuleKeeper
-	clock yuccapaddle.Clock
+	rules   *rulekeeper.RuleKeeper
+	address string
 
 	fetching sync.Mutex // held during Fetch; guards partial
 	partial  partial
 
 	mu      sync.Mutex
-	quietAt time.Time // when the transfer in progress counts as hanging, zero if there is none
+	useless version // that was fetched last and could not be put into force
 }
 
+// version identifies rules.
+type version struct{ revision, digest uint64 }
+
 // partial is what has arrived of a version of the rules.
 type partial struct {
-	revision, digest uint64
-	size             int64
-	data             []byte
+	version
+	size int64
+	data []byte
 }
 
-// New returns a RuleFetcher that puts what it fetches into force.
-func New(rules *rulekeeper.RuleKeeper, clock yuccapaddle.Clock) *RuleFetcher {
-	return &RuleFetcher{rules: rules, clock: clock}
+// New returns a RuleFetcher that puts what it fetches into force. Others can fetch the rules
+// at address afterwards.
+func New(rules *rulekeeper.RuleKeeper, address string) *RuleFetcher {
+	return &RuleFetcher{rules: rules, address: address}
 }
 
-// Progressing reports whether rules are arriving.
-func (f *RuleFetcher) Progressing() bool {
+// Useless reports whether these are the rules that were fetched last and could not be put
+// into force, so that they need not be fetched again.
+func (f *RuleFetcher) Useless(revision, digest uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Now().Before(f.quietAt)
+	return digest != 0 && f.useless == version{revision, digest}
 }
 
 // Fetch fetches the rules of a host and puts them into force, unless newer ones are. It
-// ends early if no part arrives for partTimeout. After an error the next call goes on from
+// ends early if a part takes longer than partTimeout. After an error the next call goes on from
 // what has arrived, if the host it calls has the same rules.
 func (f *RuleFetcher) Fetch(ctx context.Context, client peer.JobsClient) error {
 	f.fetching.Lock()
 	defer f.fetching.Unlock()
-	defer f.setQuiet(time.Time{})
 	if err := f.receive(ctx, client); err != nil {
 		return fmt.Errorf("fetch the rules: %w", err)
 	}
-	data, err := decompress(f.partial.data)
+	fetched := f.partial
 	f.partial = partial{}
+	data, err := decompress(fetched.data)
 	if err != nil {
 		return fmt.Errorf("decompress the rules: %w", err)
 	}
-	if err := f.rules.Offer(data, "host"); err != nil {
+	err = f.rules.Offer(data, "host")
+	f.noteResult(fetched.version)
+	if err != nil {
 		return fmt.Errorf("decode the rules: %w", err)
 	}
 	return nil
 }
 
+// noteResult records whether fetched rules were of use.
+func (f *RuleFetcher) noteResult(v version) {
+	_, _, digest := f.rules.Data()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.useless = version{}
+	if digest != v.digest {
+		f.useless = v
+	}
+}
+
 // receive adds to the partial rules until they are complete.
 func (f *RuleFetcher) receive(ctx context.Context, client peer.JobsClient) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchdog := time.AfterFunc(partTimeout, cancel)
-	defer watchdog.Stop()
-	stream, err := client.Rules(ctx, &peer.RulesRequest{
-		Revision: f.partial.revision, Digest: f.partial.digest, Offset: int64(len(f.partial.data)),
-	})
-	if err != nil {
-		return err
-	}
-	for {
-		part, err := stream.Recv()
-		if errors.Is(err, io.EOF) && f.partial.complete() {
-			return nil
-		}
+	for !f.partial.complete() {
+		part, err := f.nextPart(ctx, client)
 		if err != nil {
 			return err
 		}
-		watchdog.Reset(partTimeout)
-		f.setQuiet(f.clock.Now().Add(partTimeout))
+		if part.GetBusy() {
+			return &busyError{part.GetSources()}
+		}
 		if err := f.partial.add(part); err != nil {
 			f.partial = partial{}
 			return err
 		}
-		if f.partial.complete() {
-			return nil
-		}
 	}
+	return nil
 }
 
-func (f *RuleFetcher) setQuiet(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.quietAt = at
+func (f *RuleFetcher) nextPart(ctx context.Context, client peer.JobsClient) (*peer.RulesPart, error) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	return client.Rules(ctx, &peer.RulesRequest{
+		Revision: f.partial.revision, Digest: f.partial.digest, Offset: int64(len(f.partial.data)), Address: f.address,
+	})
 }
 
 func (p *partial) complete() bool {
@@ -125,7 +148,7 @@
 // add adds the next part. One with offset 0 begins anew.
 func (p *partial) add(part *peer.RulesPart) error {
 	if part.GetOffset() == 0 {
-		*p = partial{revision: part.GetRevision(), digest: part.GetDigest(), size: part.GetSize()}
+		*p = partial{version: version{part.GetRevision(), part.GetDigest()}, size: part.GetSize()}
 	}
 	data := part.GetData()
 	switch {
--- a/internal/rulefetcher/rulefetcher_test.go
+++ b/internal/rulefetcher/rulefetcher_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
@@ -41,71 +41,28 @@
 var errCut = errors.New("the connection is cut")
 
 // directClient is a client that gets the parts of a sender without a network. change, if
-// set, changes or drops each of them; a stream is cut after maxParts parts, if that is set.
+// set, changes each of them; calls fail after maxParts, if that is set.
 type directClient struct {
 	peer.JobsClient
 	sender   *rulesender.RuleSender
-	change   func(*peer.RulesPart) bool
+	change   func(*peer.RulesPart)
 	maxParts int
 	requests []*peer.RulesRequest
 }
 
 // Rules implements peer.JobsClient.
-func (d *directClient) Rules(_ context.Context, req *peer.RulesRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[peer.RulesPart], error) {
+func (d *directClient) Rules(_ context.Context, req *peer.RulesRequest, _ ...grpc.CallOption) (*peer.RulesPart, error) {
 	d.requests = append(d.requests, req)
-	s := &partList{}
-	s.err = d.sender.Send(req, s)
-	if s.err == nil {
-		s.err = io.EOF
+	if d.maxParts > 0 && len(d.requests) > d.maxParts {
+		return nil, errCut
 	}
-	if d.maxParts > 0 && len(s.parts) > d.maxParts {
-		s.parts, s.err = s.parts[:d.maxParts], errCut
+	part, err := d.sender.Part(req)
+	if err == nil && d.change != nil {
+		d.change(part)
 	}
-	if d.change != nil {
-		kept := s.parts[:0]
-		for _, p := range s.parts {
-			if d.change(p) {
-				kept = append(kept, p)
-			}
-		}
-		s.parts = kept
-	}
-	return s, nil
-}
-
-// partList is both ends of a stream.
-type partList struct {
-	grpc.ServerStream
-	grpc.ClientStream
-	parts []*peer.RulesPart
-	err   error // after the last part
-}
-
-// Send implements grpc.ServerStreamingServer.
-func (s *partList) Send(p *peer.RulesPart) error {
-	s.parts = append(s.parts, p)
-	return nil
+	return part, err
 }
 
-// Recv implements grpc.ServerStreamingClient.
-func (s *partList) Recv() (*peer.RulesPart, error) {
-	if len(s.parts) == 0 {
-		return nil, s.err
-	}
-	p := s.parts[0]
-	s.parts = s.parts[1:]
-	return p, nil
-}
-
-// Context implements grpc.ServerStream and grpc.ClientStream.
-func (*partList) Context() context.Context { return context.Background() }
-
-// RecvMsg implements grpc.ServerStream and grpc.ClientStream.
-func (*partList) RecvMsg(any) error { return io.EOF }
-
-// SendMsg implements grpc.ServerStream and grpc.ClientStream.
-func (*partList) SendMsg(any) error { return nil }
-
 // longText returns a text of several parts even when it is compressed.
 func longText(n int) string {
 	var b strings.Builder
@@ -116,43 +73,50 @@
 	return b.String()
 }
 
+func newSender(c *qt.C, text string) *rulesender.RuleSender {
+	return rulesender.New(newKeeper(c, text), yuccapaddle.SystemClock{})
+}
+
+const partBytes = 16 << 10
+
 // TestResume checks that a transfer goes on where it was cut, and that it begins anew if the
 // host has other rules by then.
 func TestResume(t *testing.T) {
 	c, text := qt.New(t), longText(200_000)
-	client := &directClient{sender: rulesender.New(newKeeper(c, text)), maxParts: 3}
+	client := &directClient{sender: newSender(c, text), maxParts: 3}
 	own := newKeeper(c, "")
-	f := rulefetcher.New(own, yuccapaddle.SystemClock{})
+	f := rulefetcher.New(own, "self:1")
 	c.Assert(f.Fetch(t.Context(), client), qt.ErrorIs, errCut)
+	client.maxParts = 5
 	c.Assert(f.Fetch(t.Context(), client), qt.ErrorIs, errCut)
-	c.Check(client.requests[1].GetOffset(), qt.Equals, int64(3*32<<10))
-	client.sender, client.maxParts = rulesender.New(newKeeper(c, text+"more")), 0
+	c.Check(client.requests[4].GetOffset(), qt.Equals, int64(3*partBytes))
+	client.sender, client.maxParts = newSender(c, text+"more"), 0
 	c.Assert(f.Fetch(t.Context(), client), qt.IsNil)
-	c.Check(client.requests[2].GetOffset(), qt.Equals, int64(6*32<<10))
+	c.Check(client.requests[6].GetOffset(), qt.Equals, int64(4*partBytes))
+	c.Check(client.requests[7].GetOffset(), qt.Equals, int64(partBytes), qt.Commentf("the first part of the other rules has come"))
 	data, _, _ := own.Data()
 	c.Check(string(data) == text+"more", qt.IsTrue)
-	c.Check(f.Progressing(), qt.IsFalse)
 }
 
 // TestBadParts checks that parts which do not belong together, are damaged or announce too
 // much are refused, put nothing into force, and do not keep a later transfer from its end.
 func TestBadParts(t *testing.T) {
 	c, text := qt.New(t), longText(200_000)
-	for name, change := range map[string]func(*peer.RulesPart) bool{
-		"a part is missing":      func(p *peer.RulesPart) bool { return p.GetOffset() != 32<<10 },
-		"another version":        func(p *peer.RulesPart) bool { p.Digest += uint64(p.GetOffset()); return true },
-		"another size":           func(p *peer.RulesPart) bool { p.Size += p.GetOffset(); return true },
-		"empty parts":            func(p *peer.RulesPart) bool { p.Data = nil; return true },
-		"too large":              func(p *peer.RulesPart) bool { p.Size = 1 << 40; return true },
-		"negative size":          func(p *peer.RulesPart) bool { p.Size = -1; return true },
-		"longer than its size":   func(p *peer.RulesPart) bool { p.Size = 40 << 10; return true },
-		"damaged":                func(p *peer.RulesPart) bool { p.Data = append([]byte{}, p.Data...); p.Data[100] ^= 255; return true },
-		"no part at all":         func(*peer.RulesPart) bool { return false },
-		"it starts in the midst": func(p *peer.RulesPart) bool { return p.GetOffset() > 0 },
+	for name, change := range map[string]func(*peer.RulesPart){
+		"another offset":       func(p *peer.RulesPart) { p.Offset += p.GetOffset() },
+		"another version":      func(p *peer.RulesPart) { p.Digest += uint64(p.GetOffset()) },
+		"another size":         func(p *peer.RulesPart) { p.Size += p.GetOffset() },
+		"no data":              func(p *peer.RulesPart) { p.Data = nil },
+		"too large":            func(p *peer.RulesPart) { p.Size = 1 << 40 },
+		"negative size":        func(p *peer.RulesPart) { p.Size = -1 },
+		"longer than its size": func(p *peer.RulesPart) { p.Size = partBytes + 1 },
+		"damaged":              func(p *peer.RulesPart) { p.Data = append([]byte{}, p.Data...); p.Data[100] ^= 255 },
+		"empty":                func(p *peer.RulesPart) { p.Reset() },
+		"not the first":        func(p *peer.RulesPart) { p.Offset += partBytes },
 	} {
-		client := &directClient{sender: rulesender.New(newKeeper(c, text)), change: change}
+		client := &directClient{sender: newSender(c, text), change: change}
 		own := newKeeper(c, "")
-		f := rulefetcher.New(own, yuccapaddle.SystemClock{})
+		f := rulefetcher.New(own, "self:1")
 		c.Check(f.Fetch(t.Context(), client), qt.IsNotNil, qt.Commentf(name))
 		c.Check(own.Current(), qt.IsNil, qt.Commentf(name))
 		client.change = nil
@@ -164,7 +128,37 @@
 // TestNoRulesYet checks the error for a host that has no rules.
 func TestNoRulesYet(t *testing.T) {
 	c := qt.New(t)
-	client := &directClient{sender: rulesender.New(newKeeper(c, ""))}
-	f := rulefetcher.New(newKeeper(c, ""), yuccapaddle.SystemClock{})
-	c.Check(f.Fetch(t.Context(), client), qt.ErrorMatches, ".*this host has no rules yet")
+	f := rulefetcher.New(newKeeper(c, ""), "self:1")
+	c.Check(f.Fetch(t.Context(), &directClient{sender: newSender(c, "")}), qt.ErrorMatches, ".*this host has no rules yet")
 }
+
+// TestTurns checks that few hosts are sent rules at the same time, that the others learn who
+// has them, and that a host which does not go on loses its turn.
+func TestTurns(t *testing.T) {
+	c, clock := qt.New(t), &manualClock{time.Now()}
+	sender := rulesender.New(newKeeper(c, longText(200_000)), clock)
+	for _, address := range []string{"a:1", "b:1", "c:1"} {
+		part, err := sender.Part(&peer.RulesRequest{Address: address})
+		c.Assert(err, qt.IsNil)
+		c.Check(part.GetBusy(), qt.IsFalse)
+	}
+	waiting := rulefetcher.New(newKeeper(c, ""), "d:1")
+	sources, busy := rulefetcher.Busy(waiting.Fetch(t.Context(), &directClient{sender: sender}))
+	c.Check(busy, qt.IsTrue)
+	c.Check(sources, qt.HasLen, 0)
+	c.Assert(rulefetcher.New(newKeeper(c, ""), "a:1").Fetch(t.Context(), &directClient{sender: sender}), qt.IsNil)
+	part, err := sender.Part(&peer.RulesRequest{Address: "e:1"})
+	c.Assert(err, qt.IsNil)
+	c.Check(part.GetBusy(), qt.IsFalse, qt.Commentf("the turn of a is over"))
+	sources, busy = rulefetcher.Busy(waiting.Fetch(t.Context(), &directClient{sender: sender}))
+	c.Check(busy, qt.IsTrue)
+	c.Check(sources, qt.DeepEquals, []string{"a:1"})
+	clock.now = clock.now.Add(2 * time.Second)
+	c.Check(waiting.Fetch(t.Context(), &directClient{sender: sender}), qt.IsNil)
+}
+
+// manualClock is a clock that a test sets.
+type manualClock struct{ now time.Time }
+
+// Now implements yuccapaddle.Clock.
+func (m *manualClock) Now() time.Time { return m.now }
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -25,8 +25,11 @@
 	// other hosts, and staleFraction how long after the last confirmation a host reads
 	// the rules itself, both as fractions of the same time. Together with
 	// idlePollInterval they must stay below that time.
-	freshFraction    = 0.4
-	staleFraction    = 0.28
+	freshFraction = 0.4
+	staleFraction = 0.28
+	// overdueFraction is how long after the last confirmation a host reads the rules itself
+	// although it is getting them from another host, as a fraction of the same time.
+	overdueFraction  = 0.5
 	idlePollInterval = 150 * time.Millisecond
 	// activePollInterval is the most time between two reads of the active host, from which
 	// the others have the rules.
@@ -236,6 +239,12 @@
 	return r.age() > r.applyTime(staleFraction)
 }
 
+// Overdue reports whether the rules in force have not been confirmed for so long that this
+// host should not wait for them any more.
+func (r *RuleKeeper) Overdue() bool {
+	return r.age() > r.applyTime(overdueFraction)
+}
+
 func (r *RuleKeeper) age() time.Duration {
 	return r.clock.Now().Sub(r.ConfirmedAt())
 }
