--- a/internal/elector/rules_test.go
+++ b/internal/elector/rules_test.go
@@ -122,8 +122,8 @@
 	}
 	defer e.conns.Close()
 	e.hosts.note(l.Addr().String(), true)
-	for own.Current().Version != 2 { // a slow machine may need several attempts
+	for n := 0; n < 100 && own.Current().Version != 2; n++ { // a slow machine may need several attempts
 		c.Assert(e.askOthers(t.Context()), qt.Equals, "")
-		c.Assert(t.Context().Err(), qt.IsNil)
 	}
+	c.Check(own.Current().Version, qt.Equals, int64(2))
 }
