taskrunner, simulator: workers that crash under a task, come back, and change capacity

The stand-ins could restart a worker from outside, but no task could take its worker with it, a worker was never away, and a registered capacity never changed, so that neither tests nor the soak could play what users report.

SetCapacity changes what is registered while the worker starts whatever it is told; each start records what was in use, and Overloads returns those above every capacity of the last seconds. Defaults are as before.

--- a/internal/standin/taskrunner/startlog.go
+++ b/internal/standin/taskrunner/startlog.go
@@ -11,17 +11,22 @@
 type StartLog struct {
 	mu     sync.Mutex
 	starts map[yuccapaddle.TaskID][]string // IDs of the workers, in order
+	runs   map[yuccapaddle.TaskID]map[int]bool
 }
 
 // NewStartLog returns an empty StartLog.
 func NewStartLog() *StartLog {
-	return &StartLog{starts: map[yuccapaddle.TaskID][]string{}}
+	return &StartLog{starts: map[yuccapaddle.TaskID][]string{}, runs: map[yuccapaddle.TaskID]map[int]bool{}}
 }
 
 func (l *StartLog) record(worker string, o yuccapaddle.StartOrder) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts[o.Task] = append(l.starts[o.Task], worker)
+	if l.runs[o.Task] == nil {
+		l.runs[o.Task] = map[int]bool{}
+	}
+	l.runs[o.Task][o.Run] = true
 }
 
 // Workers returns the IDs of the workers that have started the task, in order.
@@ -30,3 +35,11 @@
 	defer l.mu.Unlock()
 	return l.starts[t]
 }
+
+// Runs returns how many runs of the task were started. An order that arrived again after
+// a crash of the worker counts once.
+func (l *StartLog) Runs(t yuccapaddle.TaskID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs[t])
+}
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -59,22 +59,40 @@
 	startLog     *StartLog
 	gauge        float64
 	ticket       string
+
+	crashes    func(t yuccapaddle.TaskID, payload string) bool // nil if no task crashes the worker
+	crashCount int
+	returnAt   time.Time // when the worker is back from a crash; zero if it is up
+	replaced   bool      // a crash is followed by a worker with another ID
+	firstID    string
+
+	need       func(t yuccapaddle.TaskID, payload string) yuccapaddle.Need // nil if loads are not recorded
+	capacities []capacityChange
+	loads      []load
 }
 
+// Option changes a TaskRunner under construction.
+type Option func(*TaskRunner)
+
 type run struct {
 	order       yuccapaddle.StartOrder
 	startedAt   time.Time
 	duration    time.Duration
 	fails       bool
 	stopAt      time.Time // when a requested stop takes effect; zero if none
+	crashAt     time.Time // when the run crashes the worker; zero if it does not
 	pacePercent int
 }
 
 // New returns a worker with the given registration. maxLeaseMS is how far ahead the
 // lease may be extended, in milliseconds. Starts are also recorded in startLog.
-func New(registration yuccapaddle.Worker, maxLeaseMS int64, work Work, startLog *StartLog) *TaskRunner {
-	tr := &TaskRunner{registration: registration, maxLeaseMS: maxLeaseMS, work: work, startLog: startLog}
+func New(registration yuccapaddle.Worker, maxLeaseMS int64, work Work, startLog *StartLog, opts ...Option) *TaskRunner {
+	tr := &TaskRunner{registration: registration, maxLeaseMS: maxLeaseMS, work: work, startLog: startLog, firstID: registration.ID}
+	for _, opt := range opts {
+		opt(tr)
+	}
 	tr.reset()
+	tr.capacities = []capacityChange{{registration.Capacity, tr.startedAt}}
 	return tr
 }
 
@@ -105,6 +123,7 @@
 func (tr *TaskRunner) Worker() yuccapaddle.Worker {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	tr.advance()
 	s := tr.registration
 	s.Clock = tr.clock()
 	return s
@@ -144,6 +163,7 @@
 // endDueRuns ends the runs whose lease has expired, whose stop is due, or that have
 // failed or completed by now. The caller holds tr.mu.
 func (tr *TaskRunner) endDueRuns() {
+	tr.advance()
 	now := time.Now()
 	for t, r := range tr.runs {
 		switch {
@@ -172,28 +192,34 @@
 // deliver lets handle carry an order out, subject to the current fault.
 func (tr *TaskRunner) deliver(ctx context.Context, handle func() error) error {
 	tr.mu.Lock()
-	fault := tr.fault
+	tr.advance()
+	fault, id := tr.fault, tr.registration.ID
 	tr.mu.Unlock()
 	switch fault {
 	case FaultUnreachable:
 		<-ctx.Done()
 		return yuccapaddle.ErrNoAnswer
 	case FaultLostReply:
-		_ = tr.apply(handle) // the reply is lost
+		_ = tr.apply(id, handle) // the reply is lost
 		<-ctx.Done()
 		return yuccapaddle.ErrNoAnswer
 	case FaultDelayed:
-		time.AfterFunc(orderDelay, func() { _ = tr.apply(handle) }) // the reply is lost
+		time.AfterFunc(orderDelay, func() { _ = tr.apply(id, handle) }) // the reply is lost
 		<-ctx.Done()
 		return yuccapaddle.ErrNoAnswer
 	}
-	return tr.apply(handle)
+	return tr.apply(id, handle)
 }
 
-func (tr *TaskRunner) apply(handle func() error) error {
+// apply carries out an order to the worker with the ID, unless it is away after a crash
+// or another one has taken its place.
+func (tr *TaskRunner) apply(id string, handle func() error) error {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.endDueRuns()
+	if !tr.up() || tr.registration.ID != id {
+		return yuccapaddle.ErrNoAnswer
+	}
 	return handle()
 }
 
@@ -207,14 +233,15 @@
 
 // Start carries out a start order and returns the worker's clock.
 func (tr *TaskRunner) Start(ctx context.Context, o yuccapaddle.StartOrder) (clock int64, err error) {
+	ordered := time.Now()
 	err = tr.deliver(ctx, func() error {
 		clock = tr.clock()
-		return tr.start(o)
+		return tr.start(o, ordered)
 	})
 	return clock, err
 }
 
-func (tr *TaskRunner) start(o yuccapaddle.StartOrder) error {
+func (tr *TaskRunner) start(o yuccapaddle.StartOrder, ordered time.Time) error {
 	switch {
 	case o.Token < tr.token:
 		return tr.refuse(yuccapaddle.RefusedOutdated)
@@ -236,6 +263,10 @@
 	duration, fails := tr.work(o.Task, o.Payload)
 	tr.highestRun[o.Task] = o.Run
 	tr.runs[o.Task] = &run{order: o, startedAt: time.Now(), duration: duration, fails: fails, pacePercent: 100}
+	if tr.crashes != nil && tr.crashes(o.Task, o.Payload) {
+		tr.runs[o.Task].crashAt = time.Now().Add(crashDelay)
+	}
+	tr.recordLoad(o.Task, ordered)
 	tr.starts = append(tr.starts, o)
 	tr.startLog.record(tr.registration.ID, o)
 	return nil
@@ -302,6 +333,7 @@
 // milliseconds for an end if there is none.
 func (tr *TaskRunner) Hold(ctx context.Context, o yuccapaddle.HoldOrder) (reply yuccapaddle.HoldReply, err error) {
 	waitUntil := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
+	crashCount := 0
 	err = tr.deliver(ctx, func() error {
 		if o.Token < tr.token {
 			return tr.refuse(yuccapaddle.RefusedOutdated)
@@ -310,23 +342,29 @@
 		if o.Deadline != 0 {
 			tr.extendLease(o.Deadline)
 		}
+		crashCount = tr.crashCount
 		tr.ends = slices.DeleteFunc(tr.ends, func(e yuccapaddle.End) bool { return e.Number <= o.AckedEnd })
 		return nil
 	})
-	for err == nil && tr.noEnds() && time.Now().Before(waitUntil) && ctx.Err() == nil {
+	for err == nil && tr.noEnds(crashCount) && time.Now().Before(waitUntil) && ctx.Err() == nil {
 		time.Sleep(pollInterval)
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.endDueRuns()
+	if err == nil && tr.crashCount != crashCount {
+		return yuccapaddle.HoldReply{}, yuccapaddle.ErrNoAnswer
+	}
 	return tr.holdReply(), err
 }
 
-func (tr *TaskRunner) noEnds() bool {
+// noEnds reports whether no run has ended and the worker has not crashed again since it
+// had crashed crashCount times.
+func (tr *TaskRunner) noEnds(crashCount int) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.endDueRuns()
-	return len(tr.ends) == 0
+	return tr.crashCount == crashCount && len(tr.ends) == 0
 }
 
 func (tr *TaskRunner) holdReply() yuccapaddle.HoldReply {
