soak: tasks that crash their workers, capacities that shrink, rules that grow

The soak could not play the three kinds of trouble that users reported: a task that crashes each worker that starts it, a registered capacity that shrinks and grows while the worker starts whatever it is told, and a configuration that grows to about 1 MB in two versions close after one another.

Seeds from 2000 on inject them, alone and over the faults that exist. Half of the workers come back under another ID at the same address. Checked at the end: no task that crashes workers has more than five runs and its job has failed for a reason that names workers, all other jobs are done, no start came more than 5 s after its worker had become too small for it, and every host, slow ones too, serves the newest of two large versions within the wait.

awaitJobs expects such jobs to have failed and nothing else; for all others it asks what it asked before. Violations are kept up to 20 of each format instead of 20 in all, so that one kind does not hide another.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -20,6 +20,7 @@
 	submitInterval = 120 * time.Millisecond
 	watchInterval  = 15 * time.Millisecond
 	maxAttempts    = 4
+	maxOfFormat    = 20
 	// cancelGrace is how long tasks may still start after their job's
 	// cancellation was acknowledged.
 	cancelGrace = 3 * time.Second
@@ -31,6 +32,7 @@
 	tasks            int
 	accepted         bool
 	maybeAccepted    bool // an attempt without a clear answer may have been accepted
+	crashes          bool // its tasks crash their workers
 	cancelledAt      time.Time
 	startsByGraceEnd int
 }
@@ -47,10 +49,11 @@
 	jobs       []*submittedJob
 	requests   []*request
 	violations []string
+	formats    map[string]int // how many violations were reported in each format
 }
 
 func newClients(b *testbed, seed uint64) *clients {
-	return &clients{bed: b, seed: seed, done: make(chan struct{}), client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	return &clients{bed: b, seed: seed, done: make(chan struct{}), formats: map[string]int{}, client: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
 }
 
 // call sends a job call to a host, decodes a 200 response into out if that is
@@ -96,11 +99,12 @@
 	c.bed.c.Fatalf("no host became ready")
 }
 
-// reportf records a violation. Only the first 20 are kept.
+// reportf records a violation. Only the first maxOfFormat of each format are kept.
 func (c *clients) reportf(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.violations) < 20 {
+	c.formats[format]++
+	if c.formats[format] <= maxOfFormat {
 		c.violations = append(c.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 	}
 }
@@ -144,7 +148,11 @@
 // submitJob tries the hosts in turn, beginning with firstHost, until one accepts
 // the job.
 func (c *clients) submitJob(j *submittedJob, gang bool, ms, firstHost int) {
-	body := map[string]any{"spec": fmt.Sprint(ms), "steps": []any{map[string]any{
+	payload := fmt.Sprint(ms)
+	if j.crashes {
+		payload = crashPayload
+	}
+	body := map[string]any{"spec": payload, "steps": []any{map[string]any{
 		"count": j.tasks, "cpu": 4000, "mem-mb": 1000, "gpu": 1, "est-runtime-ms": ms, "gang": gang,
 	}}}
 	for n := range maxAttempts {
@@ -227,12 +235,15 @@
 			continue
 		}
 		want := "completed"
-		if !j.cancelledAt.IsZero() {
+		switch {
+		case j.crashes:
+			want = "failed"
+		case !j.cancelledAt.IsZero():
 			want = "canceled"
 		}
 		for {
 			state, status := c.jobState(j)
-			if state == want || state == "completed" {
+			if state == want || state == "completed" && !j.crashes {
 				break
 			}
 			if time.Now().After(deadline) {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -18,9 +18,13 @@
 	modeOneWay      // drops the data that the target sends
 	modeDelay       // delays every read by proxyDelay
 	modeReset       // resets open connections and closes new ones
+	modeNarrow      // carries narrowBytesPerSecond of each direction of a connection
 )
 
-const proxyDelay = 150 * time.Millisecond
+const (
+	proxyDelay           = 150 * time.Millisecond
+	narrowBytesPerSecond = 1250 << 10
+)
 
 // proxy forwards TCP connections to a service and injects network faults.
 type proxy struct {
@@ -121,6 +125,8 @@
 			continue
 		case m == modeDelay:
 			time.Sleep(proxyDelay)
+		case m == modeNarrow:
+			time.Sleep(time.Duration(n) * time.Second / narrowBytesPerSecond)
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return nil // the connection ended
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	faultCount   = flag.Int("steps", 12, "how many faults a seed injects")
 	hostCount    = flag.Int("hosts", 3, "how many hosts run")
 	replayFailed = flag.Bool("again", false, "play the seeds that have failed before, in place of -seed and -seeds")
+	onlyIncident = flag.Int("incident", -1, "the only kind of incident that is injected, beside the other faults (all kinds if below 0)")
 	logDir       = flag.String("logs", "", "a folder for the logs of seeds that fail")
 )
 
@@ -40,6 +41,8 @@
 	3, 5, 9, // a start order reached the worker after its restart
 	700,                          // false alarm: the check took one member's end as done for less than the whole gang
 	701, 711, 722, 738, 743, 749, // start orders of non-repeatable requests were sent again
+	2000, 2001, 2002, 2003, // tasks that crash their workers were started without end
+	2100, 2101, 2102, 2103, 2104, 2105, // the same, with 5 hosts
 }
 
 // seedsToRun returns the seeds that the flags select.
@@ -75,12 +78,9 @@
 	c.startJobs()
 	c.startRequests()
 	time.Sleep(quietPeriod)
-	kinds := firstFaultKinds
-	if seed >= extendedFaultsSeed {
-		kinds = allFaultKinds
-	}
+	kinds := kindsOfSeed(seed)
 	for range *faultCount {
-		b.inject(binary, rng, kinds)
+		b.inject(binary, c, rng, kinds)
 		time.Sleep(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
 	}
 	b.heal(binary)
@@ -88,6 +88,7 @@
 	c.awaitJobs(settleTimeout)
 	c.awaitRequests(settleTimeout)
 	c.checkRequests()
+	c.checkIncidents()
 	c.checkJobs()
 }
 
@@ -107,18 +108,45 @@
 const (
 	// firstFaultKinds is the number of kinds of faults of the seeds below
 	// extendedFaultsSeed, so that these go on injecting what they did.
-	firstFaultKinds    = 9
-	allFaultKinds      = 12
+	firstFaultKinds = 9
+	// manyFaultKinds is that of the seeds below incidentSeed.
+	manyFaultKinds     = 12
+	allFaultKinds      = 17
 	extendedFaultsSeed = 1000
+	incidentSeed       = 2000
 )
 
+// kindsOfSeed returns how many kinds of faults a seed injects.
+func kindsOfSeed(seed uint64) int {
+	switch {
+	case seed >= incidentSeed:
+		return allFaultKinds
+	case seed >= extendedFaultsSeed:
+		return manyFaultKinds
+	}
+	return firstFaultKinds
+}
+
+// drawKind draws one of the first kinds of faults. The last kinds, where all are drawn
+// from, make up more than half of them.
+func drawKind(rng *rand.Rand, kinds int) int {
+	kind := rng.IntN(kinds)
+	if kinds == allFaultKinds && rng.IntN(2) == 0 {
+		kind = manyFaultKinds + rng.IntN(allFaultKinds-manyFaultKinds)
+	}
+	if kind >= manyFaultKinds && *onlyIncident >= 0 {
+		return manyFaultKinds + *onlyIncident
+	}
+	return kind
+}
+
 // inject injects one random fault of the first kinds. Faults that last end in the
 // background, so that several may overlap.
-func (b *testbed) inject(binary string, rng *rand.Rand, kinds int) {
+func (b *testbed) inject(binary string, c *clients, rng *rand.Rand, kinds int) {
 	h := b.hosts[rng.IntN(len(b.hosts))]
 	w := b.workers[rng.IntN(len(b.workers))]
 	duration := time.Duration(300+rng.IntN(3500)) * time.Millisecond
-	switch rng.IntN(kinds) {
+	switch kind := drawKind(rng, kinds); kind {
 	case 0:
 		b.restartHost(binary, h, syscall.SIGKILL, duration/4)
 	case 1:
@@ -147,14 +175,16 @@
 			w.proxy.setMode(modePass)
 			b.setDeregistered(w, false)
 		})
-	default:
+	case 9, 10, 11:
 		b.injectAtMany(binary, rng, h, duration)
+	default:
+		b.injectIncident(c, rng, kind-manyFaultKinds, w, duration)
 	}
 }
 
 // injectAtMany injects one random fault that concerns several hosts.
 func (b *testbed) injectAtMany(binary string, rng *rand.Rand, h *host, duration time.Duration) {
-	switch rng.IntN(allFaultKinds - firstFaultKinds) {
+	switch rng.IntN(manyFaultKinds - firstFaultKinds) {
 	case 0: // one host hands over while another is frozen
 		frozen := b.hosts[rng.IntN(len(b.hosts))]
 		frozen.signal(syscall.SIGSTOP)
@@ -221,6 +251,7 @@
 		w.SetFault(taskrunner.FaultNone)
 		w.proxy.setMode(modePass)
 		b.setDeregistered(w, false)
+		w.SetCapacity(fullCapacity)
 	}
 	for _, h := range b.hosts {
 		h.storeProxy.setMode(modePass)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -41,6 +42,10 @@
 	done     chan struct{}
 	cleanups []func()
 	queues   []string
+
+	rulesMu       sync.Mutex
+	growthCount   int    // versions of the rules with added queues
+	newestVersion string // the name of a queue that only the newest version has
 }
 
 // worker is a stand-in worker that the hosts reach through a proxy.
@@ -55,6 +60,7 @@
 	name         string
 	settingsFile string
 	callersAddr  string
+	metricsAddr  string
 	requestsAddr string
 	storeProxy   *proxy
 	logFile      *os.File
@@ -109,9 +115,13 @@
 	id := fmt.Sprintf("w%d", i)
 	info := yuccapaddle.Worker{
 		ID: id, Service: "svc", Domain: fmt.Sprintf("z%d", i%2), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
-		Capacity: yuccapaddle.Need{CPU: 64000, Memory: 262144, GPU: 8},
+		Capacity: fullCapacity,
+	}
+	opts := []taskrunner.Option{taskrunner.WithCrashes(crashesWorker), taskrunner.WithNeeds(taskNeed)}
+	if i%4 >= 2 {
+		opts = append(opts, taskrunner.WithReplacement())
 	}
-	runner := taskrunner.New(info, maxLeaseMS, taskRuntime, b.startLog)
+	runner := taskrunner.New(info, maxLeaseMS, taskRuntime, b.startLog, opts...)
 	address, err := b.platform.ServeWorker(runner)
 	b.c.Assert(err, qt.IsNil)
 	w := &worker{TaskRunner: runner, id: id, proxy: b.startProxy(address)}
@@ -130,6 +140,11 @@
 
 // setRules stores the operators' rules: the queues and the workspace.
 func (b *testbed) setRules() {
+	b.c.Assert(b.setRulesWith(nil), qt.IsNil)
+}
+
+// setRulesWith stores the operators' rules with further queues after the usual ones.
+func (b *testbed) setRulesWith(further []yuccapaddle.Queue) error {
 	var queues []yuccapaddle.Queue
 	for i, q := range b.queues {
 		queues = append(queues, yuccapaddle.Queue{
@@ -137,16 +152,16 @@
 		})
 	}
 	grants := []yuccapaddle.WorkspaceGrant{{Name: workspace, Keys: []string{"key"}}}
-	b.c.Assert(b.platform.SetRules(queues, grants), qt.IsNil)
+	return b.platform.SetRules(append(queues, further...), grants)
 }
 
 func (b *testbed) addHost(binary string, i int, storeAddr string) {
 	h := &host{name: fmt.Sprintf("h%d", i), storeProxy: b.startProxy(storeAddr)}
-	h.callersAddr, h.requestsAddr = b.freeAddress(), b.freeAddress()
+	h.callersAddr, h.requestsAddr, h.metricsAddr = b.freeAddress(), b.freeAddress(), b.freeAddress()
 	h.settingsFile = filepath.Join(b.dir, h.name+".json")
 	data, err := json.Marshal(map[string]any{
 		"host": h.name, "domain": fmt.Sprintf("z%d", i%2), "region": "r", "callers": h.callersAddr, "ready": b.freeAddress(), "peers": b.freeAddress(),
-		"metrics": b.freeAddress(), "requests": h.requestsAddr, "store": h.storeProxy.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
+		"metrics": h.metricsAddr, "requests": h.requestsAddr, "store": h.storeProxy.address(), "machines": "127.0.0.1:1", "advice": "127.0.0.1:1",
 		"leaseLeastMs": 1000, "memoryMb": 284, "processor": 1,
 		"bounds": map[string]any{
 			"holdMaxMs": maxLeaseMS, "drainMs": 2500, "evacuateMs": 5000, "applyMs": 2500, "restoreMs": 600, "remotePenalty": 3, "statusS": 120, "graceS": 6,
