--- a/internal/standin/taskrunner/capacity.go
+++ b/internal/standin/taskrunner/capacity.go
@@ -84,3 +84,16 @@
 	}
 	tr.loads = append(tr.loads, load{tr.registration.ID, t, ordered, used})
 }
+
+// LoweredStarts returns how many starts came while the capacity was not the first one.
+func (tr *TaskRunner) LoweredStarts() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	n := 0
+	for _, l := range tr.loads {
+		if tr.mostCapacity(l.ordered, l.ordered) != tr.capacities[0].capacity {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/taskrunner/capacity_test.go
+++ b/internal/standin/taskrunner/capacity_test.go
@@ -41,5 +41,7 @@
 		w.SetCapacity(full)
 		c.Assert(start(w, "e", ""), qt.IsNil)
 		c.Check(w.Overloads(notice), qt.HasLen, 1)
+		c.Check(w.Overloads(0), qt.HasLen, 2)
+		c.Check(w.LoweredStarts(), qt.Equals, 3)
 	})
 }
--- a/soak/incident_test.go
+++ b/soak/incident_test.go
@@ -167,15 +167,17 @@
 			c.checkCrashingJob(j)
 		}
 	}
-	crashes := 0
+	crashes, lowered, early := 0, 0, 0
 	for _, w := range c.bed.workers {
 		crashes += w.Crashes()
+		lowered += w.LoweredStarts()
+		early += len(w.Overloads(0))
 		for _, o := range w.Overloads(capacityNotice) {
 			c.reportf("the start of task %s, ordered at %s, brought worker %s to %d accelerators, over its capacity of %d",
 				o.Task, o.Ordered.Format("15:04:05.000"), o.Worker, o.Used.GPU, o.Capacity.GPU)
 		}
 	}
-	c.bed.c.Logf("%d crashes of workers", crashes)
+	c.bed.c.Logf("%d crashes of workers, %d starts at a lowered capacity, %d of them over it", crashes, lowered, early)
 	if c.bed.newestQueue() != "" {
 		c.checkGrowth()
 	}
