taskrunner: crashes and returns by timers, and workers that stay away

A crash took place when somebody next looked at the worker, and every worker that had crashed came back. Timers crash and return it now. Without WithReturn a worker is away until Restart, and CrashOn names the job whose tasks crash it and tells the caller of each crash, as tests of the executor need it.

--- a/internal/standin/taskrunner/crash.go
+++ b/internal/standin/taskrunner/crash.go
@@ -10,7 +10,7 @@
 const (
 	// crashDelay is the time from the start of a task that crashes its worker to the crash.
 	crashDelay = 20 * time.Millisecond
-	// downtime is how long a worker is away after a crash.
+	// downtime is how long a worker that returns is away after a crash.
 	downtime = 3 * time.Second
 )
 
@@ -20,19 +20,28 @@
 	return func(tr *TaskRunner) { tr.crashes = crashes }
 }
 
-// WithReplacement makes the worker come back from a crash under another ID. Without it,
-// the worker keeps its ID and has a later incarnation.
-func WithReplacement() Option {
-	return func(tr *TaskRunner) { tr.replaced = true }
+// WithReturn makes the worker return from a crash some seconds later: with a later
+// incarnation or, if replaced, under another ID. Without it, the worker is away until
+// Restart.
+func WithReturn(replaced bool) Option {
+	return func(tr *TaskRunner) { tr.returns, tr.replaced = true, replaced }
 }
 
-// Crash simulates a crash of the worker: all that ran on it is lost, and it answers
-// nothing until it is back.
+// CrashOn makes the worker crash soon after it has started a task of the job. crashed is
+// called after each such crash.
+func (tr *TaskRunner) CrashOn(job string, crashed func()) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.crashes = func(t yuccapaddle.TaskID, _ string) bool { return t.Job == job }
+	tr.crashed = crashed
+}
+
+// Crash makes the worker crash: all that runs there is lost, and calls fail, also those
+// under way, until it is back.
 func (tr *TaskRunner) Crash() {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.advance()
-	if tr.up() {
+	if !tr.down {
 		tr.crash()
 	}
 }
@@ -41,44 +50,48 @@
 func (tr *TaskRunner) Up() bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.advance()
-	return tr.up()
+	return !tr.down
 }
 
 // Crashes returns how often the worker has crashed.
 func (tr *TaskRunner) Crashes() int {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.advance()
 	return tr.crashCount
 }
 
-func (tr *TaskRunner) up() bool {
-	return tr.returnAt.IsZero()
+// crash makes the worker crash. The caller holds tr.mu.
+func (tr *TaskRunner) crash() {
+	tr.down = true
+	tr.crashCount++
+	tr.runs, tr.ends = map[yuccapaddle.TaskID]*run{}, nil
+	if tr.returns {
+		n := tr.crashCount
+		time.AfterFunc(downtime, func() { tr.comeBack(n) })
+	}
 }
 
-// advance lets a crash or a return that is due take place. The caller holds tr.mu.
-func (tr *TaskRunner) advance() {
-	now := time.Now()
-	if !tr.up() && !now.Before(tr.returnAt) {
-		tr.comeBack()
+// crashUnder makes the worker crash if the run is still there.
+func (tr *TaskRunner) crashUnder(r *run) {
+	tr.mu.Lock()
+	there := tr.runs[r.order.Task] == r
+	if there {
+		tr.crash()
 	}
-	for _, r := range tr.runs {
-		if !r.crashAt.IsZero() && !now.Before(r.crashAt) {
-			tr.crash()
-			return
-		}
+	crashed := tr.crashed
+	tr.mu.Unlock()
+	if there && crashed != nil {
+		crashed()
 	}
 }
 
-func (tr *TaskRunner) crash() {
-	tr.crashCount++
-	tr.returnAt = time.Now().Add(downtime)
-	tr.runs, tr.ends = map[yuccapaddle.TaskID]*run{}, nil
-}
-
-func (tr *TaskRunner) comeBack() {
-	tr.returnAt = time.Time{}
+// comeBack ends the time away after the crash of the number, unless it has ended already.
+func (tr *TaskRunner) comeBack(crash int) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if !tr.down || tr.crashCount != crash {
+		return
+	}
 	if tr.replaced {
 		tr.registration.ID = fmt.Sprintf("%s-%d", tr.firstID, tr.crashCount)
 	}
--- a/internal/standin/taskrunner/crash_test.go
+++ b/internal/standin/taskrunner/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 func TestCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		w, startLog := newWorker()
+		w, startLog := newWorker(taskrunner.WithReturn(false))
 		born := w.Worker().Incarnation
 		c.Assert(start(w, "neighbour", ""), qt.IsNil)
 		c.Assert(start(w, "deadly", crashPayload), qt.IsNil)
@@ -72,7 +73,7 @@
 func TestReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		w, startLog := newWorker(taskrunner.WithReplacement())
+		w, startLog := newWorker(taskrunner.WithReturn(true))
 		w.SetFault(taskrunner.FaultDelayed)
 		c.Check(start(w, "late", ""), qt.ErrorIs, yuccapaddle.ErrNoAnswer)
 		w.SetFault(taskrunner.FaultNone)
@@ -98,3 +99,22 @@
 		qt.Check(t, time.Since(begin) < time.Second, qt.IsTrue)
 	})
 }
+
+// TestCrashOn checks that a worker that does not return by itself is away until its restart.
+func TestCrashOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w, _ := newWorker()
+		var crashed atomic.Int32
+		w.CrashOn("bad", func() { crashed.Add(1) })
+		c.Assert(start(w, "good", ""), qt.IsNil)
+		c.Assert(start(w, "bad", ""), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Check(crashed.Load(), qt.Equals, int32(1))
+		c.Check(w.Up(), qt.IsFalse)
+		c.Check(start(w, "good", ""), qt.ErrorIs, yuccapaddle.ErrNoAnswer)
+		w.Restart()
+		c.Check(w.Up(), qt.IsTrue)
+		c.Check(start(w, "good", ""), qt.IsNil)
+	})
+}
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -61,9 +61,11 @@
 	ticket       string
 
 	crashes    func(t yuccapaddle.TaskID, payload string) bool // nil if no task crashes the worker
+	crashed    func()                                          // called after such a crash; nil for none
 	crashCount int
-	returnAt   time.Time // when the worker is back from a crash; zero if it is up
-	replaced   bool      // a crash is followed by a worker with another ID
+	down       bool // it has crashed and is not back yet
+	returns    bool // it comes back by itself
+	replaced   bool // another worker, with another ID, comes back in its place
 	firstID    string
 
 	need       func(t yuccapaddle.TaskID, payload string) yuccapaddle.Need // nil if loads are not recorded
@@ -80,7 +82,6 @@
 	duration    time.Duration
 	fails       bool
 	stopAt      time.Time // when a requested stop takes effect; zero if none
-	crashAt     time.Time // when the run crashes the worker; zero if it does not
 	pacePercent int
 }
 
@@ -98,6 +99,7 @@
 
 // reset starts a new incarnation of the worker, without runs, ends or a lease.
 func (tr *TaskRunner) reset() {
+	tr.down = false
 	tr.startedAt = time.Now()
 	tr.registration.Incarnation = tr.startedAt.UnixMilli()
 	tr.token, tr.leaseExpiry, tr.endCount, tr.ends = 0, 0, 0, nil
@@ -123,7 +125,6 @@
 func (tr *TaskRunner) Worker() yuccapaddle.Worker {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.advance()
 	s := tr.registration
 	s.Clock = tr.clock()
 	return s
@@ -163,7 +164,6 @@
 // endDueRuns ends the runs whose lease has expired, whose stop is due, or that have
 // failed or completed by now. The caller holds tr.mu.
 func (tr *TaskRunner) endDueRuns() {
-	tr.advance()
 	now := time.Now()
 	for t, r := range tr.runs {
 		switch {
@@ -192,7 +192,6 @@
 // deliver lets handle carry an order out, subject to the current fault.
 func (tr *TaskRunner) deliver(ctx context.Context, handle func() error) error {
 	tr.mu.Lock()
-	tr.advance()
 	fault, id := tr.fault, tr.registration.ID
 	tr.mu.Unlock()
 	switch fault {
@@ -217,7 +216,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.endDueRuns()
-	if !tr.up() || tr.registration.ID != id {
+	if tr.down || tr.registration.ID != id {
 		return yuccapaddle.ErrNoAnswer
 	}
 	return handle()
@@ -264,7 +263,8 @@
 	tr.highestRun[o.Task] = o.Run
 	tr.runs[o.Task] = &run{order: o, startedAt: time.Now(), duration: duration, fails: fails, pacePercent: 100}
 	if tr.crashes != nil && tr.crashes(o.Task, o.Payload) {
-		tr.runs[o.Task].crashAt = time.Now().Add(crashDelay)
+		r := tr.runs[o.Task]
+		time.AfterFunc(crashDelay, func() { tr.crashUnder(r) })
 	}
 	tr.recordLoad(o.Task, ordered)
 	tr.starts = append(tr.starts, o)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -117,10 +117,7 @@
 		ID: id, Service: "svc", Domain: fmt.Sprintf("z%d", i%2), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 		Capacity: fullCapacity,
 	}
-	opts := []taskrunner.Option{taskrunner.WithCrashes(crashesWorker), taskrunner.WithNeeds(taskNeed)}
-	if i%4 >= 2 {
-		opts = append(opts, taskrunner.WithReplacement())
-	}
+	opts := []taskrunner.Option{taskrunner.WithCrashes(crashesWorker), taskrunner.WithNeeds(taskNeed), taskrunner.WithReturn(i%4 >= 2)}
 	runner := taskrunner.New(info, maxLeaseMS, taskRuntime, b.startLog, opts...)
 	address, err := b.platform.ServeWorker(runner)
 	b.c.Assert(err, qt.IsNil)
