--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -170,6 +170,7 @@
 		set := func(waves ...yuccapaddle.Wave) {
 			rules.Store(&yuccapaddle.Rules{Waves: waves})
 			time.Sleep(2 * time.Second)
+			synctest.Wait()
 		}
 		m := maintainer.New(fl, fl, rules.Load, yuccapaddle.SystemClock{}, "h", 7, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
