planner: wait for the verdict before a start that might be one too many

A unit that would be given up if the workers it has lost have crashed is not placed until that is known, 30 s at most.

--- a/internal/planner/blame_test.go
+++ b/internal/planner/blame_test.go
@@ -289,3 +289,58 @@
 	cl.play(10 * time.Second)
 	cl.c.Check(cl.p.View("a").Steps[0].Crashes, qt.Equals, 1)
 }
+
+// TestStartsByAbsence checks that a task is not started a third time after three workers have
+// crashed under it, however long these are away and however often the host changes.
+func TestStartsByAbsence(t *testing.T) {
+	for _, away := range []time.Duration{3, 9, 15, 25} {
+		for _, change := range []time.Duration{0, 4, 11} {
+			for _, busy := range []bool{false, true} {
+				for name, how := range returns {
+					cl := newCluster(t, 3*perRack)
+					if busy { // something small runs on each worker, so that the task is never alone
+						for i := range 3 * perRack {
+							cl.submit(fmt.Sprintf("m%02d", i), queueBatch, yuccapaddle.Step{Count: 1, PerWorker: 1, Need: yuccapaddle.Need{GPU: gpus - 1}, Estimate: 6000000})
+						}
+						cl.play(5 * time.Second)
+					}
+					cl.submit(badJob, queueBatch, shortTask)
+					seen, next := 0, cl.now.Add(change*time.Second)
+					var crashedAt []time.Time
+					for until := cl.now.Add(3 * time.Minute); cl.now.Before(until) && !cl.report(badJob).State.Final(); {
+						cl.play(stepTime)
+						if on := cl.startedOn[badTask]; len(on) > seen {
+							id := on[seen]
+							seen++
+							old := cl.registered[id]
+							cl.after(crashDelay, func() {
+								crashedAt = append(crashedAt, cl.now)
+								cl.crash(id, backNever)
+								cl.after(away*time.Second, func() {
+									if how == backAsOther {
+										cl.comeBack(old, id+"x")
+									} else {
+										cl.comeBack(old, id)
+									}
+								})
+							})
+						}
+						if change > 0 && !cl.now.Before(next) {
+							next = cl.now.Add(change * time.Second)
+							cl.takeOver()
+						}
+					}
+					more := 0
+					for _, at := range cl.startedAt[badTask] {
+						if len(crashedAt) > 2 && at.After(crashedAt[2]) {
+							more++
+						}
+					}
+					comment := qt.Commentf("away %ds, host changes each %ds, busy %t, %s: %d starts", away, change, busy, name, seen)
+					cl.c.Check(more <= 2, qt.IsTrue, comment)
+					cl.c.Check(cl.report(badJob).State, qt.Equals, yuccapaddle.JobFailed, comment)
+				}
+			}
+		}
+	}
+}
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -93,6 +93,24 @@
 	p.addLossDecision(EventNoCrash, u, l, "it answers again with the incarnation it had")
 }
 
+// mayBeGivenUp reports whether a unit will be given up if the workers that it has lost have
+// crashed. It is not placed until that is known.
+func (p *Planner) mayBeGivenUp(u *unit) bool {
+	pending := map[int]int{}
+	for i := range u.losses {
+		l := &u.losses[i]
+		if l.outcome != verdictPending {
+			continue
+		}
+		pending[l.member]++
+		if u.crashes[l.member].runs+pending[l.member] >= maxCrashes {
+			p.wakeBy(p.now.Add(settleInterval))
+			return true
+		}
+	}
+	return false
+}
+
 // describeCompany says what ran beside the unit on the lost worker.
 func (l *loss) describeCompany() string {
 	switch {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -225,6 +225,9 @@
 // tryPlace places a unit and reports whether it has. If there is no room it requests
 // advice, and preempts other units for an urgent one.
 func (p *Planner) tryPlace(u *unit) bool {
+	if p.mayBeGivenUp(u) {
+		return false
+	}
 	if u.claim != nil {
 		return p.tryPlaceClaimed(u)
 	}
