--- a/internal/planner/shrink_test.go
+++ b/internal/planner/shrink_test.go
@@ -1,10 +1,8 @@
 package planner_test
 
 import (
-	"cmp"
 	"flag"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -38,7 +36,7 @@
 // hosts change. Registrations are read in every step, so the capacity that the planner knows
 // is the worker's own.
 type history struct {
-	t         testing.TB
+	c         *qt.C
 	rng       *rand.Rand
 	p         *planner.Planner
 	now       time.Time
@@ -66,27 +64,9 @@
 	incarnation int64
 }
 
-// historyWorker is a simulated worker that does not guard its capacity.
-type historyWorker struct {
-	yuccapaddle.Worker
-	epoch      int // highest that it has seen
-	runs       map[yuccapaddle.TaskID]*historyRun
-	highestRun map[yuccapaddle.TaskID]int
-	ends       []yuccapaddle.End
-	endCount   int64
-}
-
-type historyRun struct {
-	run     int
-	need    yuccapaddle.Need
-	endsAt  time.Time
-	fails   bool
-	stopped bool
-}
-
 func newHistory(t testing.TB, seed uint64) *history {
 	h := &history{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), records: map[string]*yuccapaddle.JobRecord{},
+		c: qt.New(t), seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), records: map[string]*yuccapaddle.JobRecord{},
 		steps: map[string]*yuccapaddle.Step{},
 	}
 	for i := range shrinkWorkers {
@@ -101,11 +81,6 @@
 	return h
 }
 
-func (w *historyWorker) reset() {
-	w.epoch, w.endCount, w.ends = 0, 0, nil
-	w.runs, w.highestRun = map[yuccapaddle.TaskID]*historyRun{}, map[yuccapaddle.TaskID]int{}
-}
-
 // chance reports true in about one of n steps, never in the calm time.
 func (h *history) chance(n int) bool {
 	return h.rng.IntN(n) == 0 && !h.calm
@@ -139,7 +114,7 @@
 			}
 		}
 		if err := h.p.Restore(r.Job, r.State, parts); err != nil {
-			h.t.Fatalf("seed %d: %v", h.seed, err)
+			h.c.Fatalf("seed %d: %v", h.seed, err)
 		}
 	}
 	if recordsFirst {
@@ -171,7 +146,7 @@
 	}
 	for _, id := range h.jobs {
 		if r := h.records[id]; r != nil && !r.Report.State.Final() {
-			h.t.Errorf("seed %d: job %s is %s at the end", h.seed, id, r.Report.State)
+			h.c.Errorf("seed %d: job %s is %s at the end", h.seed, id, r.Report.State)
 		}
 	}
 }
@@ -294,7 +269,7 @@
 func (h *history) checkWhole(decisions []yuccapaddle.Decision) {
 	for _, d := range decisions {
 		if d.Event == "start refused" && d.Detail == "unsent: over capacity" && h.sentGangs[d.Job] {
-			h.t.Errorf("seed %d: at %v only some starts of gang %s were sent", h.seed, h.now.Sub(time.Unix(1000, 0)), d.Job)
+			h.c.Errorf("seed %d: at %v only some starts of gang %s were sent", h.seed, h.now.Sub(time.Unix(1000, 0)), d.Job)
 		}
 	}
 	h.sentGangs = nil
@@ -331,7 +306,7 @@
 	w, incarnation := h.worker(s.Worker), h.worker(s.Worker).Incarnation
 	step := h.steps[s.Task.Job]
 	if used := h.mayUse(w, &s); !used.Fits(w.Capacity) {
-		h.t.Errorf("seed %d: at %v the start of %s, which needs %+v, may bring %s to %+v of %+v",
+		h.c.Errorf("seed %d: at %v the start of %s, which needs %+v, may bring %s to %+v of %+v",
 			h.seed, h.now.Sub(time.Unix(1000, 0)), s.Task, step.Room(), w.ID, used, w.Capacity)
 	}
 	var err error
@@ -372,11 +347,6 @@
 	}
 }
 
-// accepts reports whether the worker carries out a delayed start.
-func (w *historyWorker) accepts(d *delayedStart) bool {
-	return d.Worker == w.ID && d.incarnation == w.Incarnation && d.epoch >= w.epoch && d.Run > w.highestRun[d.Task]
-}
-
 // mayUse returns the room that the runs on a worker hold once a start has been carried out,
 // with those that are being stopped and those that delayed starts may still begin.
 func (h *history) mayUse(w *historyWorker, s *yuccapaddle.RunStart) yuccapaddle.Need {
@@ -420,40 +390,6 @@
 	})
 }
 
-// used returns the room of all runs on the worker, with those that are being stopped.
-func (w *historyWorker) used() yuccapaddle.Need {
-	used := yuccapaddle.Need{}
-	for _, r := range w.runs {
-		used = used.Add(r.need)
-	}
-	return used
-}
-
-// tasks lists the tasks of the worker's runs in order.
-func (w *historyWorker) tasks() []yuccapaddle.TaskID {
-	return slices.SortedFunc(maps.Keys(w.runs), func(a, b yuccapaddle.TaskID) int { return cmp.Compare(a.String(), b.String()) })
-}
-
-// endDue ends the runs whose time has come.
-func (w *historyWorker) endDue(now time.Time) {
-	for _, t := range w.tasks() {
-		r := w.runs[t]
-		if now.Before(r.endsAt) {
-			continue
-		}
-		cause := yuccapaddle.EndDone
-		switch {
-		case r.stopped:
-			cause = yuccapaddle.EndStopped
-		case r.fails:
-			cause = yuccapaddle.EndFailed
-		}
-		delete(w.runs, t)
-		w.endCount++
-		w.ends = append(w.ends, yuccapaddle.End{Number: w.endCount, Task: t, Run: r.run, Cause: cause})
-	}
-}
-
 // poll reports the worker's runs and ends to the planner. Ends stay listed, as if their
 // acknowledgement were slow.
 func (h *history) poll(w *historyWorker) {
