planner: crashes some seconds after a start weigh less

A task that takes its worker with it does so right after the start: three such crashes are too many, and six of any kind. TestUnluckyNeighbour failed before.

--- a/internal/planner/blame_test.go
+++ b/internal/planner/blame_test.go
@@ -344,3 +344,23 @@
 		}
 	}
 }
+
+// TestUnluckyNeighbour checks that a task is not given up for the third crash of its workers
+// if it had run beside others for some seconds each time.
+func TestUnluckyNeighbour(t *testing.T) {
+	cl := newCluster(t, 2*perRack)
+	small := yuccapaddle.Need{CPU: 1000}
+	for i := range 4 {
+		cl.submit(fmt.Sprint("other", i), queueBatch, yuccapaddle.Step{Count: 1, Need: small, Estimate: 6000000})
+	}
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 1, Need: small, Estimate: 60000})
+	task := yuccapaddle.TaskID{Job: "a"}
+	for n := 1; n <= 3; n++ {
+		cl.play(10 * time.Second)
+		cl.c.Assert(cl.startedOn[task], qt.HasLen, n)
+		cl.crash(cl.startedOn[task][n-1], backAsOther)
+		cl.play(leaseTime + 3*time.Second)
+	}
+	cl.c.Check(cl.p.View("a").Steps[0].Crashes, qt.Equals, 3)
+	cl.c.Check(cl.report("a").State.Final(), qt.IsFalse, qt.Commentf("%s", cl.report("a").Reason))
+}
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -16,10 +16,11 @@
 // seldom the same task.
 
 const (
-	// maxCrashes is the number of crashes under a task after which it is given up.
-	maxCrashes = 3
-	// maxCrashesAlone is the same if nothing ran beside it at the latest crash, and that was
-	// right after its start or not one of many at the same time.
+	// maxCrashes is the number of crashes shortly after its start after which a task is given
+	// up, and maxLateCrashes that of all crashes under it.
+	maxCrashes     = 3
+	maxLateCrashes = 6
+	// maxCrashesAlone is the same if the latest crash proves its fault.
 	maxCrashesAlone = 2
 )
 
@@ -33,13 +34,30 @@
 
 // crashCount counts the runs of a task under which its worker has crashed.
 type crashCount struct {
-	runs int
+	runs   int
+	recent int // of these the runs that had been started shortly before
 	// alone means that the latest crash proves the task's fault: nothing ran beside it, it
 	// was shortly after the start, not in a crowd, and on another machine than the one before.
 	alone   bool
 	address string // of the latest worker that has crashed
 }
 
+// add counts a crash. One after a long run speaks against the machine.
+func (c *crashCount) add(l *loss) {
+	if l.long {
+		c.runs, c.recent = 0, 0
+	}
+	c.runs++
+	if l.recent {
+		c.recent++
+	}
+}
+
+// tooMany reports whether the task is given up, whatever ran beside it.
+func (c *crashCount) tooMany() bool {
+	return c.recent >= maxCrashes || c.runs >= maxLateCrashes
+}
+
 // countsCrashes reports whether crashes under the unit are counted: it may run again. Jobs
 // that may run only once end after one run in any case.
 func (u *unit) countsCrashes() bool {
@@ -62,10 +80,7 @@
 	}
 	chance := f.crowd && !l.soon
 	c := u.crashes[l.member]
-	if l.long {
-		c.runs = 0
-	}
-	c.runs++
+	c.add(l)
 	c.alone = l.alone() && !chance && l.recent && !l.away && (c.address == "" || c.address != l.address)
 	c.address = l.address
 	u.crashes[l.member] = c
@@ -89,6 +104,9 @@
 	l.away, l.outcome = false, verdictNoCrash
 	c := u.crashes[l.member]
 	c.runs, c.alone = max(c.runs-1, 0), false
+	if l.recent {
+		c.recent = max(c.recent-1, 0)
+	}
 	u.crashes[l.member] = c
 	p.addLossDecision(EventNoCrash, u, l, "it answers again with the incarnation it had")
 }
@@ -96,14 +114,19 @@
 // mayBeGivenUp reports whether a unit will be given up if the workers that it has lost have
 // crashed. It is not placed until that is known.
 func (p *Planner) mayBeGivenUp(u *unit) bool {
-	pending := map[int]int{}
+	counts := maps.Clone(u.crashes)
+	if counts == nil {
+		counts = map[int]crashCount{}
+	}
 	for i := range u.losses {
 		l := &u.losses[i]
 		if l.outcome != verdictPending {
 			continue
 		}
-		pending[l.member]++
-		if u.crashes[l.member].runs+pending[l.member] >= maxCrashes {
+		c := counts[l.member]
+		c.add(l)
+		counts[l.member] = c
+		if c.tooMany() {
 			p.wakeBy(p.now.Add(settleInterval))
 			return true
 		}
@@ -135,7 +158,7 @@
 	}
 	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[member]
-		if c.runs < maxCrashesAlone || c.runs < maxCrashes && !c.alone {
+		if !c.tooMany() && (c.runs < maxCrashesAlone || !c.alone) {
 			continue
 		}
 		u.job.reason = itoa(c.runs) + " workers have crashed under task " + u.taskID(member).String()
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -51,6 +51,7 @@
 type crashRecord struct {
 	Member  int    `json:"i,omitempty"`
 	Runs    int    `json:"r"`
+	Recent  int    `json:"c,omitempty"`
 	Alone   bool   `json:"a,omitempty"`
 	Address string `json:"w,omitempty"`
 }
@@ -117,7 +118,7 @@
 	}
 	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[member]
-		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: c.runs, Alone: c.alone, Address: c.address})
+		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: c.runs, Recent: c.recent, Alone: c.alone, Address: c.address})
 	}
 	for i := range u.losses {
 		l := &u.losses[i]
@@ -261,7 +262,7 @@
 		if u.crashes == nil {
 			u.crashes = map[int]crashCount{}
 		}
-		u.crashes[c.Member] = crashCount{runs: c.Runs, alone: c.Alone, address: c.Address}
+		u.crashes[c.Member] = crashCount{runs: c.Runs, recent: c.Recent, alone: c.Alone, address: c.Address}
 	}
 	for i := range record.Losses {
 		r := &record.Losses[i]
