planner: the age of a run counts from when its start was sent

A start that waits behind a commit goes out seconds after the placement, while the store is away for longer than 3 s. A crash right after it did then not count as one shortly after the start. TestCrashAfterLateStart failed before.

--- a/internal/planner/blame_test.go
+++ b/internal/planner/blame_test.go
@@ -364,3 +364,21 @@
 	cl.c.Check(cl.p.View("a").Steps[0].Crashes, qt.Equals, 3)
 	cl.c.Check(cl.report("a").State.Final(), qt.IsFalse, qt.Commentf("%s", cl.report("a").Reason))
 }
+
+// TestCrashAfterLateStart checks that a task is given up for crashes right after its starts
+// although a start goes out long after the placement, behind a commit that hangs.
+func TestCrashAfterLateStart(t *testing.T) {
+	cl := newCluster(t, 2*perRack)
+	cl.submit("a", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 9000})
+	for n := 1; n <= 2; n++ {
+		starts := cl.waitForStart()
+		cl.c.Assert(starts, qt.HasLen, 1)
+		cl.now = cl.now.Add(5 * time.Second)
+		cl.p.SetTime(cl.now, cl.now)
+		cl.p.NoteStartSent(&starts[0])
+		cl.p.HandleStartReply(starts[0].Worker, starts[0].Task, starts[0].Run, nil)
+		cl.crash(starts[0].Worker, backAsOther)
+	}
+	cl.c.Check(cl.waitForStart(), qt.HasLen, 0)
+	cl.c.Check(cl.report("a").State, qt.Equals, yuccapaddle.JobFailed)
+}
--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -110,6 +110,7 @@
 func (p *Planner) NoteStartSent(st *yuccapaddle.RunStart) {
 	if x, ok := p.worker(st.Worker).runs[st.Task]; ok && x.u.run == st.Run {
 		x.u.members[x.member].unsent = false
+		x.u.startedAt = p.now
 	}
 }
 
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -49,6 +49,7 @@
 	stopSentAt           time.Time
 	waitingSince         time.Time
 	placedAt             time.Time
+	startedAt            time.Time            // when a start of the current run was last sent, at first placedAt
 	placedAtMS           int64                // the time of day of the placement in Unix milliseconds, 0 if unknown
 	placedAtKnown        bool                 // placedAt is the time of the placement, and not that of a restore
 	avoidUntil           map[string]time.Time // by worker
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -14,8 +14,8 @@
 // what has become of the worker.
 
 const (
-	// soonAfterStart is how long after a placement a worker has to be lost for the start to be
-	// its likely cause, also in a crowd.
+	// soonAfterStart is how long after a start a worker has to be lost for the start to be its
+	// likely cause, also in a crowd.
 	soonAfterStart = 500 * time.Millisecond
 	// unheardTime is the longest time from the loss of a worker until a host that has taken
 	// over meanwhile learns of it.
@@ -39,8 +39,8 @@
 	incarnation int64
 	others      int   // runs of other units that were on the worker
 	unanswered  bool  // the worker had not answered for the run
-	soon        bool  // the worker was lost right after the placement
-	recent      bool  // it was lost shortly after the placement
+	soon        bool  // the worker was lost right after the start
+	recent      bool  // it was lost shortly after the start
 	long        bool  // the task had run for long
 	away        bool  // it counts as a crash since the worker has stayed away
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
@@ -83,7 +83,7 @@
 		p.setSuspect(u, true)
 	}
 	lostAt := p.lostContact(w)
-	ran := lostAt.Sub(u.placedAt)
+	ran := lostAt.Sub(u.startedAt)
 	l := loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
 		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted,
@@ -103,7 +103,7 @@
 	if m.adopted {
 		limit += unheardTime
 	}
-	return u.placedAtKnown && p.lostContact(w).Sub(u.placedAt) <= limit
+	return u.placedAtKnown && p.lostContact(w).Sub(u.startedAt) <= limit
 }
 
 // trackLosses has the unit's pending losses judged.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -294,6 +294,7 @@
 	u.run++
 	u.state, u.stopping, u.failureCounted = unitPlaced, false, false
 	u.placedAt, u.placedAtMS, u.placedAtKnown = p.now, p.wall.UnixMilli(), true
+	u.startedAt = p.now
 	u.waitNoted, u.placedAlone = false, false
 	if u.suspect {
 		p.suspectHosts = nil
