planner: keep workspaces within their quotas, order waiting work by weight

Change: internal/quotakeeper counts what the runs of each workspace hold, from the moment of their placement until their end is listed, and what is reserved for work that comes first. internal/sharer orders waiting work by the workspaces' dominant shares for their weights.

--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -48,7 +48,7 @@
 // Submit admits a job and returns once it is committed. The error is ErrLedgerUnavailable
 // while commits stall; such a job never runs, since only admitted jobs are part of a
 // commit. It is an *InfeasibleError for a strict job that the registered workers could
-// not hold. Other errors match ErrNotAccepted if the job was not admitted, and ErrUnknown
+// not hold, and for one that needs more than its workspace's quota. Other errors match ErrNotAccepted if the job was not admitted, and ErrUnknown
 // if it was.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
 	s := e.newSubmission(j)
@@ -100,7 +100,7 @@
 	return ok
 }
 
-// admit passes a job to the planner unless it is strict and no workers could hold it.
+// admit passes a job to the planner unless it could never run.
 func (e *Executor) admit(s submission) {
 	if !s.state.CompareAndSwap(submissionWaiting, submissionAdmitted) {
 		return // its caller has given up
@@ -110,17 +110,24 @@
 		s.result <- admission{committed: committed}
 		return
 	}
-	if s.job.Strict {
-		if reason := e.plan.Infeasible(s.job); reason != "" {
-			e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", reason))
-			s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
-			return
-		}
+	if reason := e.neverRuns(s.job); reason != "" {
+		e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", reason))
+		s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
+		return
 	}
 	e.plan.Submit(s.job)
 	s.result <- admission{}
 }
 
+// neverRuns returns why a job could never run, "" if it can: its workspace's quota does not
+// allow it, or it is strict and no workers could hold it.
+func (e *Executor) neverRuns(j *yuccapaddle.Job) string {
+	if reason := e.plan.Unallowable(j); reason != "" || !j.Strict {
+		return reason
+	}
+	return e.plan.Infeasible(j)
+}
+
 // commitStalled reports whether the commit in progress takes so long that the ledger
 // counts as unavailable.
 func (e *Executor) commitStalled() bool {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -94,6 +94,8 @@
 // placed, others of the step that keep off no workers are skipped for this round.
 func (p *Planner) placeWaiting() {
 	p.workspaceNeeds = nil
+	p.quotas.ReleaseReserved()
+	p.reserveOrphans()
 	unplaceable := map[stepKey]bool{}
 	list := p.waitingUnits()
 	for i := 0; i < len(list); {
@@ -111,6 +113,7 @@
 			continue
 		}
 		if !p.tryPlace(u) {
+			p.reserveClaimed(u)
 			unplaceable[u.key()] = unplaceable[u.key()] || !u.suspect
 			p.noteWait(u)
 		}
@@ -133,13 +136,17 @@
 
 // placeSimilar places as many as it can of the units that countSimilar counted.
 func (p *Planner) placeSimilar(list []*unit) {
-	workers := p.pickUpTo(list[0], len(list), p.claimedRoom())
+	n := min(len(list), p.quotaFitting(list[0]))
+	workers := p.pickUpTo(list[0], n, p.claimedRoom())
 	for i, id := range workers {
 		p.assign(list[i], []string{id})
 	}
 	if len(workers) < len(list) {
-		p.requestAdvice(list[len(workers)])
-		p.noteWait(list[len(workers)])
+		next := list[len(workers)]
+		if !p.keepWithinQuota(next) {
+			p.requestAdvice(next)
+		}
+		p.noteWait(next)
 	}
 }
 
@@ -153,8 +160,12 @@
 		return
 	}
 	u.waitNoted = true
+	detail := p.quotaWait(u)
+	if detail == "" {
+		detail = p.neededRoom(u)
+	}
 	p.addDecision(yuccapaddle.Decision{
-		Event: "waits", Job: u.job.spec.ID, Task: u.taskID(0).String(), Run: u.run, Detail: p.neededRoom(u),
+		Event: "waits", Job: u.job.spec.ID, Task: u.taskID(0).String(), Run: u.run, Detail: detail,
 	})
 }
 
@@ -166,7 +177,8 @@
 }
 
 // waitingUnits lists the units that are ready to be placed, by priority with urgent jobs
-// first, then by the time when the job was accepted. It updates the jobs' priority.
+// first, then by the share of their workspace if the rules give weights, then by the time
+// when the job was accepted. It updates the jobs' priority.
 func (p *Planner) waitingUnits() []*unit {
 	var list []*unit
 	for _, j := range p.jobs {
@@ -188,7 +200,7 @@
 			a.compare(b),
 		)
 	})
-	return list
+	return p.orderByShare(list)
 }
 
 // compare orders units by the ID of their task.
@@ -228,6 +240,9 @@
 	if p.mayBeGivenUp(u) {
 		return false
 	}
+	if p.keepWithinQuota(u) {
+		return false
+	}
 	if u.claim != nil {
 		return p.tryPlaceClaimed(u)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/quotakeeper"
 )
 
 // Planner holds the state of all jobs and workers. It is not safe for concurrent use.
@@ -41,6 +42,7 @@
 	workspaceNeeds     map[string]int // cache of workspaceNeed for one placement round
 	urgentDemand       int            // accelerators that urgent jobs hold or wait for
 	demandPeaks        []demandPeak   // within reserveWindow, in falling order of demand
+	quotas             *quotakeeper.QuotaKeeper
 }
 
 // Option configures a Planner in New.
@@ -62,7 +64,7 @@
 func New(limits yuccapaddle.PlanLimits, opts ...Option) *Planner {
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
-		limits: limits, dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
+		limits: limits, quotas: quotakeeper.New(), dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -79,6 +81,7 @@
 // Configure replaces the operators' rules.
 func (p *Planner) Configure(r *yuccapaddle.Rules) {
 	p.rules = r
+	p.quotas.SetQuotas(r.Workspaces)
 	p.changed = true
 }
 
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -38,6 +38,7 @@
 			st.Quarantined = append(st.Quarantined, id)
 		}
 	}
+	st.Workspaces = p.quotaStatus()
 	slices.Sort(st.Unusable)
 	slices.Sort(st.Quarantined)
 	slices.SortFunc(st.Workers, func(a, b yuccapaddle.WorkerStatus) int {
@@ -107,11 +108,14 @@
 	}
 }
 
-// waitReason says what a waiting unit waits for: an earlier step, or room.
+// waitReason says what a waiting unit waits for: an earlier step, its quota, or room.
 func (p *Planner) waitReason(u *unit) string {
 	if step, blocked := u.blockingStep(); blocked {
 		return "step " + itoa(step) + " is not done"
 	}
+	if reason := p.quotaWait(u); reason != "" {
+		return reason
+	}
 	suited, usable := 0, 0
 	for _, w := range p.workers {
 		if !p.compatible(u, w) || !u.stepSpec().Room().Fits(w.Capacity) {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/quotakeeper"
 )
 
 // worker is the state of one worker. The embedded Worker is its latest registration.
@@ -11,6 +12,7 @@
 	yuccapaddle.Worker
 	registered bool // in the latest list of registrations
 	used       yuccapaddle.Need
+	quotas     *quotakeeper.QuotaKeeper          // counts the runs for their workspaces
 	runs       map[yuccapaddle.TaskID]assignment // that may be in progress there
 	// orphans are runs that the worker lists and no unit expects, each with the number of
 	// the latest poll of any worker when it was listed.
@@ -42,7 +44,7 @@
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]int64{}}
+		w = &worker{runs: map[yuccapaddle.TaskID]assignment{}, orphans: map[yuccapaddle.TaskID]int64{}, quotas: p.quotas}
 		w.ID = id
 		p.workers[id] = w
 	}
@@ -53,6 +55,7 @@
 func (w *worker) addRun(u *unit, i int) {
 	w.runs[u.taskID(i)] = assignment{u, i}
 	w.used = w.used.Add(u.stepSpec().Room())
+	w.quotas.Add(u.job.spec.Workspace, u.stepSpec().Need)
 	u.job.liveMembers++
 }
 
@@ -63,6 +66,7 @@
 	}
 	delete(w.runs, u.taskID(i))
 	w.used = w.used.Sub(u.stepSpec().Room())
+	w.quotas.Remove(u.job.spec.Workspace, u.stepSpec().Need)
 	u.job.liveMembers--
 }
 
--- a/jobservice.go
+++ b/jobservice.go
@@ -27,14 +27,15 @@
 var ErrNotAccepted = errors.New("the request was not taken")
 
 // InfeasibleError reports a job that is refused because it would not fit on the
-// registered workers even if they were idle. It matches ErrNotAccepted.
+// registered workers even if they were idle, or not into the quota of its workspace. It
+// matches ErrNotAccepted.
 type InfeasibleError struct {
 	Reason string
 }
 
 // Error returns the reason.
 func (e *InfeasibleError) Error() string {
-	return "no workers could hold it: it would wait " + e.Reason
+	return "it could never run: it would wait " + e.Reason
 }
 
 // Unwrap returns ErrNotAccepted.
--- a/rules.go
+++ b/rules.go
@@ -38,6 +38,12 @@
 	Name       string
 	Keys       []string
 	Guaranteed int
+	// Weight is its share of a full cluster in proportion to the weights of the others,
+	// 0 if the operators gave it none.
+	Weight int
+	// Quota is the most that its tasks may hold on all workers together; 0 in a resource
+	// means no limit.
+	Quota Need
 }
 
 // Rules are the operators' rules in force. They are immutable once built. Version
--- a/status.go
+++ b/status.go
@@ -44,10 +44,21 @@
 	Unusable    []string       `json:"unusable,omitempty"`
 	Commits     uint64         `json:"commits"`
 	Records     uint64         `json:"records"`
+	// Workspaces are those with a quota or a weight.
+	Workspaces []WorkspaceStatus `json:"workspaces,omitempty"`
 	// Workers are the registered workers, on platforms where workers register.
 	Workers []WorkerStatus `json:"workers,omitempty"`
 }
 
+// WorkspaceStatus is what a workspace may hold and holds. A resource that its Quota leaves
+// at 0 is not limited.
+type WorkspaceStatus struct {
+	Name   string `json:"name"`
+	Weight int    `json:"weight"`
+	Quota  Need   `json:"quota"`
+	Used   Need   `json:"used"`
+}
+
 // WorkerStatus is a registered worker as the active host sees it. State is "in",
 // or the reason why the worker gets no new work.
 type WorkerStatus struct {
