--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -95,6 +95,7 @@
 	registryDown       bool // the last read of the registrations failed
 	registryReadAt     time.Time
 	startedAt          time.Time
+	usageReportAt      time.Time // when the gauges of workspaces are updated next
 	now                time.Time // of the event that is being handled
 }
 
@@ -228,6 +229,7 @@
 		e.commitBatch()
 	}
 	e.sendHolds()
+	e.reportUsage()
 }
 
 // mayPlace reports whether tasks may be placed: the registrations and the rules are
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -54,6 +54,8 @@
 	leaveWithinMS int64             // see executor.Bounds
 	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
+	rulesVersion  atomic.Int64      // of the operators' rules
+	quotaGPU      atomic.Int64      // see setQuota
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
 	// always true if nil.
 	confirmed              func() bool
@@ -90,6 +92,7 @@
 		t: t, c: qt.New(t), ledger: bookkeeper.New(), workers: map[string]*taskrunner.TaskRunner{},
 		startLog: taskrunner.NewStartLog(), group: &errgroup.Group{}, leaveWithinMS: 2500,
 	}
+	r.rulesVersion.Store(1)
 	r.taskTime.Store(int64(2 * time.Second))
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
@@ -165,20 +168,31 @@
 	if err := r.hang(ctx); err != nil {
 		return nil, err
 	}
-	return []byte("rules"), nil
+	return fmt.Append(nil, r.rulesVersion.Load(), " ", r.quotaGPU.Load()), nil
+}
+
+// setQuota puts a quota of workspace north into the next version of the rules, 0 for none.
+func (r *rig) setQuota(gpus int64) {
+	r.quotaGPU.Store(gpus)
+	r.rulesVersion.Add(1)
 }
 
 // Decode implements yuccapaddle.RuleSource.
-func (r *rig) Decode([]byte) (*yuccapaddle.Rules, error) {
+func (r *rig) Decode(data []byte) (*yuccapaddle.Rules, error) {
+	var version int64
+	var quota int
+	if _, err := fmt.Sscan(string(data), &version, &quota); err != nil {
+		return nil, err
+	}
 	rules := &yuccapaddle.Rules{
-		Version: 1, Revision: 1, Digest: 1,
+		Version: version, Revision: uint64(version), Digest: uint64(version),
 		Queues: []yuccapaddle.Queue{
 			{Name: "quick", Service: "svc", Priority: 0, Attempts: 3},
 			{Name: "batch", Service: "svc", Priority: 2, Attempts: 3},
 			{Name: "advised", Service: "svc", Priority: 2, Attempts: 3, Advised: true},
 		},
 		Workspaces: []yuccapaddle.WorkspaceGrant{
-			{Name: "north", Keys: []string{"k"}, Guaranteed: 8},
+			{Name: "north", Keys: []string{"k"}, Guaranteed: 8, Quota: yuccapaddle.Need{GPU: quota}},
 			{Name: "south", Keys: []string{"s"}, Guaranteed: 8},
 		},
 	}
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -56,6 +56,11 @@
 	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter(name).Inc(n)
 }
 
+// Set sets a workspace's gauge to v.
+func (m *Monitor) Set(name, workspace string, v float64) {
+	m.scope.Tagged(map[string]string{"workspace": workspace}).Gauge(name).Update(v)
+}
+
 // durationBuckets range from 2 ms, a fast reply of the ledger, to 65 s, the wait of a
 // batch job.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 16)
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -149,8 +149,8 @@
 	return "for the quota of workspace " + u.job.spec.Workspace + ": " + itoa(u.width()) + " tasks of " + describeNeed(u.stepSpec().Need)
 }
 
-// quotaStatus lists the workspaces that have a quota or a weight, with what they use.
-func (p *Planner) quotaStatus() []yuccapaddle.WorkspaceStatus {
+// Workspaces lists the workspaces that have a quota or a weight, with what they use.
+func (p *Planner) Workspaces() []yuccapaddle.WorkspaceStatus {
 	var list []yuccapaddle.WorkspaceStatus
 	for i := range p.rules.Workspaces {
 		g := &p.rules.Workspaces[i]
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -38,7 +38,7 @@
 			st.Quarantined = append(st.Quarantined, id)
 		}
 	}
-	st.Workspaces = p.quotaStatus()
+	st.Workspaces = p.Workspaces()
 	slices.Sort(st.Unusable)
 	slices.Sort(st.Quarantined)
 	slices.SortFunc(st.Workers, func(a, b yuccapaddle.WorkerStatus) int {
