executor: completions are reported while a commit hangs

Cause: Show answered only from committed states, so during an outage of the store of 2.8 to 4.2 s each job that ended was reported as running until the store was back.

Change: with outage.showEnds, a job that the planner holds as completed is reported as such once a commit has taken 150 ms, if the role is confirmed and each of its ends that no commit covers is on a worker that is registered, answers and is not about to leave. Package tracker keeps which ends those are. What was reported stays so at this host. Other final states still wait for their commit. Without the setting nothing changes.

Result: shown_test.go: completed within 0.3 s of the end while the store is silent; a successor reaches the same state and starts nothing. With the decision disabled, as on the code of before, TestCompletionShown, TestShownRemains and TestShownFoundBySuccessor fail.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -101,6 +101,7 @@
 	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log,
 		assembler.WithDrainTime(time.Duration(drainFraction*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithCPUShare(s.CPUShare),
+		assembler.WithExecutorOptions(outageOptions(&s.Outage)...),
 		assembler.WithMinLease(time.Duration(s.MinLeaseMS)*time.Millisecond))
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
@@ -117,6 +118,16 @@
 	return nil
 }
 
+// outageOptions returns the options of the executor for what a host does while the store is
+// unavailable.
+func outageOptions(o *configurer.Outage) []executor.Option {
+	var opts []executor.Option
+	if o.ShowEnds {
+		opts = append(opts, executor.WithCompletionsShown())
+	}
+	return opts
+}
+
 // checkSettingsOnHangup checks the settings again on every SIGHUP and logs the
 // result. It applies nothing: the settings that this process uses do not change
 // while it runs.
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -73,6 +73,7 @@
 	drainTime    time.Duration
 	minLease     time.Duration
 	cpuShare     float64
+	executorOpts []executor.Option
 	nonce        string
 	log          *zap.Logger
 	rules        *rulekeeper.RuleKeeper
@@ -107,6 +108,12 @@
 	return func(a *Assembler) { a.cpuShare = share }
 }
 
+// WithExecutorOptions sets further options of the executor that runs while the host is
+// active.
+func WithExecutorOptions(opts ...executor.Option) Option {
+	return func(a *Assembler) { a.executorOpts = append(a.executorOpts, opts...) }
+}
+
 // New returns an Assembler. nonce must be unique for each process.
 func New(cfg HostConfig, deps Dependencies, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
 	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log}
@@ -132,9 +139,11 @@
 // renewing the workers' leases until predecessorRenewsUntil.
 func (a *Assembler) newExecutor(rec *recorder.Recorder, predecessorRenewsUntil time.Time) (*executor.Executor, func(context.Context) error) {
 	clock := timekeeper.Timekeeper{}
-	e := executor.New(a.deps.Registry, a.deps.Runner, a.rules, rec, a.bounds, clock, a.log,
+	opts := append([]executor.Option{
 		executor.WithAdviser(a.deps.Adviser), executor.WithMeter(a.monitor),
-		executor.WithRole(a.elector.Confirmed, predecessorRenewsUntil))
+		executor.WithRole(a.elector.Confirmed, predecessorRenewsUntil),
+	}, a.executorOpts...)
+	e := executor.New(a.deps.Registry, a.deps.Runner, a.rules, rec, a.bounds, clock, a.log, opts...)
 	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log)
 	return e, maintenance.Run
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -17,6 +17,7 @@
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/rulekeeper"
 	"yuccapaddle/internal/supervisor"
+	"yuccapaddle/internal/tracker"
 )
 
 const (
@@ -91,6 +92,9 @@
 	links              map[string]*link
 	committedJobs      map[string]committedJob
 	watchers           map[string][]chan struct{} // by job, closed once its final state is committed
+	showsCompletions   bool                       // see WithCompletionsShown
+	uncommitted        *tracker.Tracker
+	shownJobs          map[string]committedJob // reported as completed before their commit
 	rulesDigest        uint64
 	registryDown       bool // the last read of the registrations failed
 	registryReadAt     time.Time
@@ -132,6 +136,7 @@
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
 		events: make(chan func(), eventQueueSize), submissions: make(chan submission, eventQueueSize), done: make(chan struct{}), plan: planner.New(bounds.Planner),
 		links: map[string]*link{}, committedJobs: map[string]committedJob{}, watchers: map[string][]chan struct{}{}, adviceRequests: make(chan yuccapaddle.AdviceRequest, maxQueuedAdvice),
+		uncommitted: tracker.New(), shownJobs: map[string]committedJob{},
 		meter: yuccapaddle.NoMeter{}, roleConfirmed: func() bool { return true },
 	}
 	for _, o := range opts {
@@ -210,6 +215,9 @@
 // nextWait returns how long the loop may wait for an event before it calls advance.
 func (e *Executor) nextWait() time.Duration {
 	wait := min(maxIdleWait, e.plan.WakeAt().Sub(e.now))
+	if show := e.showCompletedAt(); e.showsCompletions && e.committing && e.now.Before(show) {
+		wait = min(wait, show.Sub(e.now))
+	}
 	return max(wait, 5*time.Millisecond)
 }
 
@@ -227,6 +235,7 @@
 		}
 		e.commitBatch()
 	}
+	e.notifyCompleted()
 	e.sendHolds()
 }
 
@@ -268,12 +277,13 @@
 func (e *Executor) commitBatch() {
 	b := e.plan.TakeBatch()
 	waiters := e.commitWaiters
-	ends := e.uncommittedEnds()
+	ends, mark := e.uncommittedEnds(), e.uncommitted.Mark()
 	if b.Empty() && len(waiters) == 0 && len(ends) == 0 {
 		return
 	}
 	e.commitWaiters = nil
 	if len(b.Records) == 0 && len(b.Removed) == 0 {
+		e.uncommitted.Commit(mark)
 		e.executeBatch(&b, waiters, ends)
 		return
 	}
@@ -287,6 +297,7 @@
 		}
 		e.post(func() {
 			e.committing = false
+			e.uncommitted.Commit(mark)
 			e.executeBatch(&b, waiters, ends)
 		})
 		return nil
@@ -299,6 +310,7 @@
 	for _, r := range b.Records {
 		e.committedJobs[r.ID] = committedJob{r.Report, r.Queue}
 		if r.Report.State.Final() {
+			delete(e.shownJobs, r.ID)
 			e.notifyWatchers(r.ID)
 		}
 	}
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -58,8 +58,9 @@
 	return zero, yuccapaddle.ErrUnknown
 }
 
-// Show returns the committed status of a job, and whether there is such a job. It waits
-// for a final state until the given time. An empty queue stands for any. Errors match
+// Show returns the committed status of a job, and whether there is such a job. With
+// WithCompletionsShown a completion may be shown before its commit. It waits for a final
+// state until the given time. An empty queue stands for any. Errors match
 // ErrNotAccepted or ErrUnknown.
 func (e *Executor) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	for {
@@ -79,15 +80,15 @@
 	}
 }
 
-// jobStatus is the committed status of a job. final is closed once a final state is
-// committed; it is nil if there is nothing to wait for.
+// jobStatus is the status of a job as it may be reported. final is closed once a final
+// state may be; it is nil if there is nothing to wait for.
 type jobStatus struct {
 	yuccapaddle.JobReport
 	found bool
 	final chan struct{}
 }
 
-// lookUp returns the committed status of a job, and registers a watcher for its final
+// lookUp returns the status of a job as it may be reported, and registers a watcher for its final
 // state if that is still to come. A job without a commit yet is shown as queued.
 func (e *Executor) lookUp(id, queue string, until time.Time) jobStatus {
 	job, ok := e.committedJobs[id]
@@ -96,6 +97,11 @@
 		_, q, ok = e.plan.Report(id)
 		job = committedJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, q}
 	}
+	if !job.State.Final() {
+		if completed, shown := e.completedJob(id); shown {
+			job = completed
+		}
+	}
 	status := jobStatus{JobReport: job.JobReport, found: ok && (queue == "" || job.queue == queue)}
 	if status.found && !job.State.Final() && time.Now().Before(until) {
 		status.final = make(chan struct{})
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -257,6 +257,7 @@
 	}
 	l.updateClock(reply.Clock, at)
 	l.ackedEnd, l.reported = max(l.ackedEnd, o.AckedEnd), true
+	e.trackEnds(id, &reply)
 	e.plan.HandlePollReply(id, &reply, poll)
 }
 
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -58,6 +58,7 @@
 	// always true if nil.
 	confirmed              func() bool
 	predecessorRenewsUntil time.Time
+	options                []executor.Option // further ones of the executor
 }
 
 // logs collects the log output of all hosts.
@@ -224,8 +225,10 @@
 		confirmed = func() bool { return true }
 	}
 	ctx, cancel := context.WithCancel(r.t.Context())
-	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, clock, log, executor.WithAdviser(r), executor.WithMeter(meter),
-		executor.WithRole(confirmed, r.predecessorRenewsUntil)), cancel
+	options := append([]executor.Option{
+		executor.WithAdviser(r), executor.WithMeter(meter), executor.WithRole(confirmed, r.predecessorRenewsUntil),
+	}, r.options...)
+	r.exec, r.stop = executor.New(r, runner, rules, rec, bounds, clock, log, options...), cancel
 	exec := r.exec
 	r.group.Go(func() error { return rules.Run(ctx, always, always) })
 	r.group.Go(func() error {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -98,6 +98,22 @@
 	return 0
 }
 
+// ReportedIncarnation returns the incarnation of a worker that AppliedEnd refers to, 0 if it
+// has not answered yet.
+func (p *Planner) ReportedIncarnation(id string) int64 {
+	if w := p.workers[id]; w != nil {
+		return w.reportedIncarnation
+	}
+	return 0
+}
+
+// Staying reports whether a worker is registered, answers, and is not known to be about to
+// leave: it is not draining, nor in maintenance, nor in a closed failure domain.
+func (p *Planner) Staying(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.registered && !w.unresponsive && !w.Draining && !w.inMaintenance && w.leavingIncarnation == 0 && !p.rules.Closed[w.Domain]
+}
+
 // Worker returns the latest registration of a worker, and whether the worker is known.
 func (p *Planner) Worker(id string) (yuccapaddle.Worker, bool) {
 	w := p.workers[id]
