rulekeeper, rulefetcher, elector: order rules by the revision of their latest read

Cause: rules that were read again with the same content kept the revision of their first read. If failure domains were closed and opened again between two reads of the active host, its rules counted as older than the closing that a follower had read, and the follower kept the closing for as long as the store refused it.

Change: the rule keeper records the latest revision of the store at which the content in force is known to have been read, and orders rules by it. Heartbeats and answers to Who carry that revision in the existing field. A follower with the same content raises its own revision and fetches nothing; one with other content that was read earlier fetches it and counts it as read at that revision. A read from before the latest known one confirms nothing. Rules that cannot be decoded or have a lower version are marked by their digest, since the revision now grows with each read. The bytes of a transfer stay those of the first read.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -329,7 +329,7 @@
 	others := e.hosts.addresses()
 	e.askHosts(ctx, others[:min(maxHostsAsked, len(others))], dialTimeout, func(address string, reply *peer.WhoReply) {
 		if err := e.offerRules(reply.GetRules()); err != nil { // of a host of an earlier version
-			e.log.Warn("cannot decode the rules received from another host", zap.String("address", address), zap.Error(err))
+			e.log.Warn("cannot use the rules received from another host", zap.String("address", address), zap.Error(err))
 		}
 		if reply.GetRulesRevision() > source.revision {
 			source = rulesOffer{address: address, revision: reply.GetRulesRevision(), digest: reply.GetRulesDigest()}
@@ -383,8 +383,9 @@
 // Who returns which host is active as far as this one knows, and its rules if the caller
 // has others and does not fetch them.
 func (e *Elector) Who(req *peer.WhoRequest) *peer.WhoReply {
-	data, revision, digest := e.rules.Data()
-	reply := &peer.WhoReply{RulesRevision: revision, RulesDigest: digest}
+	reply := &peer.WhoReply{}
+	reply.RulesRevision, reply.RulesDigest = e.rules.LatestRead()
+	data, revision, _ := e.rules.Data()
 	if !req.GetWithoutRules() && revision != req.GetRulesRevision() {
 		reply.Rules = data
 	}
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -135,11 +135,11 @@
 // addRules adds to a heartbeat which rules this host has, or the rules themselves for a
 // follower of an earlier version if they have changed.
 func (e *Elector) addRules(beat *peer.Beat, f *followerState) {
-	data, revision, digest := e.rules.Data()
 	if f.fetchesRules {
-		beat.RulesRevision, beat.RulesDigest = revision, digest
+		beat.RulesRevision, beat.RulesDigest = e.rules.LatestRead()
 		return
 	}
+	data, revision, _ := e.rules.Data()
 	if revision != f.rulesRevision {
 		beat.Rules, f.rulesRevision = data, revision
 	}
@@ -297,7 +297,7 @@
 		address: address, epoch: beat.GetEpoch(), validUntil: sentAt.Add(heartbeatTimeout(beat)),
 	})
 	if err := e.offerRules(beat.GetRules()); err != nil {
-		e.log.Warn("cannot decode the rules received from the active host", zap.Error(err))
+		e.log.Warn("cannot use the rules received from the active host", zap.Error(err))
 	}
 	e.rank.Store(beat.GetRank())
 	e.hosts.note(address, true)
--- a/internal/elector/rules.go
+++ b/internal/elector/rules.go
@@ -23,7 +23,8 @@
 	maxFetchPause = 400 * time.Millisecond
 )
 
-// rulesOffer is what a host tells of its rules.
+// rulesOffer is what a host tells of its rules. revision is the latest revision of the store
+// at which it knows them to have been read.
 type rulesOffer struct {
 	address          string
 	revision, digest uint64
@@ -43,15 +44,16 @@
 	return e.rules.Offer(data, "host")
 }
 
-// wants reports whether rules differ from those in force and are newer, and were not of no
-// use here when they were fetched before.
+// wants reports whether rules differ from those in force and were read later, and were not
+// found useless when they were fetched before.
 func (e *Elector) wants(revision, digest uint64) bool {
-	_, ownRevision, ownDigest := e.rules.Data()
-	return digest != ownDigest && revision > ownRevision && !e.fetcher.Useless(revision, digest)
+	ownRevision, ownDigest := e.rules.LatestRead()
+	return digest != ownDigest && revision > ownRevision && !e.fetcher.Useless(digest)
 }
 
 // fetchOffered fetches the rules that a host has offered, if this one wants them.
 func (e *Elector) fetchOffered(ctx context.Context, offer rulesOffer) {
+	e.rules.NoteRead(offer.revision, offer.digest)
 	if offer.address == "" || offer.digest == 0 || !e.wants(offer.revision, offer.digest) {
 		return
 	}
@@ -59,7 +61,7 @@
 	defer cancel()
 	client, err := e.conns.Client(offer.address)
 	if err == nil {
-		err = e.fetcher.Fetch(ctx, client)
+		err = e.fetcher.Fetch(ctx, client, rulefetcher.WithReadAt(offer.revision, offer.digest))
 	}
 	if err != nil {
 		e.log.Info("cannot fetch the rules", zap.String("address", offer.address), zap.Error(err))
@@ -87,6 +89,7 @@
 func (r *ruleFollower) observe(ctx context.Context, beat *peer.Beat, sentAt time.Time) {
 	news := &rulesNews{beat.GetRulesRevision(), beat.GetRulesDigest(), beat.GetFresh(), sentAt}
 	r.latest.Store(news)
+	r.e.rules.NoteRead(news.revision, news.digest)
 	if news.digest != 0 && r.e.wants(news.revision, news.digest) {
 		r.fetch(ctx)
 		return
@@ -138,7 +141,9 @@
 // fetchOnce fetches the rules from the active host or, while that sends them to others, from
 // one that has got them. It is no error if that one cannot send them either.
 func (r *ruleFollower) fetchOnce(ctx context.Context) error {
-	err := r.e.fetcher.Fetch(ctx, r.client)
+	news := r.latest.Load()
+	readAt := rulefetcher.WithReadAt(news.revision, news.digest)
+	err := r.e.fetcher.Fetch(ctx, r.client, readAt)
 	sources, busy := rulefetcher.Busy(err)
 	if !busy {
 		return err
@@ -146,7 +151,7 @@
 	if len(sources) == 0 {
 		return nil
 	}
-	if err := r.fetchFrom(ctx, sources[0]); err != nil {
+	if err := r.fetchFrom(ctx, sources[0], readAt); err != nil {
 		if _, busy := rulefetcher.Busy(err); !busy {
 			r.e.log.Info("cannot fetch the rules", zap.String("address", sources[0]), zap.Error(err))
 		}
@@ -155,10 +160,10 @@
 }
 
 // fetchFrom fetches the rules from a host that has got them from the active one.
-func (r *ruleFollower) fetchFrom(ctx context.Context, address string) error {
+func (r *ruleFollower) fetchFrom(ctx context.Context, address string, readAt rulefetcher.Option) error {
 	client, err := r.e.conns.Client(address)
 	if err != nil {
 		return err
 	}
-	return r.e.fetcher.Fetch(ctx, client)
+	return r.e.fetcher.Fetch(ctx, client, readAt)
 }
--- a/internal/elector/uplink_test.go
+++ b/internal/elector/uplink_test.go
@@ -227,6 +227,44 @@
 	})
 }
 
+// readAgainFor lets the active host read rules of a version and digest again and again for
+// some time, each time at a later revision.
+func readAgainFor(c *qt.C, active *host, source *numberedRules, version, digest, size int64) {
+	for revision := int64(50); revision < 80; revision++ { // 3 s, a dozen heartbeats
+		source.set(version, revision, digest, size)
+		c.Assert(active.rules.Refresh(context.Background()), qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestRulesReadAgainNotFetched checks that rules are not sent again and again while the active
+// host only reads the same ones at later revisions of the store: not to followers that have
+// them, nor to those that cannot put them into force.
+func TestRulesReadAgainNotFetched(t *testing.T) {
+	const size = 1 << 20 // bytes
+	for name, rules := range map[string][2]int64{
+		"the followers take them": {5, 6},
+		"a lower version":         {3, 3},
+		"cannot be decoded":       {9, 9},
+	} {
+		withNumberedRules(t, func(c *qt.C, hosts []*host, sources map[*host]*numberedRules, links map[*host]*uplink) {
+			followers := hosts[1:]
+			for _, h := range followers {
+				sources[h].set(5, 20, 5, 32)
+				c.Assert(h.rules.Refresh(t.Context()), qt.IsNil)
+				sources[h].unreadable.Store(9)
+			}
+			readAgainFor(c, hosts[0], sources[hosts[0]], rules[0], rules[1], size)
+			sent := links[hosts[0]].sent.Load()
+			c.Check(sent < 2*size*int64(len(followers)), qt.IsTrue, qt.Commentf("%s: %d bytes sent", name, sent))
+			for _, h := range followers {
+				revision, digest := h.rules.LatestRead()
+				c.Check(digest == 6 && revision > 50, qt.Equals, rules[1] == 6, qt.Commentf("%s: digest %d, read at %d", name, digest, revision))
+			}
+		})
+	}
+}
+
 // TestOtherRulesNotConfirmed checks that heartbeats about rules that a follower does not have
 // do not confirm those that it has.
 func TestOtherRulesNotConfirmed(t *testing.T) {
--- a/internal/rulefetcher/rulefetcher.go
+++ b/internal/rulefetcher/rulefetcher.go
@@ -54,7 +54,7 @@
 	partial  partial
 
 	mu      sync.Mutex
-	useless version // that was fetched last and could not be put into force
+	useless uint64 // digest of the rules that were fetched last, if they can never come into force
 }
 
 // version identifies rules.
@@ -67,24 +67,37 @@
 	data []byte
 }
 
+// Option changes a call of Fetch.
+type Option func(*version)
+
+// WithReadAt tells that a host has read rules with the digest at a revision of the store.
+// If these are the rules that are fetched, they count as read at that revision.
+func WithReadAt(revision, digest uint64) Option {
+	return func(v *version) { *v = version{revision, digest} }
+}
+
 // New returns a RuleFetcher that puts what it fetches into force. Others can fetch the rules
 // at address afterwards.
 func New(rules *rulekeeper.RuleKeeper, address string) *RuleFetcher {
 	return &RuleFetcher{rules: rules, address: address}
 }
 
-// Useless reports whether these are the rules that were fetched last and could not be put
-// into force, so that they need not be fetched again.
-func (f *RuleFetcher) Useless(revision, digest uint64) bool {
+// Useless reports whether the rules that were fetched last have the digest and can never come
+// into force here, so that they need not be fetched again, whenever they were read.
+func (f *RuleFetcher) Useless(digest uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return digest != 0 && f.useless == version{revision, digest}
+	return digest != 0 && f.useless == digest
 }
 
 // Fetch fetches the rules of a host and puts them into force, unless newer ones are. It
 // ends early if a part takes longer than partTimeout. After an error the next call goes on from
 // what has arrived, if the host it calls has the same rules.
-func (f *RuleFetcher) Fetch(ctx context.Context, client peer.JobsClient) error {
+func (f *RuleFetcher) Fetch(ctx context.Context, client peer.JobsClient, opts ...Option) error {
+	var read version
+	for _, o := range opts {
+		o(&read)
+	}
 	f.fetching.Lock()
 	defer f.fetching.Unlock()
 	if err := f.receive(ctx, client); err != nil {
@@ -96,22 +109,22 @@
 	if err != nil {
 		return fmt.Errorf("decompress the rules: %w", err)
 	}
-	err = f.rules.Offer(data, "host")
-	f.noteResult(fetched.version)
+	err = f.rules.OfferReadAt(data, read.revision, read.digest, "host")
+	f.noteResult(fetched.digest, err)
 	if err != nil {
-		return fmt.Errorf("decode the rules: %w", err)
+		return fmt.Errorf("use the rules: %w", err)
 	}
 	return nil
 }
 
-// noteResult records whether fetched rules were of use.
-func (f *RuleFetcher) noteResult(v version) {
-	_, _, digest := f.rules.Data()
+// noteResult records whether fetched rules with a digest are useless, from the error of
+// their offer.
+func (f *RuleFetcher) noteResult(digest uint64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.useless = version{}
-	if digest != v.digest {
-		f.useless = v
+	f.useless = 0
+	if err != nil {
+		f.useless = digest
 	}
 }
 
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -68,10 +68,17 @@
 	applyWithinMS int64                                   // in milliseconds
 }
 
+// errLowerVersion rejects rules that were read later than those in force and have a lower
+// version.
+var errLowerVersion = errors.New("the rules have a lower version than those in force")
+
 // snapshot is one version of the rules, with the bytes that it was decoded from.
 type snapshot struct {
 	rules *yuccapaddle.Rules
 	data  []byte
+	// readRevision is the latest revision of the store at which rules with this content are
+	// known to have been read. That of rules is the revision at which data was read.
+	readRevision uint64
 }
 
 // New returns a RuleKeeper without rules. applyWithinMS is the time within which a change
@@ -119,6 +126,30 @@
 	return nil, 0, 0
 }
 
+// LatestRead returns the latest revision of the store at which the rules in force are known
+// to have been read, here or by another host, and their digest; 0 if there are none yet. The
+// revision may be later than that of Data, which stays the same while the content does.
+func (r *RuleKeeper) LatestRead() (revision, digest uint64) {
+	if s := r.current.Load(); s != nil {
+		return s.readRevision, s.rules.Digest
+	}
+	return 0, 0
+}
+
+// NoteRead records that a host has read rules with the digest at a revision of the store. It
+// has no effect unless rules with that content are in force.
+func (r *RuleKeeper) NoteRead(revision, digest uint64) {
+	for {
+		old := r.current.Load()
+		if old == nil || digest != old.rules.Digest || revision <= old.readRevision {
+			return
+		}
+		if r.current.CompareAndSwap(old, old.readAgain(revision)) {
+			return
+		}
+	}
+}
+
 // ConfirmedAt returns the last time at which the rules in force were known to be the
 // latest.
 func (r *RuleKeeper) ConfirmedAt() time.Time {
@@ -144,40 +175,58 @@
 	}
 }
 
-// Offer decodes rules and puts them into force, unless they are older than or equal to
-// those in force. The error is that of the decoding.
+// Offer decodes rules and puts them into force, unless those in force were read at the same
+// revision of the store or a later one. The error is set if the rules cannot be decoded, or
+// have a lower version although they were read later: they can never come into force here.
 func (r *RuleKeeper) Offer(data []byte, source string) error {
+	return r.OfferReadAt(data, 0, 0, source)
+}
+
+// OfferReadAt is Offer for rules of which another host says that it has read their content,
+// with the digest, at a revision of the store. That may be later than the revision in data,
+// at which the content was first read.
+func (r *RuleKeeper) OfferReadAt(data []byte, revision, digest uint64, source string) error {
 	rules, err := r.ruleSource.Decode(data)
 	if err != nil {
 		return err
 	}
-	r.apply(&snapshot{rules: rules, data: data}, source)
-	return nil
+	next := &snapshot{rules: rules, data: data, readRevision: rules.Revision}
+	if digest == rules.Digest {
+		next.readRevision = max(next.readRevision, revision)
+	}
+	return r.apply(next, source)
 }
 
-// apply puts rules into force unless they are older than or equal to those in force.
-func (r *RuleKeeper) apply(next *snapshot, source string) {
+// apply puts rules into force unless those in force were read at the same revision of the
+// store or a later one, or have a higher version. Rules with the content of those in force
+// only make these count as read later.
+func (r *RuleKeeper) apply(next *snapshot, source string) error {
 	for {
 		old := r.current.Load()
-		if old != nil && !newer(next.rules, old.rules) {
-			return
+		same := old != nil && next.rules.Digest == old.rules.Digest
+		switch {
+		case old != nil && next.readRevision <= old.readRevision:
+			return nil
+		case same:
+			next = old.readAgain(next.readRevision)
+		case old != nil && next.rules.Version < old.rules.Version:
+			return errLowerVersion
+		}
+		if !r.current.CompareAndSwap(old, next) {
+			continue
 		}
-		if r.current.CompareAndSwap(old, next) {
+		if !same {
 			changed := make(chan struct{})
 			close(*r.changed.Swap(&changed))
 			r.logChange(next, source)
-			return
 		}
+		return nil
 	}
 }
 
-// newer reports whether rules may replace old: they differ, their version is not lower,
-// and their revision is higher.
-func newer(rules, old *yuccapaddle.Rules) bool {
-	if rules.Version < old.Version || rules.Digest == old.Digest {
-		return false
-	}
-	return rules.Revision > old.Revision
+// readAgain returns the snapshot as read at a later revision of the store.
+func (s *snapshot) readAgain(revision uint64) *snapshot {
+	return &snapshot{rules: s.rules, data: s.data, readRevision: revision}
 }
 
 func (r *RuleKeeper) logChange(s *snapshot, source string) {
@@ -202,9 +251,14 @@
 	if err != nil {
 		return err
 	}
-	r.apply(&snapshot{rules: rules, data: data}, "ledger")
-	if current := r.Current(); current.Digest != rules.Digest {
-		return fmt.Errorf("read version %d of the rules, older than version %d in force", rules.Version, current.Version)
+	next := &snapshot{rules: rules, data: data, readRevision: rules.Revision}
+	err = r.apply(next, "ledger")
+	current := r.current.Load()
+	switch {
+	case err != nil, current.rules.Digest != rules.Digest:
+		return fmt.Errorf("read version %d of the rules, older than version %d in force", rules.Version, current.rules.Version)
+	case rules.Revision < current.readRevision:
+		return fmt.Errorf("read the rules at revision %d of the store, before revision %d", rules.Revision, current.readRevision)
 	}
 	r.confirm(at)
 	return nil
