checker, loader: check settings with warnings, and the place of impossible guarantees

A guarantee that no workers can hold was reported at site.workspaces, among the shortages of all guarantees; it is now reported at the guarantee itself. loader.Check returns, beside the mistakes for which settings are refused, entries without an effect and limits that contradict each other. The validation against a JSON schema moves to internal/schemavalidator, for a second schema.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/guarantor"
@@ -48,12 +49,38 @@
 	if len(v.problems) > 0 {
 		return v.problems
 	}
-	for _, shortage := range guarantor.New(site, m).Check() {
+	possible := v.checkShapes(site, m)
+	for _, shortage := range guarantor.New(possible, m).Check() {
 		v.addf("site.workspaces", "%s", shortage)
 	}
 	return v.problems
 }
 
+// checkShapes adds a problem for each guarantee of which not even one shape fits on the
+// idle workers, and returns a copy of the site without these guarantees.
+func (v *validator) checkShapes(site *yuccapaddle.Site, m *mapper.Mapper) *yuccapaddle.Site {
+	possible := *site
+	possible.Workspaces = slices.Clone(site.Workspaces)
+	for i := range possible.Workspaces {
+		ws := &possible.Workspaces[i]
+		var guarantees []yuccapaddle.Guarantee
+		for n, g := range ws.Guarantees {
+			alone := *site
+			alone.SurviveDomainLoss = false
+			one := g
+			one.Count = 1
+			alone.Workspaces = []yuccapaddle.Workspace{{Name: ws.Name, Guarantees: []yuccapaddle.Guarantee{one}}}
+			if shortages := guarantor.New(&alone, m).Check(); len(shortages) > 0 {
+				v.addf(fmt.Sprintf("site.workspaces[%d].guarantees[%d]", i, n), "%s, even on idle workers", shortages[0])
+				continue
+			}
+			guarantees = append(guarantees, g)
+		}
+		ws.Guarantees = guarantees
+	}
+	return &possible
+}
+
 func (v *validator) addf(path, format string, args ...any) {
 	v.problems = append(v.problems, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
 }
--- a/internal/loader/host.go
+++ b/internal/loader/host.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
+	"yuccapaddle"
 	"yuccapaddle/internal/checker"
 )
 
@@ -159,3 +161,41 @@
 	}
 	return problems
 }
+
+// warnings finds entries of the host's section without an effect, and limits that
+// contradict each other.
+func (h *Host) warnings(site *yuccapaddle.Site) []checker.Problem {
+	var problems []checker.Problem
+	addf := func(path, format string, args ...any) {
+		problems = append(problems, checker.Problem{Path: path, Text: fmt.Sprintf(format, args...)})
+	}
+	if !slices.ContainsFunc(site.Domains, func(d yuccapaddle.Domain) bool { return d.Name == h.Domain }) {
+		addf("host.domain", "failure domain %q does not exist", h.Domain)
+	}
+	hasToken := map[string]bool{}
+	for _, ws := range site.Workspaces {
+		hasToken[ws.Name] = false
+	}
+	for i, t := range h.Tokens.Callers {
+		if _, ok := hasToken[t.Workspace]; !ok {
+			addf(fmt.Sprintf("host.tokens.callers[%d].workspace", i), "workspace %q does not exist, so requests with this token are refused", t.Workspace)
+		}
+		hasToken[t.Workspace] = true
+	}
+	for _, ws := range site.Workspaces {
+		if !hasToken[ws.Name] {
+			addf("host.tokens.callers", "workspace %q has no token, so nobody can submit to it", ws.Name)
+		}
+	}
+	operatorByHash := map[string]string{}
+	for i, t := range h.Tokens.Operators {
+		if first, ok := operatorByHash[t.Hash]; ok {
+			addf(fmt.Sprintf("host.tokens.operators[%d].hash", i), "this hash is already declared for operator %q, whose changes are recorded as made by %q", first, t.Name)
+		}
+		operatorByHash[t.Hash] = t.Name
+	}
+	if h.Limits.SettleMS < h.Limits.AcceptMS {
+		addf("host.limits.settleMs", "%d is less than acceptMs %d: callers are answered before it is decided whether their submission is accepted", h.Limits.SettleMS, h.Limits.AcceptMS)
+	}
+	return problems
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -8,16 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"sort"
 	"strings"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
-	"github.com/santhosh-tekuri/jsonschema/v6"
-	"golang.org/x/text/language"
-	"golang.org/x/text/message"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/checker"
+	"yuccapaddle/internal/finding"
+	"yuccapaddle/internal/schemavalidator"
 )
 
 //go:embed schema.json
@@ -34,28 +32,66 @@
 // that last set the key. The error reports files that cannot be read, decoded or
 // merged.
 func Load(base string, overlays ...string) (*Settings, []checker.Problem, error) {
-	files := append([]string{base}, overlays...)
-	merged := []byte("{}")
-	contents := make([][]byte, len(files))
-	for i, name := range files {
+	m, err := mergeFiles(append([]string{base}, overlays...))
+	if err != nil {
+		return nil, nil, err
+	}
+	s, problems, err := Parse(m.merged)
+	for i := range problems {
+		problems[i].Path = m.lastFileSetting(problems[i].Path) + ": " + problems[i].Path
+	}
+	return s, problems, err
+}
+
+// Check merges the files and returns the problems that Load reports, as errors, and
+// warnings: entries without an effect and limits that contradict each
+// other. The settings and the error are those of Load.
+func Check(base string, overlays ...string) (*Settings, []finding.Finding, error) {
+	m, err := mergeFiles(append([]string{base}, overlays...))
+	if err != nil {
+		return nil, nil, err
+	}
+	s, problems, err := Parse(m.merged)
+	if err != nil {
+		return nil, nil, err
+	}
+	findings := []finding.Finding{}
+	add := func(severity finding.Severity, problems []checker.Problem) {
+		for _, p := range problems {
+			findings = append(findings, finding.Finding{Severity: severity, File: m.lastFileSetting(p.Path), Path: p.Path, Text: p.Text})
+		}
+	}
+	add(finding.Error, problems)
+	if s != nil {
+		add(finding.Warning, append(s.Host.warnings(&s.Site), checker.Warnings(&s.Site)...))
+	}
+	return s, findings, nil
+}
+
+// mergedFiles is the merged content of settings files, with the content of each.
+type mergedFiles struct {
+	names    []string
+	contents [][]byte
+	merged   []byte
+}
+
+func mergeFiles(names []string) (*mergedFiles, error) {
+	m := &mergedFiles{names: names, merged: []byte("{}")}
+	for _, name := range names {
 		text, err := os.ReadFile(name)
 		if err != nil {
-			return nil, nil, fmt.Errorf("settings file cannot be read: %w", err)
+			return nil, fmt.Errorf("settings file cannot be read: %w", err)
 		}
 		if err := checkJSONObject(text); err != nil {
-			return nil, nil, fmt.Errorf("settings file %s: %w", name, err)
+			return nil, fmt.Errorf("settings file %s: %w", name, err)
 		}
-		contents[i] = text
-		merged, err = jsonpatch.MergePatch(merged, text)
+		m.contents = append(m.contents, text)
+		m.merged, err = jsonpatch.MergePatch(m.merged, text)
 		if err != nil {
-			return nil, nil, fmt.Errorf("settings file %s cannot be merged: %w", name, err)
+			return nil, fmt.Errorf("settings file %s cannot be merged: %w", name, err)
 		}
 	}
-	s, problems, err := Parse(merged)
-	for i := range problems {
-		problems[i].Path = lastFileSetting(files, contents, problems[i].Path) + ": " + problems[i].Path
-	}
-	return s, problems, err
+	return m, nil
 }
 
 // Parse decodes and validates merged settings and returns them with all problems
@@ -84,79 +120,28 @@
 }
 
 func validateSchema(merged []byte) ([]checker.Problem, error) {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	v, err := schemavalidator.New(schemaText)
 	if err != nil {
-		return nil, fmt.Errorf("parse the settings schema: %w", err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource("settings.json", doc); err != nil {
-		return nil, fmt.Errorf("add the settings schema: %w", err)
-	}
-	schema, err := c.Compile("settings.json")
+	problems, err := v.Validate(merged)
 	if err != nil {
-		return nil, fmt.Errorf("compile the settings schema: %w", err)
-	}
-	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(merged))
-	if err != nil {
-		return nil, fmt.Errorf("parse the merged settings: %w", err)
-	}
-	err = schema.Validate(value)
-	if err == nil {
-		return nil, nil
-	}
-	invalid, ok := err.(*jsonschema.ValidationError)
-	if !ok {
-		return nil, fmt.Errorf("validate the settings: %w", err)
-	}
-	var out []checker.Problem
-	collectProblems(invalid, &out)
-	sort.Slice(out, func(a, b int) bool { return out[a].String() < out[b].String() })
-	return out, nil
-}
-
-// collectProblems appends the leaves of a validation error as problems. Its inner
-// nodes only group them.
-func collectProblems(e *jsonschema.ValidationError, out *[]checker.Problem) {
-	if len(e.Causes) == 0 {
-		text := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
-		*out = append(*out, checker.Problem{Path: keyPath(e.InstanceLocation), Text: text})
-		return
-	}
-	for _, c := range e.Causes {
-		collectProblems(c, out)
-	}
-}
-
-// keyPath formats a location in the settings, such as site.domains[0].name.
-func keyPath(parts []string) string {
-	var b strings.Builder
-	for _, p := range parts {
-		if p != "" && strings.Trim(p, "0123456789") == "" {
-			fmt.Fprintf(&b, "[%s]", p)
-			continue
-		}
-		if b.Len() > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(p)
-	}
-	if b.Len() == 0 {
-		return "(top level)"
+		return nil, fmt.Errorf("merged settings: %w", err)
 	}
-	return b.String()
+	return problems, nil
 }
 
 // lastFileSetting returns the file that contains the most leading keys of a path,
 // and of several such files the last one.
-func lastFileSetting(files []string, contents [][]byte, path string) string {
+func (m *mergedFiles) lastFileSetting(path string) string {
 	keys := strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' })
 	best, depth := 0, -1
-	for i, text := range contents {
+	for i, text := range m.contents {
 		if d := matchingDepth(text, keys); d >= depth {
 			best, depth = i, d
 		}
 	}
-	return files[best]
+	return m.names[best]
 }
 
 // matchingDepth returns how many leading keys of a path the file contains. It stops
