--- a/rules.go
+++ b/rules.go
@@ -33,11 +33,14 @@
 }
 
 // WorkspaceGrant is a workspace in the operators' rules: its API keys, and the
-// number of accelerators that are guaranteed to its urgent jobs.
+// number of accelerators that are guaranteed to its urgent jobs. Weight is its share
+// of a saturated cluster, and Quota caps what it may have running; 0 sets no limit.
 type WorkspaceGrant struct {
 	Name       string
 	Keys       []string
 	Guaranteed int
+	Weight     int
+	Quota      Need
 }
 
 // Rules are the operators' rules in force. They are immutable once built. Version
