commander: config check FILE, with severities, exit codes and the difference

It now takes one settings file or operators' document as well, told apart by their top-level keys, and prints errors and warnings with file and path. If a host can be asked, settings are compared with the configuration in force and documents with its version and the workers' capacity; if not, one line says so. config apply prints the warnings of its files to standard error. A call that no server answers no longer waits 0.3 s after the last attempt.

--- a/cmd/yuccapaddle/main.go
+++ b/cmd/yuccapaddle/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"yuccapaddle/internal/commander"
+	"yuccapaddle/platform/documentchecker"
 )
 
 func main() {
-	os.Exit(commander.Run(os.Args[1:]))
+	os.Exit(commander.Run(os.Args[1:], commander.WithDocumentCheck(documentchecker.Check)))
 }
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"yuccapaddle/internal/caller"
+	"yuccapaddle/internal/finding"
+	"yuccapaddle/internal/rulechecker"
 )
 
 // Exit codes, as listed in docs/OPERATIONS.md.
@@ -30,6 +32,13 @@
 	codeUnavailable = 10
 )
 
+// Exit codes of config check, which differ from those of the other commands: scripts that
+// apply a configuration only have to tell errors from warnings.
+const (
+	codeCheckWarnings = 1
+	codeCheckErrors   = 2
+)
+
 const (
 	tokenEnv          = "YUCCAPADDLE_TOKEN"
 	serverEnv         = "YUCCAPADDLE_SERVER"
@@ -43,6 +52,21 @@
 	token   string
 	output  string
 	timeout time.Duration
+	// checkDocument checks operators' documents. It is nil if the program knows no
+	// platform that has them.
+	checkDocument DocumentCheck
+}
+
+// DocumentCheck returns the findings on an operators' document of the job path. The
+// error reports data that is no such document.
+type DocumentCheck func(data []byte, opts ...rulechecker.Option) ([]finding.Finding, error)
+
+// Option configures a Commander.
+type Option func(*Commander)
+
+// WithDocumentCheck sets the check of operators' documents.
+func WithDocumentCheck(check DocumentCheck) Option {
+	return func(c *Commander) { c.checkDocument = check }
 }
 
 // exitError is an error with the exit code of the program.
@@ -67,8 +91,11 @@
 }
 
 // New returns the root command.
-func New() *cobra.Command {
+func New(opts ...Option) *cobra.Command {
 	c := &Commander{}
+	for _, o := range opts {
+		o(c)
+	}
 	root := &cobra.Command{
 		Use:           "yuccapaddle",
 		Short:         "Submits jobs and operates workspaces, failure domains and the configuration",
@@ -110,8 +137,8 @@
 
 // Run executes the command line and returns the exit code. It prints errors to
 // standard error.
-func Run(args []string) int {
-	root := New()
+func Run(args []string, opts ...Option) int {
+	root := New(opts...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(context.Background())
 	if err == nil {
@@ -126,16 +153,25 @@
 }
 
 // call sends a request to each server in turn, up to attemptsPerServer times,
-// until one responds. A call without a response may have taken effect and is
+// until one responds.
+func (c *Commander) call(method, path string, body, reply any) error {
+	return c.callTimes(attemptsPerServer, method, path, body, reply)
+}
+
+// callTimes sends a request to each server in turn, up to attempts times, until one
+// responds. A call without a response may have taken effect and is
 // repeated nevertheless: every call of this program is idempotent, as submissions
 // and changes carry an id.
-func (c *Commander) call(method, path string, body, reply any) error {
+func (c *Commander) callTimes(attempts int, method, path string, body, reply any) error {
 	if len(c.servers) == 0 {
 		return exitErrorf(codeUsage, "no server is given: use --server IP:port or set %s", serverEnv)
 	}
 	client := caller.New(caller.WithToken(c.token), caller.WithFreshConnections())
 	var lastErr error
-	for range attemptsPerServer {
+	for attempt := range attempts {
+		if attempt > 0 {
+			time.Sleep(retryDelay)
+		}
 		for _, server := range c.servers {
 			err := client.Call(context.Background(), method, "http://"+server+path, body, reply, c.timeout)
 			var statusErr *caller.StatusError
@@ -144,7 +180,6 @@
 			}
 			lastErr = err
 		}
-		time.Sleep(retryDelay)
 	}
 	return exitErrorf(codeUnavailable, "no server answers, check --server: %v", lastErr)
 }
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -9,6 +9,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/applier"
+	"yuccapaddle/internal/finding"
 	"yuccapaddle/internal/loader"
 )
 
@@ -32,21 +33,30 @@
 // loadSite loads and merges the files and returns their site section. The error
 // lists all problems of the files.
 func (f settingsFiles) loadSite() (*yuccapaddle.Site, error) {
+	site, _, err := f.checkSite()
+	return site, err
+}
+
+// checkSite is loadSite and returns, beside the site, the warnings on the files.
+func (f settingsFiles) checkSite() (*yuccapaddle.Site, []finding.Finding, error) {
 	if *f.base == "" {
-		return nil, exitErrorf(codeUsage, "a base settings file is needed: use --base")
+		return nil, nil, exitErrorf(codeUsage, "a base settings file is needed: use --base")
 	}
-	s, problems, err := loader.Load(*f.base, *f.overlays...)
+	s, findings, err := loader.Check(*f.base, *f.overlays...)
 	if err != nil {
-		return nil, exitErrorf(codeInvalid, "%v", err)
+		return nil, nil, exitErrorf(codeInvalid, "%v", err)
 	}
-	if len(problems) == 0 {
-		return &s.Site, nil
+	n := finding.Count(findings, finding.Error)
+	if n == 0 {
+		return &s.Site, findings, nil
 	}
 	text := ""
-	for _, p := range problems {
-		text += "\n" + p.String()
+	for _, p := range findings {
+		if p.Severity == finding.Error {
+			text += "\n" + p.Place() + p.Text
+		}
 	}
-	return nil, exitErrorf(codeInvalid, "the settings have %d mistakes:%s", len(problems), text)
+	return nil, nil, exitErrorf(codeInvalid, "the settings have %d mistakes:%s", n, text)
 }
 
 func newConfig(c *Commander) *cobra.Command {
@@ -55,20 +65,6 @@
 	return cmd
 }
 
-func (c *Commander) configCheck() *cobra.Command {
-	cmd := &cobra.Command{Use: "check", Short: "Checks settings files without starting or changing anything", Args: cobra.NoArgs}
-	files := settingsFlags(cmd)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		site, err := files.loadSite()
-		if err != nil {
-			return err
-		}
-		text := fmt.Sprintf("%s: %d failure domains, %d workspaces, no mistakes", site.Name, len(site.Domains), len(site.Workspaces))
-		return c.print(cmd, applier.Result{Status: applier.Accepted}, [][]string{{text}})
-	}
-	return cmd
-}
-
 func (c *Commander) configShow() *cobra.Command {
 	cmd := &cobra.Command{Use: "show", Short: "Shows the configuration in force", Args: cobra.NoArgs}
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
@@ -94,11 +90,7 @@
 		if err != nil {
 			return err
 		}
-		site, err = applier.KeepDrains(&cfg.Site, site)
-		if err != nil {
-			return err
-		}
-		diff, err := applier.Diff(&cfg.Site, site)
+		diff, err := siteDiff(cfg, site)
 		if err != nil {
 			return err
 		}
@@ -107,16 +99,27 @@
 	return cmd
 }
 
+// siteDiff returns what applying the site over the configuration in force would change,
+// as a merge patch.
+func siteDiff(cfg *yuccapaddle.Config, site *yuccapaddle.Site) (string, error) {
+	site, err := applier.KeepDrains(&cfg.Site, site)
+	if err != nil {
+		return "", err
+	}
+	return applier.Diff(&cfg.Site, site)
+}
+
 func (c *Commander) configApply() *cobra.Command {
 	cmd := &cobra.Command{Use: "apply", Short: "Applies the files as the new configuration", Args: cobra.NoArgs}
 	files := settingsFlags(cmd)
 	reason := reasonFlag(cmd)
 	ifRevision := cmd.Flags().Uint64("revision", 0, "apply only if this revision is in force, 0 for the one in force now")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		site, err := files.loadSite()
+		site, findings, err := files.checkSite()
 		if err != nil {
 			return err
 		}
+		printWarnings(cmd, findings)
 		revision := *ifRevision
 		if revision == 0 {
 			if revision, err = c.revisionInForce(); err != nil {
@@ -128,6 +131,16 @@
 	return cmd
 }
 
+// printWarnings prints the warnings to standard error: standard output holds the result
+// of the change.
+func printWarnings(cmd *cobra.Command, findings []finding.Finding) {
+	for _, f := range findings {
+		if f.Severity == finding.Warning {
+			fmt.Fprintln(cmd.ErrOrStderr(), f)
+		}
+	}
+}
+
 // revisionInForce returns the revision of the configuration, 0 if there is none yet.
 func (c *Commander) revisionInForce() (uint64, error) {
 	cfg, err := c.fetchConfig()
