--- a/rules.go
+++ b/rules.go
@@ -33,7 +33,8 @@
 }
 
 // WorkspaceGrant is a workspace in the operators' rules: its API keys, and the
-// number of accelerators that are guaranteed to its urgent jobs.
+// number of accelerators that are guaranteed to its urgent jobs. Weight is its share
+// of a saturated cluster, and Quota caps what it may have running; 0 sets no limit.
 type WorkspaceGrant struct {
 	Name       string
 	Keys       []string
