executor, router: submissions are held while the store is away

Cause: a submission was refused 0.7 s after a commit had stalled, and each later one at once, although callers allow 3 s and most outages are shorter than a caller's call and its retries together.

Change: with outage.holdCalls, the active host holds such submissions in package holder, up to that number and 8 MiB, until the commit returns. All are admitted at once then, urgent ones first, and are part of the next commit. A submission is refused as not taken 0.2 s before its caller's deadline, or when a later call for the same job replaces it or cancels it, and is removed when its caller hangs up. The router gives a submission the time until its caller's deadline as long as heartbeats say that the same host is active in the same epoch, so that no message changes and a lost host is noticed as before. Submit now waits for the commit that contains the job and not for the one after it.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -98,11 +98,11 @@
 			Retention:      time.Duration(s.Bounds.RetentionS) * time.Second,
 		},
 	}
-	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log,
+	opts := append(outageOptions(&s.Outage),
 		assembler.WithDrainTime(time.Duration(drainFraction*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithCPUShare(s.CPUShare),
-		assembler.WithExecutorOptions(outageOptions(&s.Outage)...),
 		assembler.WithMinLease(time.Duration(s.MinLeaseMS)*time.Millisecond))
+	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log, opts...)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	g, ctx := supervisor.New(ctx, log)
@@ -118,12 +118,11 @@
 	return nil
 }
 
-// outageOptions returns the options of the executor for what a host does while the store is
-// unavailable.
-func outageOptions(o *configurer.Outage) []executor.Option {
-	var opts []executor.Option
+// outageOptions returns the options for what the host does while the store is unavailable.
+func outageOptions(o *configurer.Outage) []assembler.Option {
+	opts := []assembler.Option{assembler.WithHeldCalls(o.HoldCalls)}
 	if o.ShowEnds {
-		opts = append(opts, executor.WithCompletionsShown())
+		opts = append(opts, assembler.WithCompletionsShown())
 	}
 	return opts
 }
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -74,6 +74,7 @@
 	minLease     time.Duration
 	cpuShare     float64
 	executorOpts []executor.Option
+	routerOpts   []router.Option
 	nonce        string
 	log          *zap.Logger
 	rules        *rulekeeper.RuleKeeper
@@ -108,10 +109,21 @@
 	return func(a *Assembler) { a.cpuShare = share }
 }
 
-// WithExecutorOptions sets further options of the executor that runs while the host is
-// active.
-func WithExecutorOptions(opts ...executor.Option) Option {
-	return func(a *Assembler) { a.executorOpts = append(a.executorOpts, opts...) }
+// WithCompletionsShown makes the host report completed jobs while the ledger does not
+// answer, see executor.WithCompletionsShown.
+func WithCompletionsShown() Option {
+	return func(a *Assembler) { a.executorOpts = append(a.executorOpts, executor.WithCompletionsShown()) }
+}
+
+// WithHeldCalls makes the host hold up to n submissions while the ledger does not answer,
+// none if n is 0.
+func WithHeldCalls(n int) Option {
+	return func(a *Assembler) {
+		if n > 0 {
+			a.executorOpts = append(a.executorOpts, executor.WithHeldCalls(n))
+			a.routerOpts = append(a.routerOpts, router.WithHeldCalls())
+		}
+	}
 }
 
 // New returns an Assembler. nonce must be unique for each process.
@@ -128,7 +140,7 @@
 	settings.Region = cfg.Region
 	a.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
 	a.elector = elector.New(deps.Ledger, a.rules, a.conns, cfg.Host, cfg.Peers, nonce, a.minLease, a.newExecutor, clock, log, elector.WithCPUShare(a.cpuShare))
-	a.jobs = router.New(a.rules, a.elector, a.conns)
+	a.jobs = router.New(a.rules, a.elector, a.conns, a.routerOpts...)
 	a.requestAPI = responder.New(keyauthenticator.New(a.rules.Confirmed), jobmaker.New(a.jobs), a.callerLimits, &settings, log, a.monitor.ObserveAnswer)
 	a.inspection = inspector.New(a.status, a.elector, a.conns, a.monitor.Handle)
 	return a
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/holder"
 	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/rulekeeper"
@@ -33,7 +34,7 @@
 	shrinkWithinMS = 4000
 	// maxIdleWait is the longest that the loop waits without an event.
 	maxIdleWait = 200 * time.Millisecond
-	// commitStallAfter is how long a commit may take before new jobs are refused. It
+	// commitStallAfter is how long a commit may take before new jobs are refused or held. It
 	// allows for a slow ledger, but is much shorter than the callers' timeouts.
 	commitStallAfter = 700 * time.Millisecond
 )
@@ -89,6 +90,8 @@
 	commitStartedAt    time.Time
 	commitWaiters      []chan struct{}
 	pendingSubmissions []submission
+	held               *holder.Holder[submission] // nil without WithHeldCalls
+	heldAdmitted       bool                       // the next batch contains jobs that were held
 	links              map[string]*link
 	committedJobs      map[string]committedJob
 	watchers           map[string][]chan struct{} // by job, closed once its final state is committed
@@ -215,6 +218,11 @@
 // nextWait returns how long the loop may wait for an event before it calls advance.
 func (e *Executor) nextWait() time.Duration {
 	wait := min(maxIdleWait, e.plan.WakeAt().Sub(e.now))
+	if e.held != nil {
+		if due, ok := e.held.NextDue(); ok {
+			wait = min(wait, due.Sub(e.now))
+		}
+	}
 	if show := e.showCompletedAt(); e.showsCompletions && e.committing && e.now.Before(show) {
 		wait = min(wait, show.Sub(e.now))
 	}
@@ -276,6 +284,7 @@
 // batch that changes no records is executed at once.
 func (e *Executor) commitBatch() {
 	b := e.plan.TakeBatch()
+	e.orderHeld(&b)
 	waiters := e.commitWaiters
 	ends, mark := e.uncommittedEnds(), e.uncommitted.Mark()
 	if b.Empty() && len(waiters) == 0 && len(ends) == 0 {
--- /dev/null
+++ b/internal/executor/held.go
@@ -0,0 +1,143 @@
+package executor
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/holder"
+)
+
+const (
+	// refusalMargin is how long before its caller's deadline a held submission is refused.
+	// The refusal has to reach the caller through another host before the deadline, or the
+	// outcome is unknown to it.
+	refusalMargin = 200 * time.Millisecond
+	// defaultHoldTime is the deadline of a submission whose caller has given none. It is
+	// what callers usually allow.
+	defaultHoldTime = 3 * time.Second
+	// maxHeldBytes bounds the memory of all held submissions.
+	maxHeldBytes = 8 << 20
+	// stepBytes is what a step of a held job takes of maxHeldBytes, and a job beside its
+	// steps and texts.
+	stepBytes = 256
+	// lowestUrgency is that of jobs in queues that the rules do not name.
+	lowestUrgency = math.MaxInt
+)
+
+// heldMetric counts what became of submissions that were held, by outcome.
+const heldMetric = "held_submissions"
+
+// WithHeldCalls makes the executor hold up to n submissions while the ledger does not
+// answer, each until shortly before its caller's deadline. Without it, or if n is 0, they
+// are refused.
+func WithHeldCalls(n int) Option {
+	return func(e *Executor) {
+		if n > 0 {
+			e.held = holder.New[submission](n, maxHeldBytes, refusalMargin)
+		}
+	}
+}
+
+// holdSubmission holds a submission, or refuses it if there is no room or its deadline is near. It
+// refuses an earlier call for the same job: of the two only this one can be admitted.
+func (e *Executor) holdSubmission(s submission) {
+	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.urgency(s.job.Queue), heldBytes(s.job), e.now)
+	for _, earlier := range replaced {
+		e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
+	}
+	if !held {
+		e.refuseHeld(s, "refused", "the ledger does not answer, and the call cannot be held")
+		return
+	}
+	e.meter.Count(heldMetric, "held", 1)
+	e.log.Info("held", zap.String("job", s.job.ID), zap.Int64("until_ms", s.deadline.Sub(e.now).Milliseconds()), zap.Int("held", e.held.Len()))
+}
+
+func (e *Executor) refuseHeld(s submission, outcome, detail string) {
+	e.meter.Count(heldMetric, outcome, 1)
+	e.refuse(s, detail, zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
+}
+
+// refuseDue refuses the held submissions whose deadlines are near.
+func (e *Executor) refuseDue() {
+	if e.held == nil {
+		return
+	}
+	for _, s := range e.held.TakeDue(e.now) {
+		e.refuseHeld(s, "refused", "the ledger does not answer until shortly before the deadline")
+	}
+}
+
+// admitHeld admits the held submissions if no commit is in progress, so that the next
+// commit contains all of them, and refuses those whose deadlines are near otherwise.
+func (e *Executor) admitHeld() {
+	if e.held == nil {
+		return
+	}
+	if e.committing {
+		e.refuseDue()
+		return
+	}
+	for _, s := range e.held.TakeAll() {
+		if e.admit(s) {
+			e.heldAdmitted = true
+			e.meter.Count(heldMetric, "admitted", 1)
+			e.log.Info("admitted after it was held", zap.String("job", s.job.ID), zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
+		}
+	}
+}
+
+// withdrawHeld removes a submission that its caller has taken back.
+func (e *Executor) withdrawHeld(s submission) {
+	if e.held.Withdraw(s.job.ID, s) {
+		e.meter.Count(heldMetric, "withdrawn", 1)
+		e.log.Info("withdrawn while it was held", zap.String("job", s.job.ID))
+	}
+}
+
+// cancelHeld refuses a held submission whose job is canceled.
+func (e *Executor) cancelHeld(id, queue string) {
+	if e.held == nil {
+		return
+	}
+	if s, ok := e.held.Get(id); ok && (queue == "" || s.job.Queue == queue) && e.held.Withdraw(id, s) {
+		e.refuseHeld(s, "canceled", "the job was canceled while its submission was held")
+	}
+}
+
+// orderHeld sorts the records of a batch with jobs that were held: those of earlier jobs
+// come first, then the new jobs, urgent ones first. A large batch takes several
+// transactions, of which the last ones may fail.
+func (e *Executor) orderHeld(b *yuccapaddle.Batch) {
+	if !e.heldAdmitted {
+		return
+	}
+	e.heldAdmitted = false
+	rank := func(r *yuccapaddle.JobRecord) int {
+		if r.Job == nil {
+			return -1
+		}
+		return e.urgency(r.Queue)
+	}
+	slices.SortStableFunc(b.Records, func(x, y yuccapaddle.JobRecord) int { return cmp.Compare(rank(&x), rank(&y)) })
+}
+
+// urgency returns the priority of a queue, 0 for the most urgent ones.
+func (e *Executor) urgency(queue string) int {
+	if rules := e.rules.Current(); rules != nil {
+		if q := rules.Queue(queue); q != nil {
+			return q.Priority
+		}
+	}
+	return lowestUrgency
+}
+
+// heldBytes returns about how much memory a job takes.
+func heldBytes(j *yuccapaddle.Job) int {
+	return len(j.Payload) + len(j.Key) + stepBytes*(len(j.Steps)+1)
+}
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -14,6 +14,7 @@
 func (e *Executor) Cancel(ctx context.Context, id, queue string) (bool, error) {
 	found := false
 	err := e.runAndCommit(ctx, func() {
+		e.cancelHeld(id, queue)
 		if _, q, ok := e.plan.Report(id); ok && (queue == "" || q == queue) {
 			found = e.plan.Cancel(id)
 		}
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -58,7 +58,9 @@
 	// always true if nil.
 	confirmed              func() bool
 	predecessorRenewsUntil time.Time
-	options                []executor.Option // further ones of the executor
+	options                []executor.Option             // further ones of the executor
+	committed              func(yuccapaddle.Transaction) // called after each commit, if not nil
+	recordsHang            atomic.Bool                   // lists of records have no answer
 }
 
 // logs collects the log output of all hosts.
@@ -199,6 +201,7 @@
 	if r.lossy {
 		ledger = &lossyLedger{Bookkeeper: r.ledger}
 	}
+	ledger = &observedLedger{Ledger: ledger, rig: r}
 	rec, err := recorder.Claim(r.t.Context(), ledger, name, name, name, yuccapaddle.Lock{Key: "lock-" + name, Address: name})
 	r.c.Assert(err, qt.IsNil)
 	out := zapcore.AddSync(io.MultiWriter(testWriter{r.t}, &r.logs))
@@ -240,6 +243,30 @@
 	})
 }
 
+// observedLedger is a Ledger of which the rig sees the commits.
+type observedLedger struct {
+	yuccapaddle.Ledger
+	rig *rig
+}
+
+// Commit implements yuccapaddle.Ledger.
+func (l *observedLedger) Commit(ctx context.Context, t yuccapaddle.Transaction) (uint64, error) {
+	rev, err := l.Ledger.Commit(ctx, t)
+	if err == nil && l.rig.committed != nil {
+		l.rig.committed(t)
+	}
+	return rev, err
+}
+
+// List implements yuccapaddle.Ledger.
+func (l *observedLedger) List(ctx context.Context, prefix string) ([]yuccapaddle.Entry, uint64, error) {
+	if l.rig.recordsHang.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return l.Ledger.List(ctx, prefix)
+}
+
 func always() bool { return true }
 
 type testWriter struct{ t *testing.T }
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -21,10 +21,12 @@
 )
 
 // admission is what became of a submission: err is the reason for refusing it. committed
-// means that the job had been accepted and committed before.
+// means that the job had been accepted and committed before. Otherwise done is closed after
+// the commit that contains the job.
 type admission struct {
 	err       error
 	committed bool
+	done      chan struct{}
 }
 
 // submission is a job to admit.
@@ -33,10 +35,15 @@
 	result     chan admission
 	state      *atomic.Int32
 	receivedAt time.Time
+	deadline   time.Time // by which the caller needs the result
 }
 
-func (e *Executor) newSubmission(j *yuccapaddle.Job) submission {
-	return submission{job: j, result: make(chan admission, 1), state: &atomic.Int32{}, receivedAt: e.clock.Now()}
+func (e *Executor) newSubmission(ctx context.Context, j *yuccapaddle.Job) submission {
+	now, left := e.clock.Now(), defaultHoldTime
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	return submission{job: j, result: make(chan admission, 1), state: &atomic.Int32{}, receivedAt: now, deadline: now.Add(left)}
 }
 
 // withdraw takes a submission back that has not been admitted, and reports whether it was
@@ -46,20 +53,23 @@
 }
 
 // Submit admits a job and returns once it is committed. The error is ErrLedgerUnavailable
-// while commits stall; such a job never runs, since only admitted jobs are part of a
-// commit. It is an *InfeasibleError for a strict job that the registered workers could
-// not hold. Other errors match ErrNotAccepted if the job was not admitted, and ErrUnknown
-// if it was.
+// if commits stall, with WithHeldCalls only shortly before the deadline of ctx; such a job
+// never runs, since only admitted jobs are part of a commit. It is an *InfeasibleError for a
+// strict job that the registered workers could not hold. Other errors match ErrNotAccepted
+// if the job was not admitted, and ErrUnknown if it was.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
-	s := e.newSubmission(j)
+	s := e.newSubmission(ctx, j)
 	a := e.waitAdmitted(ctx, &s)
 	if a.err != nil || a.committed {
 		return a.err
 	}
-	if e.runAndCommit(ctx, func() {}) != nil {
-		return yuccapaddle.ErrUnknown // the job may be part of a commit, whatever became of the wait
+	select {
+	case <-a.done:
+		return nil
+	case <-ctx.Done():
+	case <-e.done:
 	}
-	return nil
+	return yuccapaddle.ErrUnknown // the job may be part of a commit, whatever became of the wait
 }
 
 // waitAdmitted hands a submission to the loop and waits until it is admitted or refused,
@@ -79,6 +89,9 @@
 	case <-e.done:
 	}
 	if s.withdraw() {
+		if e.held != nil {
+			e.post(func() { e.withdrawHeld(*s) })
+		}
 		return admission{err: yuccapaddle.ErrNotAccepted}
 	}
 	return <-s.result // it was admitted or refused at the same time
@@ -100,25 +113,31 @@
 	return ok
 }
 
-// admit passes a job to the planner unless it is strict and no workers could hold it.
-func (e *Executor) admit(s submission) {
+// admit passes a job to the planner unless it is strict and no workers could hold it. It
+// returns false if the caller has given up.
+func (e *Executor) admit(s submission) bool {
 	if !s.state.CompareAndSwap(submissionWaiting, submissionAdmitted) {
-		return // its caller has given up
+		return false
 	}
 	_, committed := e.committedJobs[s.job.ID]
-	if committed || e.known(s.job.ID) {
-		s.result <- admission{committed: committed}
-		return
+	switch {
+	case committed:
+		s.result <- admission{committed: true}
+		return true
+	case e.known(s.job.ID):
+		s.result <- admission{done: e.addCommitWaiter()}
+		return true
 	}
 	if s.job.Strict {
 		if reason := e.plan.Infeasible(s.job); reason != "" {
 			e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", reason))
 			s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
-			return
+			return true
 		}
 	}
 	e.plan.Submit(s.job)
-	s.result <- admission{}
+	s.result <- admission{done: e.addCommitWaiter()}
+	return true
 }
 
 // commitStalled reports whether the commit in progress takes so long that the ledger
@@ -136,15 +155,18 @@
 	s.result <- admission{err: ErrLedgerUnavailable}
 }
 
-// admitPending admits the queued submissions if no commit is in progress, and refuses
-// them if the one in progress has stalled.
+// admitPending admits the queued submissions if no commit is in progress, and holds or
+// refuses them if the one in progress has stalled.
 func (e *Executor) admitPending() {
+	e.admitHeld()
 	pending := e.pendingSubmissions
 	e.pendingSubmissions = nil
 	for _, s := range pending {
 		switch {
 		case !e.committing, e.known(s.job.ID):
 			e.admit(s)
+		case e.commitStalled() && e.held != nil:
+			e.holdSubmission(s)
 		case e.commitStalled():
 			e.refuse(s, "the ledger does not answer", zap.Int64("commit_ms_ago", e.now.Sub(e.commitStartedAt).Milliseconds()))
 		default:
@@ -153,16 +175,20 @@
 	}
 }
 
-// refuseOverdue refuses the submissions that have waited for the job records to be loaded
-// for longer than a caller is asked to wait for a commit.
+// refuseOverdue holds or refuses the submissions that have waited for the job records to be
+// loaded for longer than a caller is asked to wait for a commit.
 func (e *Executor) refuseOverdue() {
+	e.refuseDue()
 	kept := e.pendingSubmissions[:0]
 	for _, s := range e.pendingSubmissions {
-		if e.now.Sub(s.receivedAt) <= commitStallAfter {
+		switch {
+		case e.now.Sub(s.receivedAt) <= commitStallAfter:
 			kept = append(kept, s)
-			continue
+		case e.held != nil:
+			e.holdSubmission(s)
+		default:
+			e.refuse(s, "the job records cannot be read", zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
 		}
-		e.refuse(s, "the job records cannot be read", zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
 	}
 	e.pendingSubmissions = kept
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,7 +25,7 @@
 
 const (
 	// attemptTimeout bounds one call to another host, not counting the time that the host
-	// is asked to wait for the end of a job.
+	// is asked to wait for the end of a job, or may hold a submission.
 	attemptTimeout = 1200 * time.Millisecond
 	retryInterval  = 60 * time.Millisecond
 	// activeHostTimeout is how long a request that certainly was not executed is retried.
@@ -35,16 +35,30 @@
 
 // Router implements yuccapaddle.JobService at any host.
 type Router struct {
-	rules   *rulekeeper.RuleKeeper
-	elector *elector.Elector
-	conns   *connector.Connector
+	rules     *rulekeeper.RuleKeeper
+	elector   *elector.Elector
+	conns     *connector.Connector
+	heldCalls bool // see WithHeldCalls
 }
 
 var _ yuccapaddle.JobService = (*Router)(nil)
 
+// Option changes a Router under construction.
+type Option func(*Router)
+
+// WithHeldCalls gives a submission at the active host the time until its caller's deadline
+// for as long as that host's heartbeats arrive, since it may be held there.
+func WithHeldCalls() Option {
+	return func(r *Router) { r.heldCalls = true }
+}
+
 // New returns a Router.
-func New(rules *rulekeeper.RuleKeeper, e *elector.Elector, conns *connector.Connector) *Router {
-	return &Router{rules: rules, elector: e, conns: conns}
+func New(rules *rulekeeper.RuleKeeper, e *elector.Elector, conns *connector.Connector, opts ...Option) *Router {
+	r := &Router{rules: rules, elector: e, conns: conns}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
 }
 
 // Rules implements yuccapaddle.JobService.
@@ -63,67 +77,78 @@
 	if err != nil {
 		return fmt.Errorf("encode job %s: %w: %w", j.ID, yuccapaddle.ErrNotAccepted, err)
 	}
-	_, err = r.callActive(ctx,
-		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
+	_, err = r.callActive(ctx, &request{
+		mayBeHeld: r.heldCalls,
+		local: func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
 			return &peer.JobAnswer{}, e.Submit(ctx, j)
 		},
-		func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
+		remote: func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
 			return c.Submit(ctx, &peer.JobSubmit{Job: data, Epoch: epoch})
-		})
+		},
+	})
 	return err
 }
 
 // Cancel implements yuccapaddle.JobService.
 func (r *Router) Cancel(ctx context.Context, id, queue string) (bool, error) {
-	answer, err := r.callActive(ctx,
-		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
+	answer, err := r.callActive(ctx, &request{
+		local: func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
 			found, err := e.Cancel(ctx, id, queue)
 			return &peer.JobAnswer{Found: found}, err
 		},
-		func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
+		remote: func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
 			return c.Cancel(ctx, &peer.JobKey{Id: id, Queue: queue, Epoch: epoch})
-		})
+		},
+	})
 	return answer.GetFound(), err
 }
 
 // Show implements yuccapaddle.JobService.
 func (r *Router) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
-	answer, err := r.callActiveUntil(ctx, until,
-		func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
+	answer, err := r.callActive(ctx, &request{
+		waitUntil: until,
+		local: func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
 			report, found, err := e.Show(ctx, id, queue, until)
 			return converter.JobAnswer(report, found), err
 		},
-		func(ctx context.Context, c peer.JobsClient, _ uint64) (*peer.JobAnswer, error) {
+		remote: func(ctx context.Context, c peer.JobsClient, _ uint64) (*peer.JobAnswer, error) {
 			return c.Show(ctx, &peer.JobKey{Id: id, Queue: queue, WaitMs: max(time.Until(until).Milliseconds(), 0)})
-		})
+		},
+	})
 	return converter.JobReport(answer), answer.GetFound(), err
 }
 
-// localCall makes a request to the executor of this host, remoteCall the same request
-// to another host that is active in that epoch.
-type (
-	localCall  func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error)
-	remoteCall func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error)
-)
+// request is a request to the active host.
+type request struct {
+	// waitUntil is until when the active host is asked to keep the request waiting, zero if
+	// it is not asked to.
+	waitUntil time.Time
+	// mayBeHeld means that the active host may keep it waiting until the caller's deadline.
+	mayBeHeld bool
+	// local makes the request to the executor of this host, remote to another host that is
+	// active in that epoch.
+	local  func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error)
+	remote func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error)
+}
 
 // callActive repeats a request until it is answered or the context ends. It returns early
 // if no attempt can have been executed and the request is refused or activeHostTimeout is
 // over. The error matches ErrNotAccepted if no attempt can have been executed, and
 // ErrUnknown otherwise.
-func (r *Router) callActive(ctx context.Context, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
-	return r.callActiveUntil(ctx, time.Time{}, local, remote)
-}
-
-// callActiveUntil is callActive for a request that the active host may keep waiting until
-// waitUntil.
-func (r *Router) callActiveUntil(ctx context.Context, waitUntil time.Time, local localCall, remote remoteCall) (*peer.JobAnswer, error) {
+func (r *Router) callActive(ctx context.Context, req *request) (*peer.JobAnswer, error) {
 	var tried attempts
 	deadline := time.Now().Add(activeHostTimeout)
 	for {
-		a := r.callOnce(ctx, waitUntil, local, remote)
+		began := time.Now()
+		a := r.callOnce(ctx, req)
 		if a.err == nil {
 			return a.answer, nil
 		}
+		if req.mayBeHeld && time.Since(began) > attemptTimeout {
+			// It was held by a host that is lost: its successor gets as long as after a
+			// short attempt.
+			deadline = time.Now().Add(activeHostTimeout)
+		}
 		tried.add(&a)
 		if tried.notExecuted() && (isRefusal(a.err) || time.Now().After(deadline)) {
 			return nil, tried.failure(a.err)
@@ -150,9 +175,9 @@
 
 // callOnce makes one attempt, at the local executor if this host is active, otherwise at
 // the active host.
-func (r *Router) callOnce(ctx context.Context, waitUntil time.Time, local localCall, remote remoteCall) attempt {
+func (r *Router) callOnce(ctx context.Context, req *request) attempt {
 	if e := r.elector.LocalExecutor(); e != nil {
-		return callLocal(ctx, e, local)
+		return callLocal(ctx, e, req)
 	}
 	address, epoch, ok := r.elector.LeaderEpoch()
 	if !ok {
@@ -162,10 +187,10 @@
 	if err != nil {
 		return attempt{err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+max(time.Until(waitUntil), 0))
+	ctx, cancel := r.boundAttempt(ctx, req, address, epoch)
 	defer cancel()
 	ctx, sent := connector.TrackSent(ctx)
-	answer, err := remote(ctx, client, epoch)
+	answer, err := req.remote(ctx, client, epoch)
 	switch {
 	case err != nil:
 		return attempt{err: err, epoch: epoch, maybeExecuted: sent() && status.Code(err) != codes.InvalidArgument}
@@ -177,9 +202,22 @@
 	return attempt{answer: answer}
 }
 
-func callLocal(ctx context.Context, e *executor.Executor, local localCall) attempt {
+// boundAttempt returns the context of one call to the active host. A host that holds a
+// submission is told from one that hangs by its heartbeats: the call lasts while they say
+// that the same host is active in the same epoch.
+func (r *Router) boundAttempt(ctx context.Context, req *request, address string, epoch uint64) (context.Context, context.CancelFunc) {
+	if !req.mayBeHeld {
+		return context.WithTimeout(ctx, attemptTimeout+max(time.Until(req.waitUntil), 0))
+	}
+	return extend(ctx, attemptTimeout, func() bool {
+		leader, leaderEpoch, ok := r.elector.LeaderEpoch()
+		return ok && leader == address && leaderEpoch == epoch
+	})
+}
+
+func callLocal(ctx context.Context, e *executor.Executor, req *request) attempt {
 	loadedEpoch := e.LoadedEpoch()
-	answer, err := local(ctx, e)
+	answer, err := req.local(ctx, e)
 	var infeasible *yuccapaddle.InfeasibleError
 	switch {
 	case err == nil:
