elector: plain terms for confirmations of the active host

Cause: identifiers and comments used private terms (vouch, heard of, hearsay, of late, take back, patience).

Behavior is unchanged.

--- a/internal/elector/delay.go
+++ b/internal/elector/delay.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// delayWindow is how many heartbeats the least delay is taken of. It is short enough
-	// for the clocks of two hosts not to drift apart much meanwhile.
+	// delayWindow is the number of heartbeats of which the minimum delay is taken. It is
+	// short enough to make the drift between the clocks of two hosts negligible.
 	delayWindow = 64
 )
 
-// delayMeter tells how long heartbeats were under way. The clocks of two hosts have
-// nothing in common but their rate, so a heartbeat is compared with the quickest of the
-// latest ones: one that was read after a pause of this process is as old as the pause.
+// delayMeter estimates the age of heartbeats on receipt. The clocks of two hosts share only
+// their rate, so the delay of a heartbeat is compared with the smallest of the latest ones.
+// A heartbeat that is read after a pause of this process is as old as the pause.
 type delayMeter struct {
 	openedAt time.Time // before the stream of heartbeats was opened
 	delays   []time.Duration
@@ -36,13 +36,13 @@
 		d.delays[d.next] = delay
 		d.next = (d.next + 1) % delayWindow
 	}
-	return now.Add(d.least() - delay)
+	return now.Add(d.minDelay() - delay)
 }
 
-func (d *delayMeter) least() time.Duration {
-	least := d.delays[0]
+func (d *delayMeter) minDelay() time.Duration {
+	shortest := d.delays[0]
 	for _, x := range d.delays {
-		least = min(least, x)
+		shortest = min(shortest, x)
 	}
-	return least
+	return shortest
 }
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -18,13 +18,11 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/connector"
 	"yuccapaddle/internal/executor"
-	"yuccapaddle/internal/peer"
 	"yuccapaddle/internal/recorder"
 	"yuccapaddle/internal/rulefetcher"
 	"yuccapaddle/internal/rulekeeper"
 	"yuccapaddle/internal/rulesender"
 	"yuccapaddle/internal/sleeper"
-	"yuccapaddle/internal/supervisor"
 )
 
 // lockKey is the ledger key whose value is the address of the active host.
@@ -43,7 +41,7 @@
 	// firstRanksSearchInterval is the searchInterval of the hosts that should claim first.
 	firstRanksSearchInterval = 30 * time.Millisecond
 	// minHeartbeatTimeout is how long a follower waits at least for a heartbeat before
-	// it takes the active host for lost.
+	// it considers the active host lost.
 	minHeartbeatTimeout = 700 * time.Millisecond
 	dialTimeout         = 300 * time.Millisecond
 	// fullCoreClaimDelay is how long a host with a full CPU core waits before it claims
@@ -101,8 +99,8 @@
 	peersConfirmedAt atomic.Int64
 
 	hosts *hostTable
-	// lostLeader is the address of the host that this one followed last. Only Run uses it.
-	lostLeader string
+	// lastLeader is the address of the host that this one followed last. Only Run uses it.
+	lastLeader string
 
 	mu          sync.Mutex
 	stopLeading context.CancelFunc // ends the active role, if this host has it
@@ -266,8 +264,8 @@
 }
 
 // liveWriter returns the address of the writer of the records if it answers that it is
-// active. Its lease may have expired while the ledger was away, and it takes the lock back
-// by itself. The host that this one has just lost is not asked.
+// active. Its lease may have expired while the ledger was unavailable, and it sets the lock
+// again by itself. The host that this one followed last is not asked.
 func (e *Elector) liveWriter(ctx context.Context) string {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -276,7 +274,7 @@
 		e.log.Info("cannot read who writes the records", zap.Error(err))
 		return ""
 	}
-	if address == "" || address == e.address || address == e.lostLeader {
+	if address == "" || address == e.address || address == e.lastLeader {
 		return ""
 	}
 	reply, err := e.askHost(ctx, address, dialTimeout)
@@ -318,83 +316,3 @@
 	}
 	return unreachable
 }
-
-// askOthers returns the address of the active host according to some of the other hosts,
-// for when the ledger does not answer. The answer with the highest epoch counts. It is ""
-// if none of them knows, or if that is this host; this host then has the latest rules of
-// those that it asked, which otherwise come from the active host.
-func (e *Elector) askOthers(ctx context.Context) string {
-	var latest *peer.WhoReply
-	var source rulesOffer
-	others := e.hosts.addresses()
-	e.askHosts(ctx, others[:min(maxHostsAsked, len(others))], dialTimeout, func(address string, reply *peer.WhoReply) {
-		if err := e.offerRules(reply.GetRules()); err != nil { // of a host of an earlier version
-			e.log.Warn("cannot use the rules received from another host", zap.String("address", address), zap.Error(err))
-		}
-		if reply.GetRulesRevision() > source.revision {
-			source = rulesOffer{address: address, revision: reply.GetRulesRevision(), digest: reply.GetRulesDigest()}
-		}
-		if reply.GetAddress() != "" && (latest == nil || reply.GetEpoch() > latest.GetEpoch()) {
-			latest = reply
-		}
-	})
-	address := latest.GetAddress()
-	if address != "" && address != e.address {
-		return address
-	}
-	e.fetchOffered(ctx, source)
-	return ""
-}
-
-// askHosts asks hosts at the same time which host is active, and calls each, once at a
-// time, for every reply.
-func (e *Elector) askHosts(ctx context.Context, addresses []string, timeout time.Duration, each func(address string, reply *peer.WhoReply)) {
-	var mu sync.Mutex
-	g, ctx := supervisor.New(ctx, e.log)
-	for _, address := range addresses {
-		g.Go("who", func() error {
-			reply, err := e.askHost(ctx, address, timeout)
-			if err != nil {
-				return nil // a host that does not answer tells nothing
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			each(address, reply)
-			return nil
-		})
-	}
-	if err := g.Wait(); err != nil {
-		e.log.Warn("cannot ask the other hosts which one is active", zap.Error(err))
-	}
-}
-
-// askHost asks the host at an address which host is active.
-func (e *Elector) askHost(ctx context.Context, address string, timeout time.Duration) (*peer.WhoReply, error) {
-	client, err := e.conns.Client(address)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	_, revision, _ := e.rules.Data()
-	return client.Who(ctx, &peer.WhoRequest{RulesRevision: revision, WithoutRules: true})
-}
-
-// Who returns which host is active as far as this one knows, and its rules if the caller
-// has others and does not fetch them.
-func (e *Elector) Who(req *peer.WhoRequest) *peer.WhoReply {
-	reply := &peer.WhoReply{}
-	reply.RulesRevision, reply.RulesDigest = e.rules.LatestRead()
-	data, revision, _ := e.rules.Data()
-	if !req.GetWithoutRules() && revision != req.GetRulesRevision() {
-		reply.Rules = data
-	}
-	if exec := e.localExecutor.Load(); exec != nil {
-		reply.Address, reply.Epoch = e.address, exec.Epoch()
-		return reply
-	}
-	if l := e.leader.Load(); l != nil && e.clock.Now().Before(l.validUntil) {
-		reply.Address, reply.Epoch = l.address, l.epoch
-	}
-	return reply
-}
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -19,9 +19,8 @@
 
 const (
 	heartbeatInterval = 250 * time.Millisecond
-	// intervalPerFollower times the number of followers is the least time between two
-	// heartbeats, up to maxHeartbeatInterval, so that many followers do not use up the
-	// CPU of the active host.
+	// intervalPerFollower times the number of followers is the minimum time between two
+	// heartbeats, up to maxHeartbeatInterval. It limits the CPU time of the active host.
 	intervalPerFollower  = 2 * time.Millisecond
 	maxHeartbeatInterval = 800 * time.Millisecond
 	// heartbeatTimeoutIntervals is how many heartbeat intervals a follower waits for the
@@ -30,19 +29,8 @@
 	// heartbeatsPerHostList: one heartbeat in this many lists addresses.
 	heartbeatsPerHostList = 20
 	// firstRanks is how many followers get every heartbeat and, while the lease is not
-	// renewed, look at the lock at each. The others look before they vouch.
+	// renewed, read the lock at each. The others read it before each confirmation.
 	firstRanks = 4
-	// regainTime is how long the lock may be absent, while heartbeats arrive and the
-	// ledger answers followers, before they claim the role. The active host takes the lock
-	// back, or hands the role over, well within it.
-	regainTime = 1500 * time.Millisecond
-	// vouchInterval is the least time between two calls of Vouch. With lookTimeout it is
-	// part of the time that predecessorRenewPeriod allows for.
-	vouchInterval = 600 * time.Millisecond
-	// lookTimeout and vouchTimeout together are shorter than minHeartbeatTimeout, since no
-	// heartbeat is received meanwhile.
-	lookTimeout  = 200 * time.Millisecond
-	vouchTimeout = 200 * time.Millisecond
 )
 
 // errNotActive ends the heartbeat streams of a host that is not, or no longer, active.
@@ -87,7 +75,7 @@
 }
 
 // Follow sends heartbeats to a follower until its stream ends or this host is no longer
-// active. The error tells whether the role was handed over.
+// active. The error indicates whether the role was handed over.
 func (e *Elector) Follow(req *peer.FollowRequest, stream grpc.ServerStreamingServer[peer.Beat]) error {
 	exec := e.localExecutor.Load()
 	if exec == nil {
@@ -112,7 +100,7 @@
 	return errNotActive
 }
 
-// nextHeartbeat returns the next heartbeat for a follower, without what has not changed.
+// nextHeartbeat returns the next heartbeat for a follower. It omits unchanged counts and rules.
 func (e *Elector) nextHeartbeat(exec *executor.Executor, f *followerState) *peer.Beat {
 	rank := e.hosts.rank(f.address)
 	beat := &peer.Beat{
@@ -120,7 +108,7 @@
 		Leased: e.isRecent(&e.renewedAt, e.leaseTTL), Rank: int64(rank), SentNs: e.clock.Now().UnixNano(),
 	}
 	if f.heartbeats%heartbeatsPerHostList == 0 {
-		beat.Hosts = e.hosts.heardDirectly()
+		beat.Hosts = e.hosts.directHosts()
 	}
 	f.heartbeats++
 	e.addRules(beat, f)
@@ -153,10 +141,10 @@
 	return min(max(heartbeatInterval, intervalPerFollower*time.Duration(e.hosts.followers())), maxHeartbeatInterval)
 }
 
-// HandleVouch records that a follower knows of no active host later than this one. The
-// vouch holds for the time at which the heartbeat that it repeats was sent, however long
-// it has been under way.
-func (e *Elector) HandleVouch(req *peer.VouchRequest) {
+// HandleConfirmation records that a follower knows of no active host later than this one. The
+// confirmation is valid as of the time in the request, at which the follower's latest
+// heartbeat was sent, regardless of the transmission delay.
+func (e *Elector) HandleConfirmation(req *peer.VouchRequest) {
 	exec := e.localExecutor.Load()
 	if exec == nil || exec.Epoch() != req.GetEpoch() {
 		return
@@ -165,7 +153,7 @@
 	if at.After(e.clock.Now()) {
 		return
 	}
-	e.hosts.vouch(req.GetAddress(), at)
+	e.hosts.confirm(req.GetAddress(), at)
 }
 
 // follow receives heartbeats from the active host until they stop or its role is free, and
@@ -175,7 +163,7 @@
 	defer func() { _ = g.Wait() }() // its functions return no errors
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.lostLeader = address
+	e.lastLeader = address
 	defer e.leader.Store(nil)
 	defer e.conns.Drop(address)
 	client, err := e.conns.Client(address)
@@ -225,73 +213,13 @@
 	}
 }
 
-// lockWatch watches the lock while the heartbeats of the active host say that its lease
-// has not been renewed.
-type lockWatch struct {
-	e           *Elector
-	client      peer.JobsClient
-	leader      string
-	absentAt    time.Time // since when the lock was absent at each look, zero if it was not
-	nextVouchAt time.Time
-}
-
-// observe handles a heartbeat, and reports whether this host should look for another active
-// host: the lock is held by another one, or has been absent for so long that the active
-// host will not take it back. Until then this host vouches for the active one.
-func (l *lockWatch) observe(ctx context.Context, beat *peer.Beat) bool {
-	if beat.GetLeased() {
-		l.absentAt = time.Time{}
-		return false
-	}
-	now := l.e.clock.Now()
-	vouch := !now.Before(l.nextVouchAt)
-	if beat.GetRank() > firstRanks && !vouch {
-		return false
-	}
-	if l.checkLock(ctx, now) {
-		return true
-	}
-	if vouch {
-		l.nextVouchAt = now.Add(vouchInterval)
-		l.vouch(ctx, beat)
-	}
-	return false
-}
-
-// vouch tells the active host that this one knows of no later one.
-func (l *lockWatch) vouch(ctx context.Context, beat *peer.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
-	defer cancel()
-	_, err := l.client.Vouch(ctx, &peer.VouchRequest{Address: l.e.address, Epoch: beat.GetEpoch(), SentNs: beat.GetSentNs()})
-	if err != nil && status.Code(err) != codes.Unimplemented { // hosts of an earlier version ask by themselves
-		l.e.log.Info("cannot vouch for the active host", zap.String("address", l.leader), zap.Error(err))
-	}
-}
-
-// checkLock looks at the lock once, and reports whether the role is free.
-func (l *lockWatch) checkLock(ctx context.Context, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
-	defer cancel()
-	lock, err := l.e.ledger.Get(ctx, lockKey)
-	switch {
-	case err != nil:
-		return false // the look tells nothing, and the time since the first one goes on
-	case lock.Revision != 0:
-		l.absentAt = time.Time{}
-		return string(lock.Value) != l.leader
-	case l.absentAt.IsZero():
-		l.absentAt = now
-	}
-	return now.Sub(l.absentAt) > regainTime
-}
-
 // heartbeatTimeout returns how long to wait for the heartbeat after this one.
 func heartbeatTimeout(beat *peer.Beat) time.Duration {
 	return max(minHeartbeatTimeout, heartbeatTimeoutIntervals*time.Duration(beat.GetNextMs())*time.Millisecond)
 }
 
-// applyHeartbeat records what a heartbeat of the active host tells, which was so when it
-// was sent: it may have waited while this process was paused.
+// applyHeartbeat records the content of a heartbeat of the active host. It is valid as of the
+// time at which the heartbeat was sent, since this process may have been paused meanwhile.
 func (e *Elector) applyHeartbeat(address string, beat *peer.Beat, sentAt time.Time) {
 	e.leader.Store(&leader{
 		address: address, epoch: beat.GetEpoch(), validUntil: sentAt.Add(heartbeatTimeout(beat)),
--- a/internal/elector/handover.go
+++ b/internal/elector/handover.go
@@ -15,8 +15,8 @@
 )
 
 // If the ledger refuses only the active host, that host would keep its role until its
-// lease expires and reject callers all that time. So it hands the role over as soon as
-// it knows that the ledger answers another host.
+// lease expires, and reject callers until then. So it hands the role over as soon as it
+// knows that the ledger answers another host.
 
 const (
 	// refusalsToHandOver is how many renewals in a row the ledger has to refuse before
@@ -60,7 +60,7 @@
 	return reached.Load()
 }
 
-// errAnswered ends a round of questions that the first answer has settled.
+// errAnswered ends a round of calls once the first answer is sufficient.
 var errAnswered = errors.New("a host has answered")
 
 // hostReachesLedger reports whether the ledger answers the host at an address.
@@ -75,8 +75,8 @@
 	return err == nil && reply.GetReached()
 }
 
-// isRefusal reports whether the ledger answered that it did not carry out a call. Unlike
-// a lost answer that is no random failure.
+// isRefusal reports whether the ledger answered that it did not carry out a call. Unlike a
+// lost answer, that is not a transient network failure.
 func isRefusal(err error) bool {
 	return errors.Is(err, yuccapaddle.ErrNotAccepted) || errors.Is(err, yuccapaddle.ErrNotApplied)
 }
--- a/internal/elector/hosts.go
+++ b/internal/elector/hosts.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// hostExpiry is how long a host is remembered after it was last heard of.
+	// hostExpiry is how long a host is kept in the table after it was last seen.
 	hostExpiry = 30 * time.Second
 	// maxListedHosts is how many addresses one heartbeat lists at most.
 	maxListedHosts = 12
@@ -26,28 +26,28 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostEntry
-	alone bool           // no other host was ever heard of
+	alone bool           // no other host was ever in the table
 	ranks map[string]int // of the followers, from 1
 }
 
 // hostEntry is what is known of one host.
 type hostEntry struct {
-	heardAt   time.Time
-	direct    bool  // it was heard of from itself, and not from another host
-	streams   int   // on which it receives heartbeats from this host
-	cpuMillis int64 // its share of a CPU core in thousandths, 0 if unknown
-	// vouchedAt is the latest time at which it certainly knew of no active host later than
+	lastSeenAt time.Time
+	direct     bool  // it has communicated with this host itself
+	streams    int   // on which it receives heartbeats from this host
+	cpuMillis  int64 // its share of a CPU core in thousandths, 0 if unknown
+	// confirmedAt is the latest time at which it certainly knew of no active host later than
 	// this one.
-	vouchedAt time.Time
+	confirmedAt time.Time
 }
 
 func newHostTable(self string, clock yuccapaddle.Clock) *hostTable {
 	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, alone: true, ranks: map[string]int{}}
 }
 
-// note records that a host was heard of just now: from itself if direct, or from another
-// host. Hearsay does not keep a host known, since hosts would remind one another of a host
-// that has left for good.
+// note records contact with a host just now if direct, or that another host has listed it.
+// Being listed does not extend the expiry of a host: otherwise hosts would keep a host that
+// has left for good in each other's tables.
 func (t *hostTable) note(address string, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,20 +62,20 @@
 	}
 	h := t.hosts[address]
 	if h == nil {
-		h = &hostEntry{heardAt: t.clock.Now()}
+		h = &hostEntry{lastSeenAt: t.clock.Now()}
 		t.hosts[address] = h
 		t.alone = false
 	}
 	if direct {
-		h.direct, h.heardAt = true, t.clock.Now()
+		h.direct, h.lastSeenAt = true, t.clock.Now()
 	}
 	return h
 }
 
-// expire removes the hosts that were not heard of for hostExpiry.
+// expire removes the hosts that were last seen more than hostExpiry ago.
 func (t *hostTable) expire() {
 	for a, h := range t.hosts {
-		if h.streams == 0 && t.clock.Now().Sub(h.heardAt) > hostExpiry {
+		if h.streams == 0 && t.clock.Now().Sub(h.lastSeenAt) > hostExpiry {
 			delete(t.hosts, a)
 		}
 	}
@@ -93,9 +93,9 @@
 	return list
 }
 
-// heardDirectly returns up to maxListedHosts addresses of hosts that were heard of from
-// themselves.
-func (t *hostTable) heardDirectly() []string {
+// directHosts returns up to maxListedHosts addresses of hosts that have communicated with
+// this one themselves.
+func (t *hostTable) directHosts() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
@@ -160,50 +160,50 @@
 	return len(t.ranks)
 }
 
-// vouch records that at the given time a host knew of no active host later than this one.
-func (t *hostTable) vouch(address string, at time.Time) {
+// confirm records that at the given time a host knew of no active host later than this one.
+func (t *hostTable) confirm(address string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.noteLocked(address, true)
-	if at.After(h.vouchedAt) {
-		h.vouchedAt = at
+	if at.After(h.confirmedAt) {
+		h.confirmedAt = at
 	}
 }
 
-// clearVouches forgets all vouches, which were for an earlier epoch.
-func (t *hostTable) clearVouches() {
+// clearConfirmations removes all confirmations, which were for an earlier epoch.
+func (t *hostTable) clearConfirmations() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range t.hosts {
-		h.vouchedAt = time.Time{}
+		h.confirmedAt = time.Time{}
 	}
 }
 
-// notVouched returns the addresses of the hosts that have not vouched since a time.
-func (t *hostTable) notVouched(since time.Time) []string {
+// notConfirmedSince returns the addresses of the hosts without a confirmation since a time.
+func (t *hostTable) notConfirmedSince(since time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
 	var list []string
 	for a, h := range t.hosts {
-		if h.vouchedAt.Before(since) {
+		if h.confirmedAt.Before(since) {
 			list = append(list, a)
 		}
 	}
 	return list
 }
 
-// halfVouchedAt returns the latest time at which at least half of the known hosts vouched
-// for this one: now if it never heard of another, and the zero time if all that it heard
-// of are long gone, since they may have been replaced by hosts that it does not know. A
-// host counts until it expires, even if its process has ended.
-func (t *hostTable) halfVouchedAt() time.Time {
+// halfConfirmedAt returns the latest time for which at least half of the known hosts have
+// confirmed this one: now if no other host was ever known, and the zero time if all known
+// hosts have expired, since unknown hosts may have replaced them. A host counts until it
+// expires, even if its process has ended.
+func (t *hostTable) halfConfirmedAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
 	times := make([]time.Time, 0, len(t.hosts))
 	for _, h := range t.hosts {
-		times = append(times, h.vouchedAt)
+		times = append(times, h.confirmedAt)
 	}
 	switch {
 	case t.alone:
--- a/internal/elector/hosts_test.go
+++ b/internal/elector/hosts_test.go
@@ -47,47 +47,47 @@
 	}
 }
 
-// TestHearsay checks that a host that has left is forgotten even if other hosts go on
-// naming it.
-func TestHearsay(t *testing.T) {
+// TestIndirectMentionsExpire checks that a host that has left expires although other hosts
+// still list it.
+func TestIndirectMentionsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, table := qt.New(t), newTestTable()
 		table.note("gone:1", true)
-		table.note("rumour:1", false)
+		table.note("listed:1", false)
 		for range 2 * hostExpiry / time.Second {
 			table.note("gone:1", false)
 			table.note("alive:1", true)
 			time.Sleep(time.Second)
 		}
-		c.Check(table.heardDirectly(), qt.DeepEquals, []string{"alive:1"})
+		c.Check(table.directHosts(), qt.DeepEquals, []string{"alive:1"})
 		c.Check(table.addresses(), qt.HasLen, 1)
 	})
 }
 
-// TestHalfVouched checks that a host counts as confirmed from the time at which half of
-// the others vouched, and is not confirmed by the absence of hosts that it knew.
-func TestHalfVouched(t *testing.T) {
+// TestHalfConfirmed checks that a host counts as confirmed from the time at which half of
+// the others have confirmed it, and is not confirmed by the absence of hosts that it knew.
+func TestHalfConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, table := qt.New(t), newTestTable()
-		c.Check(table.halfVouchedAt(), qt.Equals, time.Now(), qt.Commentf("there are no others"))
+		c.Check(table.halfConfirmedAt(), qt.Equals, time.Now(), qt.Commentf("there are no others"))
 		for i := range 97 {
 			table.note(fmt.Sprintf("h%d:1", i), true)
 		}
 		start := time.Now()
-		vouch := func(from, to int, at time.Time) {
+		confirm := func(from, to int, at time.Time) {
 			for i := from; i < to; i++ {
-				table.vouch(fmt.Sprintf("h%d:1", i), at)
+				table.confirm(fmt.Sprintf("h%d:1", i), at)
 			}
 		}
-		vouch(0, 48, start)
-		c.Check(table.halfVouchedAt().IsZero(), qt.IsTrue, qt.Commentf("48 of 97"))
-		vouch(48, 49, start.Add(-time.Second))
-		c.Check(table.halfVouchedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("49 of 97"))
-		vouch(0, 49, start.Add(-time.Minute))
-		c.Check(table.halfVouchedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("a vouch that was under way longer does not replace a later one"))
-		table.clearVouches()
-		c.Check(table.halfVouchedAt().IsZero(), qt.IsTrue)
+		confirm(0, 48, start)
+		c.Check(table.halfConfirmedAt().IsZero(), qt.IsTrue, qt.Commentf("48 of 97"))
+		confirm(48, 49, start.Add(-time.Second))
+		c.Check(table.halfConfirmedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("49 of 97"))
+		confirm(0, 49, start.Add(-time.Minute))
+		c.Check(table.halfConfirmedAt(), qt.Equals, start.Add(-time.Second), qt.Commentf("a delayed confirmation does not replace a later one"))
+		table.clearConfirmations()
+		c.Check(table.halfConfirmedAt().IsZero(), qt.IsTrue)
 		time.Sleep(hostExpiry + time.Second)
-		c.Check(table.halfVouchedAt().IsZero(), qt.IsTrue, qt.Commentf("none of the others is left"))
+		c.Check(table.halfConfirmedAt().IsZero(), qt.IsTrue, qt.Commentf("none of the others is left"))
 	})
 }
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -13,9 +13,9 @@
 	"yuccapaddle/internal/supervisor"
 )
 
-// claim tries to make this host active, and returns when it is not, or no longer.
-// lockRevision is the revision of the lock key that was read. predecessorStopped means
-// that the previous active host certainly gives no more orders.
+// claim tries to make this host active. It returns if that fails, or once the active role
+// has ended. lockRevision is the revision of the lock key that was read. predecessorStopped
+// means that the previous active host certainly sends no further orders.
 func (e *Elector) claim(ctx context.Context, lockRevision uint64, predecessorStopped bool) {
 	callCtx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
@@ -61,7 +61,7 @@
 	e.renewedAt.Store(e.clock.Now().UnixNano())
 	e.peersConfirmedAt.Store(0)
 	e.heldLease.Store(leaseID)
-	e.hosts.clearVouches()
+	e.hosts.clearConfirmations()
 	e.handedOver.Store(false)
 	e.leader.Store(nil)
 	e.localExecutor.Store(exec)
@@ -74,7 +74,7 @@
 		defer cancel()
 		return e.keepLease(leadCtx, g, rec, leaseID)
 	})
-	g.Go("beside", func() error {
+	g.Go("background", func() error {
 		defer cancel()
 		return background(leadCtx)
 	})
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -20,21 +20,21 @@
 	// maxRenewals is how many renewals wait for a reply at once, so that one that hangs
 	// does not delay the next.
 	maxRenewals = 4
-	// doubtAfter is how long after the last successful renewal was sent the active host
+	// isolationCheckAfter is how long after the last successful renewal was sent the active host
 	// asks others whether the ledger answers them.
-	doubtAfter = 600 * time.Millisecond
-	// askInterval is the time between two rounds of questions to other hosts.
+	isolationCheckAfter = 600 * time.Millisecond
+	// askInterval is the minimum time between two rounds of calls that ask other hosts.
 	askInterval = 900 * time.Millisecond
-	// handoverPatience is how long the active host goes on trying after it has learned
-	// that the ledger answers another host.
-	handoverPatience = 350 * time.Millisecond
-	// pendingResults is how many replies wait for the loop at most.
+	// handoverDelay is how long the active host retries after it has learned that the
+	// ledger answers another host.
+	handoverDelay = 350 * time.Millisecond
+	// pendingResults is the capacity of the queue of replies to the loop.
 	pendingResults = 16
 )
 
 // roleLease keeps the lease of the lock key while this host is active. If the lease ends
-// because the ledger was away, it sets the lock again: safety rests on the commits, and no
-// other host needs the role. All fields belong to the loop in run.
+// because the ledger was unavailable, it sets the lock again: safety depends on the commits
+// only, and no other host needs the role. All fields are confined to the loop in run.
 type roleLease struct {
 	e   *Elector
 	rec *recorder.Recorder
@@ -42,11 +42,11 @@
 
 	id               uint64    // of the lease
 	renewedAt        time.Time // when the last renewal that succeeded was sent
-	over             bool      // the ledger has answered that the lease has ended
-	renewals         int       // waiting for a reply
+	ended            bool      // the ledger has answered that the lease has ended
+	renewals         int       // that wait for a reply
 	relocking        bool      // the lock is being set again
 	asking           bool      // other hosts are being asked
-	askAt            time.Time // no questions are sent before
+	askAt            time.Time // when other hosts may be asked again
 	refusals         int       // of renewals since the last success
 	othersAnsweredAt time.Time // since when the ledger is known to answer another host, zero if it is not
 	results          chan func() error
@@ -90,35 +90,36 @@
 	return l.e.clock.Now().Sub(l.renewedAt)
 }
 
-// doubtful reports whether the ledger may be leaving only this host without answers.
-func (l *roleLease) doubtful() bool {
-	return l.refusals >= refusalsToHandOver || l.age() > doubtAfter
+// mayBeIsolated reports whether this host alone may be without answers from the ledger.
+func (l *roleLease) mayBeIsolated() bool {
+	return l.refusals >= refusalsToHandOver || l.age() > isolationCheckAfter
 }
 
 func (l *roleLease) interval() time.Duration {
-	if l.over || l.refusals > 0 || l.age() > doubtAfter {
+	if l.ended || l.refusals > 0 || l.age() > isolationCheckAfter {
 		return renewRetryInterval
 	}
 	return renewInterval
 }
 
-// tick sends what is due, and hands the role over if this host alone gets no answers.
+// tick sends the calls that are due, and hands the role over if only this host gets no
+// answers from the ledger.
 func (l *roleLease) tick(ctx context.Context, g *supervisor.Supervisor) error {
 	switch {
-	case l.over && !l.relocking:
+	case l.ended && !l.relocking:
 		l.relock(ctx, g)
-	case !l.over && l.renewals < maxRenewals:
+	case !l.ended && l.renewals < maxRenewals:
 		l.renew(ctx, g)
 	}
 	if l.age() > l.e.leaseTTL {
-		if at := l.e.hosts.halfVouchedAt(); !at.IsZero() {
+		if at := l.e.hosts.halfConfirmedAt(); !at.IsZero() {
 			l.e.peersConfirmedAt.Store(at.UnixNano())
 		}
 	}
-	if l.doubtful() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
+	if l.mayBeIsolated() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
 		l.ask(ctx, g)
 	}
-	if !l.othersAnsweredAt.IsZero() && l.e.clock.Now().Sub(l.othersAnsweredAt) > handoverPatience {
+	if !l.othersAnsweredAt.IsZero() && l.e.clock.Now().Sub(l.othersAnsweredAt) > handoverDelay {
 		return l.handOver("no answer")
 	}
 	return nil
@@ -149,18 +150,18 @@
 			return nil
 		}
 		if errors.Is(err, yuccapaddle.ErrLeaseOver) {
-			l.loseLease()
+			l.handleLeaseEnd()
 			return nil
 		}
 		return l.handleReply(sentAt, err)
 	})
 }
 
-func (l *roleLease) loseLease() {
-	if l.over {
+func (l *roleLease) handleLeaseEnd() {
+	if l.ended {
 		return
 	}
-	l.over = true
+	l.ended = true
 	l.log.Info("the lease of the active role has ended", zap.Int64("renewed_ms_ago", l.age().Milliseconds()))
 }
 
@@ -203,7 +204,7 @@
 		l.relocking = false
 		switch {
 		case err == nil:
-			l.id, l.over = id, false
+			l.id, l.ended = id, false
 			l.e.heldLease.Store(id)
 			l.log.Info("the lock is held again", zap.Int64("took_ms", l.e.clock.Now().Sub(sentAt).Milliseconds()))
 		case errors.Is(err, recorder.ErrReplaced), errors.Is(err, errLockTaken):
@@ -243,7 +244,7 @@
 	l.askAt = askedAt.Add(askInterval)
 	lapsed := l.age() > l.e.leaseTTL
 	var reached, replaced bool
-	l.call(ctx, g, "questions", func(ctx context.Context) error {
+	l.call(ctx, g, "queries", func(ctx context.Context) error {
 		reached = l.e.otherHostReachesLedger(ctx)
 		if lapsed {
 			replaced = l.e.laterActive(ctx, l.rec.Epoch(), askedAt)
@@ -256,25 +257,25 @@
 			return recorder.ErrReplaced
 		case !reached:
 			l.othersAnsweredAt = time.Time{}
-		case l.doubtful() && l.othersAnsweredAt.IsZero():
+		case l.mayBeIsolated() && l.othersAnsweredAt.IsZero():
 			l.othersAnsweredAt = l.e.clock.Now()
 		}
 		return nil
 	})
 }
 
-// laterActive asks the hosts that have not vouched for this one of late, and reports
-// whether one of them knows of a later active host. The answer of a host that knows of
-// none counts as its vouch.
+// laterActive asks the hosts that have not confirmed this one recently, and reports whether
+// one of them knows of a later active host. The answer of a host that knows of none counts
+// as its confirmation.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
-	silent := e.hosts.notVouched(now.Add(-peerConfirmValidity / 2))
+	unconfirmed := e.hosts.notConfirmedSince(now.Add(-peerConfirmValidity / 2))
 	later := false
-	e.askHosts(ctx, silent, dialTimeout, func(address string, reply *peer.WhoReply) {
+	e.askHosts(ctx, unconfirmed, dialTimeout, func(address string, reply *peer.WhoReply) {
 		if reply.GetEpoch() > epoch {
 			later = true
 			return
 		}
-		e.hosts.vouch(address, now)
+		e.hosts.confirm(address, now)
 	})
 	return later
 }
--- a/internal/elector/rules.go
+++ b/internal/elector/rules.go
@@ -15,16 +15,16 @@
 
 const (
 	// searchFetchTimeout bounds one attempt to fetch rules while this host looks for the
-	// active one. The next attempt goes on where it ended.
+	// active one. The next attempt continues where it ended.
 	searchFetchTimeout = dialTimeout
-	// minFetchPause and maxFetchPause are the times after which a host is asked again that
-	// sent the rules to others.
+	// minFetchPause and maxFetchPause bound the time after which a host that was busy
+	// sending the rules to others is asked again.
 	minFetchPause = 50 * time.Millisecond
 	maxFetchPause = 400 * time.Millisecond
 )
 
-// rulesOffer is what a host tells of its rules. revision is the latest revision of the store
-// at which it knows them to have been read.
+// rulesOffer identifies the rules of a host. revision is the latest revision of the store at
+// which it knows them to have been read.
 type rulesOffer struct {
 	address          string
 	revision, digest uint64
@@ -74,23 +74,23 @@
 	client peer.JobsClient
 	leader string
 	group  *supervisor.Supervisor
-	latest atomic.Pointer[rulesNews]
+	latest atomic.Pointer[rulesStatus]
 }
 
-// rulesNews is what a heartbeat tells of the rules of the active host.
-type rulesNews struct {
+// rulesStatus is the part of a heartbeat about the rules of the active host.
+type rulesStatus struct {
 	revision, digest uint64
 	fresh            bool // they were the latest
 	sentAt           time.Time
 }
 
-// observe handles what a heartbeat tells of the rules, which was so when it was sent. The
-// rules are fetched beside the heartbeats, which must not wait for them.
+// observe handles the part of a heartbeat about the rules, valid as of the time at which it
+// was sent. Rules are fetched concurrently, so that heartbeats do not wait for them.
 func (r *ruleFollower) observe(ctx context.Context, beat *peer.Beat, sentAt time.Time) {
-	news := &rulesNews{beat.GetRulesRevision(), beat.GetRulesDigest(), beat.GetFresh(), sentAt}
-	r.latest.Store(news)
-	r.e.rules.NoteRead(news.revision, news.digest)
-	if news.digest != 0 && r.e.wants(news.revision, news.digest) {
+	status := &rulesStatus{beat.GetRulesRevision(), beat.GetRulesDigest(), beat.GetFresh(), sentAt}
+	r.latest.Store(status)
+	r.e.rules.NoteRead(status.revision, status.digest)
+	if status.digest != 0 && r.e.wants(status.revision, status.digest) {
 		r.fetch(ctx)
 		return
 	}
@@ -100,10 +100,10 @@
 // confirm records that the rules in force are the latest if the last heartbeat says so. A
 // host of an earlier version sends its rules, and no digest.
 func (r *ruleFollower) confirm() {
-	news := r.latest.Load()
+	status := r.latest.Load()
 	_, _, own := r.e.rules.Data()
-	if news.fresh && (news.digest == 0 || news.digest == own) {
-		r.e.rules.Confirm(news.sentAt)
+	if status.fresh && (status.digest == 0 || status.digest == own) {
+		r.e.rules.Confirm(status.sentAt)
 	}
 }
 
@@ -122,14 +122,14 @@
 	})
 }
 
-// fetchUntilDone fetches the rules that heartbeats tell of, until there are no others or an
-// attempt fails.
+// fetchUntilDone fetches the rules of the active host until the latest heartbeat announces
+// no others, or an attempt fails.
 func (r *ruleFollower) fetchUntilDone(ctx context.Context) error {
 	for pause := minFetchPause; ; pause = min(2*pause, maxFetchPause) {
 		if err := r.fetchOnce(ctx); err != nil {
 			return err
 		}
-		if news := r.latest.Load(); !r.e.wants(news.revision, news.digest) {
+		if status := r.latest.Load(); !r.e.wants(status.revision, status.digest) {
 			return nil
 		}
 		if err := sleeper.SleepJittered(ctx, pause); err != nil {
@@ -138,11 +138,11 @@
 	}
 }
 
-// fetchOnce fetches the rules from the active host or, while that sends them to others, from
-// one that has got them. It is no error if that one cannot send them either.
+// fetchOnce fetches the rules from the active host or, while that is busy sending them to
+// others, from a host that has received them. It is no error if that one fails as well.
 func (r *ruleFollower) fetchOnce(ctx context.Context) error {
-	news := r.latest.Load()
-	readAt := rulefetcher.WithReadAt(news.revision, news.digest)
+	status := r.latest.Load()
+	readAt := rulefetcher.WithReadAt(status.revision, status.digest)
 	err := r.e.fetcher.Fetch(ctx, r.client, readAt)
 	sources, busy := rulefetcher.Busy(err)
 	if !busy {
@@ -159,7 +159,7 @@
 	return nil
 }
 
-// fetchFrom fetches the rules from a host that has got them from the active one.
+// fetchFrom fetches the rules from a host that has received them from the active one.
 func (r *ruleFollower) fetchFrom(ctx context.Context, address string, readAt rulefetcher.Option) error {
 	client, err := r.e.conns.Client(address)
 	if err != nil {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -112,7 +112,7 @@
 
 // Vouch implements peer.JobsServer.
 func (s *JobServer) Vouch(_ context.Context, req *peer.VouchRequest) (*peer.VouchReply, error) {
-	s.elector.HandleVouch(req)
+	s.elector.HandleConfirmation(req)
 	return &peer.VouchReply{}, nil
 }
 
