--- a/internal/executor/held_test.go
+++ b/internal/executor/held_test.go
@@ -22,7 +22,7 @@
 	callerTimeout = 3 * time.Second
 	// maxHeldReturn is the time after the return of the ledger within which held submissions
 	// have to be accepted.
-	maxHeldReturn = time.Second
+	maxHeldReturn = 300 * time.Millisecond
 )
 
 // call is a submission under way.
@@ -84,7 +84,7 @@
 // TestHeldAdmitted checks that submissions that arrive while a commit hangs are accepted
 // once the ledger answers, all in one commit, and urgent ones first.
 func TestHeldAdmitted(t *testing.T) {
-	for _, outage := range []time.Duration{1200 * time.Millisecond, 1500 * time.Millisecond, 1700 * time.Millisecond} {
+	for _, outage := range []time.Duration{1200 * time.Millisecond, 1900 * time.Millisecond, 2300 * time.Millisecond, 2400 * time.Millisecond} {
 		withStalledCommit(t, 10, func(r *rig, hanging *call) {
 			var mu sync.Mutex
 			var commits [][]string // the jobs that each contains for the first time
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,7 +18,6 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
 	"yuccapaddle/internal/awaiter"
-	"yuccapaddle/internal/sleeper"
 )
 
 // Keys of the ledger.
@@ -279,59 +277,6 @@
 	return partPrefix + id + "/" + strconv.Itoa(n)
 }
 
-// commitUntilKnown retries a commit until it is known to be applied, or fails for good:
-// the context has ended, the call is invalid or another host is the writer.
-func (r *Recorder) commitUntilKnown(ctx context.Context, t yuccapaddle.Transaction) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.count++
-	backoff, transfer := minBackoff, transferTime(&t)
-	for n := 0; ; n++ {
-		timeout := r.attempts.Timeout()
-		if timeout < callTimeout {
-			timeout += transfer
-		} else {
-			timeout += transfer << min(n/attemptsPerHalving, maxHalvings)
-		}
-		err := r.attempt(ctx, t, timeout)
-		if errors.Is(err, yuccapaddle.ErrUnknown) && r.appliedAfterAll(ctx) {
-			return nil
-		}
-		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, yuccapaddle.ErrInvalid) {
-			return err
-		}
-		if errors.Is(err, errEarlierCommit) {
-			continue
-		}
-		if sleeper.SleepJittered(ctx, backoff) != nil {
-			return err
-		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// transferTime returns how long a transaction takes to be sent, beside the time in which a
-// small one is answered: with the timeout of a small one, a large commit would be begun
-// anew for ever on a slow link, and no other could follow it.
-func transferTime(t *yuccapaddle.Transaction) time.Duration {
-	n := 0
-	for i := range t.Set {
-		n += base64.StdEncoding.EncodedLen(len(t.Set[i].Value))
-	}
-	return time.Duration(n) * time.Second / transferBytesPerSecond
-}
-
-// appliedAfterAll reads the head after an attempt without a reply, and reports whether the
-// present transaction was applied. A ledger that loses the replies of commits may answer
-// reads all the same, which is sooner than to repeat the commit until its reply arrives.
-func (r *Recorder) appliedAfterAll(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
-	defer cancel()
-	next := r.head
-	next.Count = r.count
-	return r.resolveConflict(callCtx, next) == nil
-}
-
 // commit attempts a new transaction, and repeats it only if its failure was due to an
 // earlier one. It must be called with mu held, or before the Recorder is shared.
 func (r *Recorder) commit(ctx context.Context, t yuccapaddle.Transaction) error {
