executor: hold submissions only while they may still be committed in time

Cause: while the store is slow, a commit takes 2 s and more. In a long outage each caller waited until its deadline for a refusal.

Change: if the last answer of the store was slow, the next commit is expected to take as long as the last one, and what cannot be committed in time is refused as not taken. A call whose time left is under half of what the outage has lasted is refused at once. TestHeldSlowLedger and TestLongOutage fail without.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -87,7 +87,8 @@
 	stopErr        error // ends the loop once it is set
 
 	committing         bool // a commit is in progress
-	commitStartedAt    time.Time
+	commitStartedAt    time.Time // of the commit in progress, or the last one
+	commitEndedAt      time.Time // of the last commit
 	commitWaiters      []chan struct{}
 	pendingSubmissions []submission
 	held               *holder.Holder[submission] // nil without WithHeldCalls
@@ -307,7 +308,7 @@
 			return fmt.Errorf("commit the job records: %w", err)
 		}
 		e.post(func() {
-			e.committing = false
+			e.committing, e.commitEndedAt = false, e.now
 			e.uncommitted.Commit(mark)
 			e.executeBatch(&b, waiters, ends)
 		})
--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -25,6 +25,9 @@
 	// stepBytes is what a step of a held job takes of maxHeldBytes, and a job beside its
 	// steps and texts.
 	stepBytes = 256
+	// outageOdds is how many times the time that a caller has left an outage may have lasted
+	// for its call to be held.
+	outageOdds = 2
 	// lowestUrgency is that of jobs in queues that the rules do not name.
 	lowestUrgency = math.MaxInt
 )
@@ -43,9 +46,14 @@
 	}
 }
 
-// holdSubmission holds a submission, or refuses it if there is no room or its deadline is near. It
-// refuses an earlier call for the same job: of the two only this one can be admitted.
+// holdSubmission holds a submission, or refuses it if there is no room, its deadline is near
+// or the outage has lasted for long. It refuses an earlier call for the same job: of the two
+// only this one can be admitted.
 func (e *Executor) holdSubmission(s submission) {
+	if !e.hasChance(&s) {
+		e.refuseHeld(s, "refused", "the ledger has not answered for long")
+		return
+	}
 	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.urgency(s.job.Queue), heldBytes(s.job), e.now)
 	for _, earlier := range replaced {
 		e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
@@ -74,7 +82,9 @@
 }
 
 // admitHeld admits the held submissions if no commit is in progress, so that the next
-// commit contains all of them, and refuses those whose deadlines are near otherwise.
+// commit contains them, and refuses those whose deadlines are near otherwise. A submission
+// that is admitted too late to be committed by its deadline would leave its caller with an
+// unknown outcome; refused, it can be sent again.
 func (e *Executor) admitHeld() {
 	if e.held == nil {
 		return
@@ -83,7 +93,12 @@
 		e.refuseDue()
 		return
 	}
+	commitEnd := e.now.Add(e.nextCommitTime())
 	for _, s := range e.held.TakeAll() {
+		if s.deadline.Add(-refusalMargin).Before(commitEnd) {
+			e.refuseHeld(s, "refused", "the ledger is slow, and the commit would end after the deadline")
+			continue
+		}
 		if e.admit(s) {
 			e.heldAdmitted = true
 			e.meter.Count(heldMetric, "admitted", 1)
@@ -92,6 +107,26 @@
 	}
 }
 
+// nextCommitTime returns how long the next commit is expected to take: as long as the last
+// one if the ledger is slow, no time worth noting otherwise. After an outage in which the
+// ledger was silent the last commit says nothing about the next one.
+func (e *Executor) nextCommitTime() time.Duration {
+	if !e.rec.Slow() {
+		return 0
+	}
+	return e.commitEndedAt.Sub(e.commitStartedAt)
+}
+
+// hasChance reports whether a submission may be committed before its deadline: an outage
+// that has lasted for some time will likely last about as long again.
+func (e *Executor) hasChance(s *submission) bool {
+	since := e.startedAt
+	if e.committing {
+		since = e.commitStartedAt
+	}
+	return s.deadline.Sub(e.now) >= e.now.Sub(since)/outageOdds
+}
+
 // withdrawHeld removes a submission that its caller has taken back.
 func (e *Executor) withdrawHeld(s submission) {
 	if e.held.Withdraw(s.job.ID, s) {
--- a/internal/executor/held_test.go
+++ b/internal/executor/held_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -36,7 +37,12 @@
 
 // call submits a job for a caller that allows callerTimeout.
 func (r *rig) call(j *yuccapaddle.Job) *call {
-	ctx, cancel := context.WithTimeout(r.t.Context(), callerTimeout)
+	return r.callFor(callerTimeout, j)
+}
+
+// callFor submits a job for a caller that allows so much time.
+func (r *rig) callFor(timeout time.Duration, j *yuccapaddle.Job) *call {
+	ctx, cancel := context.WithTimeout(r.t.Context(), timeout)
 	c := &call{cancel: cancel, began: time.Now(), done: make(chan struct{})}
 	exec := r.exec
 	r.group.Go(func() error {
@@ -266,3 +272,44 @@
 		r.c.Check(r.known("1"), qt.IsFalse)
 	})
 }
+
+// TestHeldSlowLedger checks that a held submission is refused as not taken if the ledger
+// is too slow to commit it by its caller's deadline: admitted, it would leave the caller
+// with an unknown outcome.
+func TestHeldSlowLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4)
+		r.options = []executor.Option{executor.WithHeldCalls(50)}
+		r.takeOver()
+		defer r.close()
+		r.committed = func(yuccapaddle.Transaction) { time.Sleep(400 * time.Millisecond) }
+		var early []*call
+		for i := range 40 { // more than fit into one transaction
+			early = append(early, r.call(r.smallJob(fmt.Sprintf("early-%02d", i))))
+		}
+		time.Sleep(1500 * time.Millisecond) // the second commit has several transactions
+		tight, loose := r.callFor(1600*time.Millisecond, r.smallJob("tight")), r.callFor(6*time.Second, r.smallJob("loose"))
+		<-tight.done
+		r.c.Check(tight.err, qt.ErrorIs, yuccapaddle.ErrNotAccepted)
+		<-loose.done
+		r.c.Check(loose.err, qt.IsNil)
+		for _, c := range early {
+			<-c.done
+			r.c.Check(c.err, qt.IsNil)
+		}
+		r.c.Check(r.known("tight"), qt.IsFalse)
+		r.committed = nil
+	})
+}
+
+// TestLongOutage checks that callers are told at once, and not at their deadlines, that the
+// ledger does not answer once an outage has lasted for much longer than they can wait.
+func TestLongOutage(t *testing.T) {
+	withStalledCommit(t, 10, func(r *rig, _ *call) {
+		time.Sleep(2*callerTimeout + 100*time.Millisecond)
+		late := r.call(r.smallJob("1"))
+		<-late.done
+		r.c.Check(late.err, qt.ErrorIs, executor.ErrLedgerUnavailable)
+		r.c.Check(late.took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", late.took))
+	})
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -80,6 +81,7 @@
 	count    uint64 // of the latest transaction, whether it was applied or not
 	attempts *attempter.Attempter
 	loaded   map[string][]yuccapaddle.Entry // lists of records that Load has read, by prefix
+	slow     atomic.Bool                    // see Slow
 }
 
 // Claim makes this host the writer of the records, and sets the lock in the same
@@ -135,6 +137,12 @@
 	return h.Address, h.Epoch, nil
 }
 
+// Slow reports whether the last answer of the ledger to a commit took long. After an outage
+// in which it was silent it is not slow.
+func (r *Recorder) Slow() bool {
+	return r.slow.Load()
+}
+
 // Epoch returns the epoch of this writer.
 func (r *Recorder) Epoch() uint64 {
 	return r.epoch
@@ -303,7 +311,11 @@
 	defer cancel()
 	start := time.Now()
 	rev, err := r.ledger.Commit(callCtx, t)
-	r.attempts.Note(!errors.Is(err, yuccapaddle.ErrUnknown), time.Since(start))
+	answered := !errors.Is(err, yuccapaddle.ErrUnknown)
+	r.attempts.Note(answered, time.Since(start))
+	if answered {
+		r.slow.Store(time.Since(start) > shortCallTimeout)
+	}
 	if err == nil {
 		r.head, r.revision = next, rev
 		return nil
