executor: ends from before a restart acknowledge none from after it

Cause: numbers of ends begin anew when a worker restarts under its ID. A commit in progress meanwhile, or one that followed when the registrations told of the restart before the worker's list did, set the acknowledged number of the new incarnation to that of the former one. The worker then forgot ends that it had not listed, and done tasks vanished and ran again.

Change: an applied end is noted together with the count of restarts, and ends of another incarnation than the link's are not acknowledged.

Result: TestRestartAfterEnds; both its cases fail on the code of before (a done task starts a second time), and each half of the change left out fails one.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -314,8 +314,8 @@
 }
 
 // executeBatch publishes what a committed batch has changed, and sends its orders.
-// ends holds, by worker, the number of the last run end that the commit covers.
-func (e *Executor) executeBatch(b *yuccapaddle.Batch, waiters []chan struct{}, ends map[string]int64) {
+// ends holds the last run end of each worker that the commit covers.
+func (e *Executor) executeBatch(b *yuccapaddle.Batch, waiters []chan struct{}, ends []appliedEnd) {
 	for _, r := range b.Records {
 		e.committedJobs[r.ID] = committedJob{r.Report, r.Queue}
 		if r.Report.State.Final() {
@@ -329,8 +329,8 @@
 	for _, w := range waiters {
 		close(w)
 	}
-	for id, n := range ends {
-		e.link(id).committedEnd = n
+	for i := range ends {
+		ends[i].commit()
 	}
 	e.logDecisions(b)
 	for i := range b.Stops {
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -129,16 +129,31 @@
 	}
 }
 
-// uncommittedEnds returns, by worker, the number of the last run end that the planner has
-// applied, for the workers where no commit covers it yet.
-func (e *Executor) uncommittedEnds() map[string]int64 {
-	var ends map[string]int64
+// appliedEnd is the number of the last run end of a worker that the planner has applied.
+// Numbers begin anew when the worker restarts.
+type appliedEnd struct {
+	l        *link
+	restarts uint64
+	number   int64
+}
+
+// commit notes that a commit covers the end, unless the worker has restarted since.
+func (a *appliedEnd) commit() {
+	if a.l.restarts == a.restarts {
+		a.l.committedEnd = a.number
+	}
+}
+
+// uncommittedEnds returns the last applied ends of the workers where no commit covers them
+// yet.
+func (e *Executor) uncommittedEnds() []appliedEnd {
+	var ends []appliedEnd
 	for id, l := range e.links {
+		if e.plan.ReportedIncarnation(id) != l.incarnation {
+			continue // the ends are those of before a restart
+		}
 		if n := e.plan.AppliedEnd(id); n > l.committedEnd {
-			if ends == nil {
-				ends = map[string]int64{}
-			}
-			ends[id] = n
+			ends = append(ends, appliedEnd{l, l.restarts, n})
 		}
 	}
 	return ends
