--- a/internal/router/extend.go
+++ b/internal/router/extend.go
@@ -9,14 +9,16 @@
 // call is still the active one.
 const livenessInterval = 60 * time.Millisecond
 
-// extend returns a context for a call to the active host that lasts for at least min, and
+// extend returns a context for a call to the active host that lasts for the time first, and
 // then for as long as alive returns true.
-func extend(ctx context.Context, min time.Duration, alive func() bool) (context.Context, context.CancelFunc) {
+func extend(ctx context.Context, first time.Duration, alive func() bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	cancelUnlessAlive(ctx, cancel, min, alive)
+	cancelUnlessAlive(ctx, cancel, first, alive)
 	return ctx, cancel
 }
 
+// cancelUnlessAlive cancels the context at a look at which alive returns false. The first
+// look is after the given time, and there is none once the context has ended.
 func cancelUnlessAlive(ctx context.Context, cancel context.CancelFunc, after time.Duration, alive func() bool) {
 	time.AfterFunc(after, func() {
 		switch {
