registrations: the time that a draining worker has left

Cause: workers that drain register remaining-ms, which nothing reads, so that no decision can depend on it.

The executor turns it into a deadline on its clock, from the registration's age by the worker's clock. No decision uses it yet.

--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -82,6 +82,7 @@
 // applyRegistry puts registrations into force.
 func (e *Executor) applyRegistry(r *registryRead) {
 	e.registryReadAt = r.sentAt
+	e.setLeaveTimes(r)
 	e.plan.SetRegistrations(r.workers)
 	e.updateClocks(r.workers, r.arrivedAt)
 }
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -59,6 +59,7 @@
 	startLog     *StartLog
 	gauge        float64
 	ticket       string
+	leavesAt     time.Time // told in the registration while it drains; zero if unknown
 
 	crashes    func(t yuccapaddle.TaskID, payload string) bool // nil if no task crashes the worker
 	crashed    func()                                          // called after such a crash; nil for none
@@ -127,6 +128,9 @@
 	defer tr.mu.Unlock()
 	s := tr.registration
 	s.Clock = tr.clock()
+	if s.Draining && !tr.leavesAt.IsZero() {
+		s.RemainingMS = max(time.Until(tr.leavesAt).Milliseconds(), 0)
+	}
 	return s
 }
 
@@ -137,6 +141,13 @@
 	tr.registration.Draining = true
 }
 
+// DrainUntil is like Drain, and has the registration tell the time left until leavesAt.
+func (tr *TaskRunner) DrainUntil(leavesAt time.Time) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.registration.Draining, tr.leavesAt = true, leavesAt
+}
+
 // Running returns the tasks that are running, in no order.
 func (tr *TaskRunner) Running() []yuccapaddle.TaskID {
 	tr.mu.Lock()
--- a/runner.go
+++ b/runner.go
@@ -20,6 +20,12 @@
 	Capacity    Need
 	// Clock is the worker's monotonic clock at its registration, in milliseconds.
 	Clock int64
+	// RemainingMS is the least time until a draining worker leaves, in milliseconds from
+	// its registration at Clock; 0 if unknown. Everything that runs there ends then.
+	RemainingMS int64
+	// LeavesAt is the same as a deadline on the clock of the host that has read the
+	// registration; zero if unknown.
+	LeavesAt time.Time
 }
 
 // StartOrder tells a worker to start a run of a task. The worker refuses it after
