planner: runs are moved off workers that leave

The planner placed nothing on draining workers, and let what ran there end with them.

Change: with capacity.moveLeaving, the planner asks the evacuator about each unit on a worker that drains and tells the time left, ten times a second, and stops those that are to be stopped, with the reason "its worker leaves in N ms: ID". Those that would lose the most go first where there is room for some only. Run times are learned from completed runs that did not go on from a checkpoint. Jobs that run once are left alone, since they would not be placed again. Without the setting every decision is as before.

With moveLeaving doing nothing, TestWave, TestMovedAtOnce, TestMovedLate, TestTakeoverWhileMoving, TestTakeoverDuringNotice, TestDrainTakenBack and TestServingKeepsLimit fail.

--- a/batch.go
+++ b/batch.go
@@ -10,6 +10,9 @@
 	Restore time.Duration
 	// Retention is how long a finished job stays available for queries.
 	Retention time.Duration
+	// MoveLeaving stops runs that cannot end before their workers leave, so that they go on
+	// elsewhere.
+	MoveLeaving bool
 }
 
 // Batch is the result of a planning step. Records and Removed are committed
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -232,6 +232,8 @@
 		switch {
 		case l.Msg == "stop" && strings.HasPrefix(l.Detail, "its room is for"):
 			counts["stopped for urgent work"]++
+		case l.Msg == "stop" && strings.HasPrefix(l.Detail, "its worker leaves in"):
+			counts["stopped before its worker left"]++
 		case l.Msg == "stop":
 			counts["stopped: "+l.Detail]++
 		case l.Msg == "ended" && l.Detail != "done":
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -64,6 +64,7 @@
 	suspect              bool                 // it may have crashed its worker
 	placedAlone          bool                 // it was placed as a suspect where nothing else ran
 	avoidAddresses       map[string]time.Time // of workers, like avoidUntil
+	resumed              bool                 // the current run may have gone on from a checkpoint
 }
 
 // member is one task of a unit's current run, on its worker.
@@ -81,11 +82,13 @@
 	leaving       bool      // its worker is to leave, or to go into maintenance
 	percent       int       // its progress, 0 to 100
 	progressAt    time.Time // latest progress, placement or answered order
-	resends       int       // of its start
-	reported      bool      // a poll has listed it as running
-	pace          int       // percentage of full speed at which it may work
-	adopted       bool      // placed by a former host, and not reported to this one yet
-	unsent        bool      // its start has not been sent, by a former host neither
+	firstPercent  int       // the progress that this host has seen first, at firstAt
+	firstAt       time.Time
+	resends       int  // of its start
+	reported      bool // a poll has listed it as running
+	pace          int  // percentage of full speed at which it may work
+	adopted       bool // placed by a former host, and not reported to this one yet
+	unsent        bool // its start has not been sent, by a former host neither
 }
 
 func newJob(spec *yuccapaddle.Job) *job {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -37,7 +37,7 @@
 }
 
 // tick handles what becomes due by the passage of time alone: occurrences, stops to
-// resend, stalled runs and expired jobs.
+// resend, stalled runs, runs on workers that leave, and expired jobs.
 func (p *Planner) tick() {
 	for _, j := range p.jobs {
 		if !j.state.Final() && j.openedOccurrences < j.spec.Occurrences() {
@@ -47,6 +47,7 @@
 			p.checkRuns(j)
 		}
 	}
+	p.moveLeaving()
 	p.forgetSuspects()
 	p.removeExpired()
 	p.nextTick = p.now.Add(tickInterval)
@@ -294,7 +295,7 @@
 	u.run++
 	u.state, u.stopping, u.failureCounted = unitPlaced, false, false
 	u.placedAt, u.placedAtMS, u.placedAtKnown = p.now, p.wall.UnixMilli(), true
-	u.startedAt = p.now
+	u.startedAt, u.resumed = p.now, u.checkpoint != ""
 	u.waitNoted, u.placedAlone = false, false
 	if u.suspect {
 		p.suspectHosts = nil
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -237,7 +237,7 @@
 		u.placedAtMS, u.placedAtKnown = r.PlacedAt, true
 		u.placedAt = p.now.Add(-max(p.wall.Sub(time.UnixMilli(r.PlacedAt)), 0))
 	}
-	u.startedAt = u.placedAt
+	u.startedAt, u.resumed = u.placedAt, u.checkpoint != "" || !u.placedAtKnown
 	for _, m := range r.Members {
 		u.members = append(u.members, member{
 			worker: m.Worker, incarnation: m.Incarnation, address: m.Address, leaving: m.Leaving, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true,
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -94,6 +94,9 @@
 	m := &x.u.members[x.member]
 	m.reported, m.adopted, m.incarnation = true, false, w.reportedIncarnation
 	p.confirmRun(m)
+	if m.firstAt.IsZero() {
+		m.firstPercent, m.firstAt = r.Percent, p.now
+	}
 	if r.Percent != m.percent {
 		m.percent, m.progressAt = r.Percent, p.now
 	}
@@ -214,6 +217,7 @@
 	switch e.Cause {
 	case yuccapaddle.EndDone:
 		p.setSuspect(u, false)
+		p.noteRunTime(x)
 		u.succeeded = !u.stepSpec().Endless
 		w.strikes = 0
 		w.quarantinedUntil = time.Time{}
