--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -108,7 +108,7 @@
 	}
 	tooLong := r.Endless || known && shortest-shortest/slack > left
 	if !r.Checkpoints && !r.Endless {
-		if tooLong && now.Sub(r.StartedAt) <= left && (r.Room || r.partlyStays()) {
+		if tooLong && now.Sub(r.StartedAt) <= left && (r.Room || r.Leaving() < len(r.Members)) {
 			return Stop
 		}
 		return Keep
@@ -136,14 +136,15 @@
 	return max(r.LeavesAt().Sub(r.StartedAt).Seconds(), 0) * r.Cores
 }
 
-// partlyStays reports whether the worker of a member stays.
-func (r *Run) partlyStays() bool {
+// Leaving returns the number of members whose workers leave.
+func (r *Run) Leaving() int {
+	n := 0
 	for i := range r.Members {
-		if r.Members[i].LeavesAt.IsZero() {
-			return true
+		if !r.Members[i].LeavesAt.IsZero() {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // rest estimates the time until the run ends by itself, that of its slowest member, as a
--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -38,21 +38,38 @@
 		return
 	}
 	claimed := p.claimedRoom()
+	free := p.freeRoom()
 	full := map[stepKey]bool{}
 	for i := range list {
 		l := &list[i]
 		if p.decideWithRoom(l, true) != evacuator.Stop || l.u.stepSpec().LimitsUnavailable && !p.mayDisrupt(l.u) {
 			continue
 		}
-		if p.decideWithRoom(l, false) != evacuator.Stop && (full[l.u.key()] || !p.claimRoomElsewhere(l.u, claimed)) {
-			full[l.u.key()] = true
-			continue
+		if p.decideWithRoom(l, false) != evacuator.Stop {
+			need := l.u.stepSpec().Room().Times(l.run.Leaving())
+			if !need.Fits(free) || full[l.u.key()] || !p.claimRoomElsewhere(l.u, claimed) {
+				full[l.u.key()] = true
+				continue
+			}
+			free = free.Sub(need)
 		}
 		left := l.run.LeavesAt().Sub(p.now).Milliseconds()
 		p.stop(l.u, "its worker leaves in "+strconv.FormatInt(left, 10)+" ms: "+p.firstToLeave(l.u))
 	}
 }
 
+// freeRoom returns the capacity that no run holds on the workers that may get new runs. It
+// rules out most units when the cluster is full, before workers are looked for.
+func (p *Planner) freeRoom() yuccapaddle.Need {
+	var sum yuccapaddle.Need
+	for _, w := range p.workers {
+		if p.usable(w) && !w.overCapacity() {
+			sum = sum.Add(w.free())
+		}
+	}
+	return sum
+}
+
 // decideWithRoom says what is to be done with a run if there is room for its unit
 // elsewhere, or if there is none.
 func (p *Planner) decideWithRoom(l *leavingRun, room bool) evacuator.Action {
--- a/internal/planner/leave_test.go
+++ b/internal/planner/leave_test.go
@@ -255,3 +255,23 @@
 		d.c.Check(strings.HasPrefix(s, "its worker leaves in "), qt.IsTrue)
 	}
 }
+
+// BenchmarkNotice measures one look at a full cluster of which a sixth leaves and nothing
+// has room elsewhere.
+func BenchmarkNotice(b *testing.B) {
+	const workers = 96
+	d := newDepartures(b, workers, true)
+	for i := range workers + 10 {
+		d.submit(fmt.Sprintf("j%03d", i), checkpointGang, 20*time.Minute)
+	}
+	d.play(2 * time.Minute)
+	for _, id := range workerIDs(workers)[:workers/6] {
+		d.notice(10*time.Minute, id)
+	}
+	d.play(registryInterval)
+	for b.Loop() {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.p.SetTime(d.now, d.now)
+		d.p.Plan()
+	}
+}
