--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,7 +86,7 @@
 	ctx            context.Context
 	stopErr        error // ends the loop once it is set
 
-	committing         bool // a commit is in progress
+	committing         bool      // a commit is in progress
 	commitStartedAt    time.Time // of the commit in progress, or the last one
 	commitEndedAt      time.Time // of the last commit
 	commitWaiters      []chan struct{}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/estimator"
+	"yuccapaddle/internal/evacuator"
 	"yuccapaddle/internal/quotakeeper"
 )
 
@@ -43,6 +45,8 @@
 	urgentDemand       int            // accelerators that urgent jobs hold or wait for
 	demandPeaks        []demandPeak   // within reserveWindow, in falling order of demand
 	quotas             *quotakeeper.QuotaKeeper
+	runTimes           *estimator.Estimator
+	evacuator          *evacuator.Evacuator
 }
 
 // Option configures a Planner in New.
@@ -65,6 +69,7 @@
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, quotas: quotakeeper.New(), dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
+		runTimes: estimator.New(), evacuator: evacuator.New(),
 	}
 	for _, o := range opts {
 		o(p)
