planner, executor: stalled runs by learned run times

Cause: a run was stopped 3.5 s after its last progress was seen, and a worker where nothing ends is seen every 1.9 s. Urgent tasks of 2.5 s were late by then, and runs that had gone on were stopped on old reports.

Change: with PlanLimits.LearnStalls (setting capacity.learnStalls, off if absent) the planner learns run times from runs that are done and asks internal/stalldetector. Holds of workers with urgent runs are shortened to the time when a report decides something, and a worker is polled once more after a report without progress. Other workers are preferred to those where runs stand still until something makes progress there.

--- a/batch.go
+++ b/batch.go
@@ -10,6 +10,9 @@
 	Restore time.Duration
 	// Retention is how long a finished job stays available for queries.
 	Retention time.Duration
+	// LearnStalls stops runs that stand still by what runs of their queue and step have
+	// taken, and not only after a fixed time.
+	LearnStalls bool
 }
 
 // Batch is the result of a planning step. Records and Removed are committed
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -96,6 +96,7 @@
 			RemoteSlowdown: s.Bounds.RemoteSlowdown,
 			Restore:        time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
 			Retention:      time.Duration(s.Bounds.RetentionS) * time.Second,
+			LearnStalls:    s.Capacity.LearnStalls,
 		},
 	}
 	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log,
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -210,6 +210,9 @@
 // nextWait returns how long the loop may wait for an event before it calls advance.
 func (e *Executor) nextWait() time.Duration {
 	wait := min(maxIdleWait, e.plan.WakeAt().Sub(e.now))
+	if _, next := e.plan.DueLooks(); !next.IsZero() {
+		wait = min(wait, next.Sub(e.now))
+	}
 	return max(wait, 5*time.Millisecond)
 }
 
@@ -228,6 +231,7 @@
 		e.commitBatch()
 	}
 	e.sendHolds()
+	e.sendLooks()
 }
 
 // mayPlace reports whether tasks may be placed: the registrations and the rules are
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -40,6 +40,7 @@
 	restarts     uint64    // of the worker since this host became active
 	holdPending  bool
 	holdSentAt   time.Time
+	holdUntil    time.Time // when the worker replies to it at the latest
 	retryAt      time.Time // no hold is sent before
 	committedEnd int64     // number of the last run end whose effects are committed
 	ackedEnd     int64     // number of the last run end that the worker may forget
@@ -189,7 +190,7 @@
 		case e.plan.HasSpareBesideTarget(id):
 			o.WaitMS = pacedHoldWaitMS
 		default:
-			o.WaitMS = holdWaitMS
+			o.WaitMS = e.holdWait(id)
 		}
 	}
 	if e.plan.AppliedEnd(id) > l.committedEnd {
@@ -200,6 +201,7 @@
 		o.WaitMS = 0
 	}
 	l.holdPending, l.holdSentAt = true, e.now
+	l.holdUntil = e.now.Add(time.Duration(o.WaitMS) * time.Millisecond)
 	e.sendHold(&w, id, l, o, true)
 }
 
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -52,6 +52,7 @@
 	meter         yuccapaddle.Meter // of the executor, none if nil
 	lossy         bool              // the ledger loses replies, see lossyLedger
 	leaveWithinMS int64             // see executor.Bounds
+	learnStalls   bool              // see yuccapaddle.PlanLimits
 	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
@@ -213,7 +214,7 @@
 	rules := rulekeeper.New(r, 2500, clock, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: r.leaveWithinMS, Planner: yuccapaddle.PlanLimits{
-		RemoteSlowdown: 3, Retention: 2 * time.Minute,
+		RemoteSlowdown: 3, Retention: 2 * time.Minute, LearnStalls: r.learnStalls,
 	}}
 	runner := r.runner
 	if runner == nil {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/stalldetector"
 )
 
 // job is a submitted job with the state of its tasks.
@@ -86,6 +87,9 @@
 	pace          int       // percentage of full speed at which it may work
 	adopted       bool      // placed by a former host, and not reported to this one yet
 	unsent        bool      // its start has not been sent, by a former host neither
+	// startedAt is when the worker confirmed to this host a start without a checkpoint.
+	startedAt time.Time
+	stall     *stalldetector.Detector // nil if its progress is not watched
 }
 
 func newJob(spec *yuccapaddle.Job) *job {
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -25,6 +25,9 @@
 			return list
 		}
 	}
+	if list := p.leastStalled(u, candidates); list != nil {
+		return list
+	}
 	return p.chooseWorkers(u, candidates)
 }
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -11,7 +11,7 @@
 
 const (
 	// stallTimeout is how long a run may make no progress before it is stopped and its
-	// unit placed elsewhere.
+	// unit placed elsewhere. With PlanLimits.LearnStalls, runs may be stopped before.
 	stallTimeout = 3500 * time.Millisecond
 	// tickInterval is the time between two calls of tick.
 	tickInterval = 100 * time.Millisecond
@@ -70,23 +70,18 @@
 	}
 }
 
-// stopStalled stops a unit if one of its tasks has made no progress for stallTimeout,
-// and quarantines that task's worker.
+// stopStalled stops a unit if one of its tasks has made no progress for stallTimeout, or
+// stands still by what is learned of its run time, and quarantines that task's worker.
 func (p *Planner) stopStalled(u *unit) {
-	for i := range u.members {
-		m := &u.members[i]
-		if m.ended || !m.reported || m.percent >= 100 || p.now.Sub(m.progressAt) < stallTimeout {
-			continue
-		}
-		w := p.worker(m.worker)
-		if w.unresponsive {
-			continue
-		}
-		p.quarantine(w)
-		p.avoidWorker(u, m.worker)
-		p.stop(u, "task "+u.taskID(i).String()+" stands still")
+	i, ok := p.stalledMember(u)
+	if !ok {
 		return
 	}
+	w := p.worker(u.members[i].worker)
+	p.quarantine(w)
+	p.avoidWorker(u, w.ID)
+	p.noteStall(w, u)
+	p.stop(u, "task "+u.taskID(i).String()+" stands still")
 }
 
 // placeWaiting places the waiting units in order. Consecutive single tasks of one step
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/estimator"
 )
 
 // Planner holds the state of all jobs and workers. It is not safe for concurrent use.
@@ -41,6 +42,9 @@
 	workspaceNeeds     map[string]int // cache of workspaceNeed for one placement round
 	urgentDemand       int            // accelerators that urgent jobs hold or wait for
 	demandPeaks        []demandPeak   // within reserveWindow, in falling order of demand
+	runTimes           *estimator.Estimator
+	learnedTimes       map[runKind]learnedTime
+	looks              map[string]time.Time // see LookAt
 }
 
 // Option configures a Planner in New.
@@ -63,6 +67,7 @@
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
+		runTimes: estimator.New(), learnedTimes: map[runKind]learnedTime{}, looks: map[string]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -57,6 +57,7 @@
 	p.clearAnswered(w, poll)
 	w.silentSince = time.Time{}
 	p.clearLeaving(w)
+	p.planLook(w)
 }
 
 // noteRestart records that a worker has restarted. Confirmed runs that it no longer lists
@@ -92,6 +93,7 @@
 		return
 	}
 	m := &x.u.members[x.member]
+	p.noteReport(x.u, m, r)
 	m.reported, m.adopted, m.incarnation = true, false, w.reportedIncarnation
 	p.confirmRun(m)
 	if r.Percent != m.percent {
@@ -213,6 +215,7 @@
 	p.markJobRunning(u)
 	switch e.Cause {
 	case yuccapaddle.EndDone:
+		p.noteDone(w, u, &u.members[x.member])
 		p.setSuspect(u, false)
 		u.succeeded = !u.stepSpec().Endless
 		w.strikes = 0
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -32,6 +32,7 @@
 		p.confirmRun(m)
 		m.progressAt = p.now
 		p.markJobRunning(x.u)
+		p.watchRun(x.u)
 	case !errors.As(err, &refusal):
 		p.handleNoAnswer(w, x)
 	default:
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -21,6 +21,9 @@
 	lastGoodStart       time.Time // latest start of a task that was done there
 	lastFailure         time.Time
 	quarantinedUntil    time.Time
+	stalledAt           time.Time // when a run there was last found standing still
+	stalls              int       // found there since a run made progress, see stalledThere
+	stalledUntil        time.Time // others are preferred until then, unless it makes progress
 	goneSince           time.Time // when it was first missing from the registrations
 	silentSince         time.Time // when it left the first poll without an answer, zero if it answers
 	leavingIncarnation  int64     // the latest one that was draining or to go into maintenance
