--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -97,6 +97,7 @@
 			Restore:        time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
 			Retention:      time.Duration(s.Bounds.RetentionS) * time.Second,
 			MoveLeaving:    s.Capacity.MoveLeaving,
+			LearnStalls:    s.Capacity.LearnStalls,
 		},
 	}
 	opts := append(outageOptions(&s.Outage),
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -228,6 +228,9 @@
 	if show := e.showCompletedAt(); e.showsCompletions && e.committing && e.now.Before(show) {
 		wait = min(wait, show.Sub(e.now))
 	}
+	if _, next := e.plan.DueLooks(); !next.IsZero() {
+		wait = min(wait, next.Sub(e.now))
+	}
 	return max(wait, 5*time.Millisecond)
 }
 
@@ -247,6 +250,7 @@
 	}
 	e.notifyCompleted()
 	e.sendHolds()
+	e.sendLooks()
 	e.reportUsage()
 }
 
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -53,6 +53,7 @@
 	lossy         bool              // the ledger loses replies, see lossyLedger
 	leaveWithinMS int64             // see executor.Bounds
 	moveLeaving   bool              // see yuccapaddle.PlanLimits
+	learnStalls   bool              // see yuccapaddle.PlanLimits
 	registryDelay time.Duration     // from the call to the moment that its reply shows
 	platformHangs atomic.Bool       // the registrations and the rules have no answer
 	rulesVersion  atomic.Int64      // of the operators' rules
@@ -232,7 +233,7 @@
 	rules := rulekeeper.New(r, 2500, clock, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: r.leaveWithinMS, Planner: yuccapaddle.PlanLimits{
-		RemoteSlowdown: 3, Retention: 2 * time.Minute, MoveLeaving: r.moveLeaving,
+		RemoteSlowdown: 3, Retention: 2 * time.Minute, MoveLeaving: r.moveLeaving, LearnStalls: r.learnStalls,
 	}}
 	runner := r.runner
 	if runner == nil {
--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -189,7 +189,7 @@
 // for the first time: they may have ended long ago.
 func (p *Planner) noteRunTime(x assignment) {
 	u := x.u
-	if u.resumed || u.succeeded || u.stepSpec().Endless || u.members[x.member].adopted {
+	if u.resumed || u.stepSpec().Endless || u.members[x.member].adopted {
 		return
 	}
 	p.runTimes.Note(u.job.spec.Queue, u.stepIndex, p.now.Sub(u.startedAt))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,6 +47,8 @@
 	quotas             *quotakeeper.QuotaKeeper
 	runTimes           *estimator.Estimator
 	evacuator          *evacuator.Evacuator
+	learnedTimes       map[runKind]learnedTime
+	looks              map[string]time.Time // see LookAt
 }
 
 // Option configures a Planner in New.
@@ -69,7 +71,7 @@
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, quotas: quotakeeper.New(), dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
-		runTimes: estimator.New(), evacuator: evacuator.New(),
+		runTimes: estimator.New(), evacuator: evacuator.New(), learnedTimes: map[runKind]learnedTime{}, looks: map[string]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -57,6 +57,7 @@
 	p.clearAnswered(w, poll)
 	w.silentSince = time.Time{}
 	p.clearLeaving(w)
+	p.planLook(w)
 }
 
 // noteRestart records that a worker has restarted. Confirmed runs that it no longer lists
@@ -92,6 +93,7 @@
 		return
 	}
 	m := &x.u.members[x.member]
+	p.noteReport(x.u, m, r)
 	m.reported, m.adopted, m.incarnation = true, false, w.reportedIncarnation
 	p.confirmRun(m)
 	if m.firstAt.IsZero() {
@@ -220,7 +222,7 @@
 		p.noteRunTime(x)
 		u.succeeded = !u.stepSpec().Endless
 		w.strikes = 0
-		w.quarantinedUntil = time.Time{}
+		w.quarantinedUntil, w.stalledUntil = time.Time{}, time.Time{}
 		if u.placedAt.After(w.lastGoodStart) {
 			w.lastGoodStart = u.placedAt
 		}
