--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -184,9 +184,9 @@
 	return true
 }
 
-// noteRunTime learns the run time of a unit whose run is done, from its first member that
-// is. Runs that went on from a checkpoint are left out, and those of which this host hears
-// for the first time: they may have ended long ago.
+// noteRunTime learns the run time of a member that is done. Runs that went on from a
+// checkpoint are left out, and those of which this host hears for the first time: they may
+// have ended long ago.
 func (p *Planner) noteRunTime(x assignment) {
 	u := x.u
 	if u.resumed || u.stepSpec().Endless || u.members[x.member].adopted {
