--- a/batch.go
+++ b/batch.go
@@ -13,6 +13,9 @@
 	// MoveLeaving stops runs that cannot end before their workers leave, so that they go on
 	// elsewhere.
 	MoveLeaving bool
+	// OrderByDelayCost places waiting jobs of one priority in the order of what a delay costs
+	// their callers, in place of the order of acceptance.
+	OrderByDelayCost bool
 	// LearnStalls stops runs that stand still by what runs of their queue and step have
 	// taken, and not only after a fixed time.
 	LearnStalls bool
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -93,11 +93,12 @@
 	bounds := executor.Bounds{
 		MaxLeaseMS: s.Bounds.MaxLeaseMS, ApplyWithinMS: s.Bounds.ApplyMS, LeaveWithinMS: min(s.Bounds.DrainMS, s.Bounds.EvacuateMS),
 		Planner: yuccapaddle.PlanLimits{
-			RemoteSlowdown: s.Bounds.RemoteSlowdown,
-			Restore:        time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
-			Retention:      time.Duration(s.Bounds.RetentionS) * time.Second,
-			MoveLeaving:    s.Capacity.MoveLeaving,
-			LearnStalls:    s.Capacity.LearnStalls,
+			RemoteSlowdown:   s.Bounds.RemoteSlowdown,
+			Restore:          time.Duration(s.Bounds.RestoreMS) * time.Millisecond,
+			Retention:        time.Duration(s.Bounds.RetentionS) * time.Second,
+			MoveLeaving:      s.Capacity.MoveLeaving,
+			OrderByDelayCost: s.Capacity.OrderByDelay,
+			LearnStalls:      s.Capacity.LearnStalls,
 		},
 	}
 	opts := append(outageOptions(&s.Outage),
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -196,6 +196,7 @@
 			a.compare(b),
 		)
 	})
+	p.orderByDelayCost(list)
 	return p.orderByShare(list)
 }
 
