--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -52,14 +52,14 @@
 		since = time.UnixMilli(u.job.spec.Accepted)
 	}
 	step := u.stepSpec()
-	w := &prioritizer.Waiting{
-		Since: since, Objective: since, Work: p.chainTimes(u.job, likelyRunTime)[u.stepIndex], AlwaysFirst: step.Endless,
-		Room: float64(u.waitingTasks()) * (float64(step.Need.CPU)/1000 + coresPerGPU*float64(step.Need.GPU)),
-	}
+	left := p.chainTimes(u.job, likelyRunTime)[u.stepIndex]
+	cores := float64(u.waitingTasks()) * (float64(step.Need.CPU)/1000 + coresPerGPU*float64(step.Need.GPU))
+	w := &prioritizer.Waiting{Since: since, Objective: since, Cost: left.Seconds() * cores, AlwaysFirst: step.Endless}
 	if q := p.rules.Queue(u.job.spec.Queue); q != nil {
 		longest := slices.Max(p.chainTimes(u.job, usualRunTime))
 		w.Objective = since.Add(time.Duration(max(q.Stretch, 1)*float64(longest)) + time.Duration(q.ObjectiveMS)*time.Millisecond)
 	}
+	w.LatestStart = w.Objective.Add(-left)
 	return w
 }
 
--- a/internal/planner/order_test.go
+++ b/internal/planner/order_test.go
@@ -63,3 +63,25 @@
 	c.Assert(next.Restore(r.Job, r.State, parts[:1]), qt.IsNil)
 	c.Check(next.BusyWorkers(), qt.Not(qt.HasLen), 0)
 }
+
+// TestWaitForRackFraction guards against a slowdown that is cut to a whole number: at 1.5
+// times, a task whose data is in a full rack would not wait for that rack at all.
+func TestWaitForRackFraction(t *testing.T) {
+	sim := newSimulation(t, 16)
+	rules, registered := sim.p.Rules(), []yuccapaddle.Worker{}
+	for _, id := range workerIDs(16) {
+		w, _ := sim.p.Worker(id)
+		registered = append(registered, w)
+	}
+	sim.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 1.5, Retention: time.Hour})
+	sim.p.SetTime(sim.now, sim.now)
+	sim.p.Configure(rules)
+	sim.p.SetRegistrations(registered)
+	sim.submit("b-full", queueBatch, yuccapaddle.Step{Count: 64, Need: yuccapaddle.Need{GPU: 1}, Estimate: 2000, DataRack: "r0"})
+	sim.advance(time.Second)
+	sim.submit("b-data", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}, Estimate: 4000, DataRack: "r0"})
+	sim.advance(1500 * time.Millisecond)
+	run, ok := sim.runs[yuccapaddle.TaskID{Job: "b-data"}]
+	sim.c.Assert(ok, qt.IsTrue)
+	sim.c.Check(run.worker < "w08", qt.IsTrue, qt.Commentf("it runs on %s", run.worker))
+}
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -78,7 +78,7 @@
 	if !p.rackCouldHold(u, rack) {
 		return false
 	}
-	wait := time.Duration(u.stepSpec().Estimate) * time.Millisecond * time.Duration(p.limits.RemoteSlowdown-1)
+	wait := time.Duration(float64(u.stepSpec().Estimate) * (p.limits.RemoteSlowdown - 1) * float64(time.Millisecond))
 	until := u.waitingSince.Add(wait)
 	if p.now.Before(until) {
 		p.wakeBy(until)
--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -19,10 +19,11 @@
 type Waiting struct {
 	// Since is when it was accepted, and Objective when its caller expects it to be done.
 	Since, Objective time.Time
-	// Work is the time that its remaining runs likely take one after the other.
-	Work time.Duration
-	// Room is what its runs hold meanwhile, in cores.
-	Room float64
+	// LatestStart is when its remaining runs have to start to be done by the objective, as
+	// far as can be told.
+	LatestStart time.Time
+	// Cost is what these runs take of the cluster, in core-seconds.
+	Cost float64
 	// AlwaysFirst marks tasks that must always be at work, which have no objective.
 	AlwaysFirst bool
 }
@@ -40,7 +41,7 @@
 	switch {
 	case w.AlwaysFirst, now.Sub(w.Since) > maxWaitFactor*w.Objective.Sub(w.Since):
 		return classFirst
-	case now.Add(w.Work).After(w.Objective):
+	case now.After(w.LatestStart):
 		return classLate
 	}
 	return classInTime
@@ -56,19 +57,9 @@
 	case ca != cb:
 		return cmp.Compare(ca, cb)
 	case ca == classInTime:
-		return a.latestStart().Compare(b.latestStart())
+		return a.LatestStart.Compare(b.LatestStart)
 	case ca == classLate:
-		return cmp.Compare(a.cost(), b.cost())
+		return cmp.Compare(a.Cost, b.Cost)
 	}
 	return 0
 }
-
-// latestStart returns when the job has to start to be done by its objective.
-func (w *Waiting) latestStart() time.Time {
-	return w.Objective.Add(-w.Work)
-}
-
-// cost returns what the job takes of the cluster, in core-seconds.
-func (w *Waiting) cost() float64 {
-	return w.Work.Seconds() * w.Room
-}
--- a/internal/prioritizer/prioritizer_test.go
+++ b/internal/prioritizer/prioritizer_test.go
@@ -21,7 +21,7 @@
 // are late too.
 func TestCompare(t *testing.T) {
 	job := func(since, objective, work, room float64) *prioritizer.Waiting {
-		return &prioritizer.Waiting{Since: at(since), Objective: at(objective), Work: time.Duration(work * float64(time.Second)), Room: room}
+		return &prioritizer.Waiting{Since: at(since), Objective: at(objective), LatestStart: at(objective - work), Cost: work * room}
 	}
 	endless := job(9, 9, 0, 1)
 	endless.AlwaysFirst = true
@@ -48,6 +48,7 @@
 // load is a job of a replay; it takes its room for its true time, whatever is expected.
 type load struct {
 	prioritizer.Waiting
+	room    float64
 	runTime time.Duration
 	doneAt  time.Time
 }
@@ -67,15 +68,15 @@
 			if j.doneAt.After(now) {
 				return false
 			}
-			room += j.Room
+			room += j.room
 			return true
 		})
 		slices.SortStableFunc(waiting, func(a, b *load) int { return compare(&a.Waiting, &b.Waiting, now) })
 		waiting = slices.DeleteFunc(waiting, func(j *load) bool {
-			if j.Room > room {
+			if j.room > room {
 				return false
 			}
-			room -= j.Room
+			room -= j.room
 			j.doneAt = now.Add(j.runTime)
 			longest = max(longest, now.Sub(j.Since))
 			if !j.doneAt.After(j.Objective) {
@@ -98,8 +99,10 @@
 		since := from + length*float64(i)/float64(n)
 		run := work * (0.5 + rng.Float64())
 		list = append(list, load{
-			Waiting: prioritizer.Waiting{Since: at(since), Objective: at(since + stretch*work + slack), Work: seconds(1.25 * work), Room: room},
-			runTime: seconds(run),
+			Waiting: prioritizer.Waiting{
+				Since: at(since), Objective: at(since + stretch*work + slack), LatestStart: at(since + (stretch-1.25)*work + slack), Cost: 1.25 * work * room,
+			},
+			room: room, runTime: seconds(run),
 		})
 	}
 	return list
