--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,9 +86,8 @@
 	ctx            context.Context
 	stopErr        error // ends the loop once it is set
 
-	committing         bool      // a commit is in progress
-	commitStartedAt    time.Time // of the commit in progress, or the last one
-	commitEndedAt      time.Time // of the last commit
+	committing         bool // a commit is in progress
+	commitStartedAt    time.Time
 	commitWaiters      []chan struct{}
 	pendingSubmissions []submission
 	held               *holder.Holder[submission] // nil without WithHeldCalls
@@ -312,7 +311,7 @@
 			return fmt.Errorf("commit the job records: %w", err)
 		}
 		e.post(func() {
-			e.committing, e.commitEndedAt = false, e.now
+			e.committing = false
 			e.uncommitted.Commit(mark)
 			e.executeBatch(&b, waiters, ends)
 		})
--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -10,6 +10,7 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/holder"
+	"yuccapaddle/internal/recorder"
 )
 
 const (
@@ -25,9 +26,11 @@
 	// stepBytes is what a step of a held job takes of maxHeldBytes, and a job beside its
 	// steps and texts.
 	stepBytes = 256
-	// outageOdds is how many times the time that a caller has left an outage may have lasted
-	// for its call to be held.
-	outageOdds = 2
+	// maxOutageFactor is how many times the time that a caller has left an outage may have
+	// lasted for its call to be held.
+	maxOutageFactor = 2
+	// keysPerJob is how many keys of the ledger a new job of up to 16 units takes.
+	keysPerJob = 3
 	// lowestUrgency is that of jobs in queues that the rules do not name.
 	lowestUrgency = math.MaxInt
 )
@@ -50,7 +53,13 @@
 // or the outage has lasted for long. It refuses an earlier call for the same job: of the two
 // only this one can be admitted.
 func (e *Executor) holdSubmission(s submission) {
+	if s.state.Load() == submissionWithdrawn {
+		return // its caller has hung up
+	}
 	if !e.hasChance(&s) {
+		if earlier, ok := e.held.Get(s.job.ID); ok && e.held.Withdraw(s.job.ID, earlier) {
+			e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
+		}
 		e.refuseHeld(s, "refused", "the ledger has not answered for long")
 		return
 	}
@@ -93,10 +102,11 @@
 		e.refuseDue()
 		return
 	}
-	commitEnd := e.now.Add(e.nextCommitTime())
-	for _, s := range e.held.TakeAll() {
-		if s.deadline.Add(-refusalMargin).Before(commitEnd) {
-			e.refuseHeld(s, "refused", "the ledger is slow, and the commit would end after the deadline")
+	held := e.held.TakeAll()
+	commitEnd := e.now.Add(e.nextCommitTime(len(held)))
+	for _, s := range held {
+		if !e.known(s.job.ID) && s.deadline.Add(-refusalMargin).Before(commitEnd) {
+			e.refuseHeld(s, "refused", "the commit would end after the deadline")
 			continue
 		}
 		if e.admit(s) {
@@ -107,14 +117,10 @@
 	}
 }
 
-// nextCommitTime returns how long the next commit is expected to take: as long as the last
-// one if the ledger is slow, no time worth noting otherwise. After an outage in which the
-// ledger was silent the last commit says nothing about the next one.
-func (e *Executor) nextCommitTime() time.Duration {
-	if !e.rec.Slow() {
-		return 0
-	}
-	return e.commitEndedAt.Sub(e.commitStartedAt)
+// nextCommitTime returns how long a commit with n new jobs is expected to take, by the
+// ledger's latency: the transactions of a commit follow one another.
+func (e *Executor) nextCommitTime(n int) time.Duration {
+	return e.rec.Latency() * time.Duration(1+n*keysPerJob/recorder.MaxChanges)
 }
 
 // hasChance reports whether a submission may be committed before its deadline: an outage
@@ -124,7 +130,7 @@
 	if e.committing {
 		since = e.commitStartedAt
 	}
-	return s.deadline.Sub(e.now) >= e.now.Sub(since)/outageOdds
+	return s.deadline.Sub(e.now) >= e.now.Sub(since)/maxOutageFactor
 }
 
 // withdrawHeld removes a submission that its caller has taken back.
--- a/internal/executor/shown.go
+++ b/internal/executor/shown.go
@@ -57,13 +57,10 @@
 	if job, ok := e.shownJobs[id]; ok {
 		return job, true
 	}
-	if !e.showsUncommitted() {
-		return committedJob{}, false
-	}
-	report, queue, ok := e.plan.Report(id)
-	if !ok || report.State != yuccapaddle.JobCompleted || !e.uncommitted.Listed(id, e.listsEnds) {
+	if !e.plan.Completed(id) || !e.showsUncommitted() || !e.uncommitted.Listed(id, e.listsEnds) {
 		return committedJob{}, false
 	}
+	report, queue, _ := e.plan.Report(id)
 	job := committedJob{report, queue}
 	e.shownJobs[id] = job
 	e.meter.Count("early_completions", "shown", 1)
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -114,8 +114,8 @@
 	return ok
 }
 
-// admit passes a job to the planner unless it could never run. It returns false if the
-// caller has given up.
+// admit passes a job to the planner, and returns false if it does not: the job could never
+// run, or the caller has given up.
 func (e *Executor) admit(s submission) bool {
 	if !s.state.CompareAndSwap(submissionWaiting, submissionAdmitted) {
 		return false
@@ -132,7 +132,7 @@
 	if reason := e.neverRuns(s.job); reason != "" {
 		e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", reason))
 		s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
-		return true
+		return false
 	}
 	e.plan.Submit(s.job)
 	s.result <- admission{done: e.addCommitWaiter()}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -92,8 +92,17 @@
 	p.workspaceNeeds = nil
 	p.quotas.ReleaseReserved()
 	p.reserveOrphans()
-	unplaceable := map[stepKey]bool{}
+	p.quotaWaits, p.quotaVictims, p.unplaceable = map[stepKey]bool{}, map[string]*quotaVictims{}, map[stepKey]bool{}
 	list := p.waitingUnits()
+	if weights := p.weights(); len(weights) > 0 {
+		p.placeByShare(list, weights)
+		return
+	}
+	p.placeInOrder(list)
+}
+
+// placeInOrder places waiting units one after the other.
+func (p *Planner) placeInOrder(list []*unit) {
 	for i := 0; i < len(list); {
 		u := list[i]
 		n := countSimilar(list[i:])
@@ -105,13 +114,13 @@
 			p.placeSimilar(list[i-n : i])
 			continue
 		}
-		if unplaceable[u.key()] && !u.choosy() {
+		if p.unplaceable[u.key()] && !u.choosy() {
 			continue
 		}
 		if !p.tryPlace(u) {
-			p.reserveClaimed(u)
-			unplaceable[u.key()] = unplaceable[u.key()] || !u.suspect
+			p.unplaceable[u.key()] = p.unplaceable[u.key()] || !u.suspect
 			p.noteWait(u)
+			p.reserveClaimed(u)
 		}
 	}
 }
@@ -133,13 +142,16 @@
 // placeSimilar places as many as it can of the units that countSimilar counted.
 func (p *Planner) placeSimilar(list []*unit) {
 	n := min(len(list), p.quotaFitting(list[0]))
-	workers := p.pickUpTo(list[0], n, p.claimedRoom())
+	var workers []string
+	if n > 0 {
+		workers = p.pickUpTo(list[0], n, p.claimedRoom())
+	}
 	for i, id := range workers {
 		p.assign(list[i], []string{id})
 	}
 	if len(workers) < len(list) {
 		next := list[len(workers)]
-		if !p.keepWithinQuota(next) {
+		if !p.reserveOrPreempt(next) {
 			p.requestAdvice(next)
 		}
 		p.noteWait(next)
@@ -173,8 +185,8 @@
 }
 
 // waitingUnits lists the units that are ready to be placed, by priority with urgent jobs
-// first, then by the share of their workspace if the rules give weights, then by the time
-// when the job was accepted. It updates the jobs' priority.
+// first, then by the cost of a delay if the settings ask for that, then by the time when the
+// job was accepted. It updates the jobs' priority.
 func (p *Planner) waitingUnits() []*unit {
 	var list []*unit
 	for _, j := range p.jobs {
@@ -197,7 +209,7 @@
 		)
 	})
 	p.orderByDelayCost(list)
-	return p.orderByShare(list)
+	return list
 }
 
 // compare orders units by the ID of their task.
@@ -237,7 +249,7 @@
 	if p.mayBeGivenUp(u) {
 		return false
 	}
-	if p.keepWithinQuota(u) {
+	if p.reserveOrPreempt(u) {
 		return false
 	}
 	if u.claim != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -45,6 +45,10 @@
 	urgentDemand       int            // accelerators that urgent jobs hold or wait for
 	demandPeaks        []demandPeak   // within reserveWindow, in falling order of demand
 	quotas             *quotakeeper.QuotaKeeper
+	quotaWaits         map[stepKey]bool         // steps that wait for their quota, for one placement round
+	quotaVictims       map[string]*quotaVictims // by workspace, for one placement round
+	unplaceable        map[stepKey]bool         // steps without room, for one placement round
+	agedAt             time.Time                // when a job last went first for its age, see orderByShare
 	runTimes           *estimator.Estimator
 	evacuator          *evacuator.Evacuator
 	learnedTimes       map[runKind]learnedTime
@@ -128,6 +132,12 @@
 	return true
 }
 
+// Completed reports whether a job is completed, at less cost than Report.
+func (p *Planner) Completed(id string) bool {
+	j := p.jobs[id]
+	return j != nil && j.state == yuccapaddle.JobCompleted
+}
+
 // Report returns a job's state as callers see it, and its queue. ok is false if there
 // is no such job.
 func (p *Planner) Report(id string) (report yuccapaddle.JobReport, queue string, ok bool) {
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -29,21 +29,25 @@
 	}
 }
 
-// keepWithinQuota reports whether the quota of its workspace keeps a unit waiting. If so, what
-// is left of the quota is kept for the waiting tasks of its step, so that narrow units that
-// come later do not keep a wide one waiting for ever, and runs of lower priority in the same
-// workspace are stopped for an urgent one.
-func (p *Planner) keepWithinQuota(u *unit) bool {
+// reserveOrPreempt handles a unit that the quota of its workspace keeps waiting, and reports
+// whether it does. What is left of the quota is kept for the waiting tasks of its step, so
+// that narrow units that come later do not keep a wide one waiting for ever, and runs of
+// lower priority in the same workspace are stopped for an urgent one.
+func (p *Planner) reserveOrPreempt(u *unit) bool {
 	if p.quotaFitting(u) >= u.width() {
 		return false
 	}
 	u.claim = nil
+	if p.quotaWaits[u.key()] {
+		return true // handled for all units of the step
+	}
+	p.quotaWaits[u.key()] = true
 	workspace, need := u.job.spec.Workspace, u.stepSpec().Need
-	n := min(u.waitingTasks(), p.quotas.FittingAlone(workspace, need))
+	n := min(u.waitingTasks(), p.quotas.FittingBeside(workspace, need, p.endlessUse(workspace)))
 	if n < u.width() {
-		return true // the quota has been lowered, so nothing can be kept for it
+		return true // nothing that ends by itself makes room for it
 	}
-	if u.job.priority == 0 {
+	if u.job.priority == 0 && !u.stepSpec().Spare {
 		p.preemptForQuota(u, n)
 	}
 	p.quotas.Reserve(workspace, need.Times(n))
@@ -57,6 +61,22 @@
 	}
 }
 
+// endlessUse returns what the endless tasks of a workspace hold of its quota.
+func (p *Planner) endlessUse(workspace string) yuccapaddle.Need {
+	sum := yuccapaddle.Need{}
+	for _, j := range p.jobs {
+		if j.spec.Workspace != workspace || !j.busy() {
+			continue
+		}
+		for _, u := range j.units {
+			if u.stepSpec().Endless && u.live() {
+				sum = sum.Add(u.quotaNeed())
+			}
+		}
+	}
+	return sum
+}
+
 // waitingTasks returns how many tasks of the unit's step wait: all of a gang, or those of
 // all single units.
 func (u *unit) waitingTasks() int {
@@ -72,49 +92,89 @@
 	return n
 }
 
+// quotaVictims are the runs of a workspace that may be stopped for its urgent units, the
+// cheapest first, and what those that are being stopped hold of its quota.
+type quotaVictims struct {
+	runs     []*unit
+	stopping yuccapaddle.Need
+}
+
 // preemptForQuota stops runs of lower priority in the unit's workspace until n tasks of its
 // step fit into the quota, those first that lose the least work. What is being stopped
-// already counts as stopped. It stops nothing if the unit could not start then.
+// already counts as stopped. It stops nothing if the unit could not start then, for want of
+// quota or of room.
 func (p *Planner) preemptForQuota(u *unit, n int) {
 	workspace, need := u.job.spec.Workspace, u.stepSpec().Need
-	candidates, freed := p.quotaVictims(u)
-	var victims []*unit
-	for _, v := range candidates {
+	victims := p.victimsInQuota(workspace)
+	freed, count := victims.stopping, 0
+	for _, v := range victims.runs {
 		if p.quotas.FittingWithout(workspace, need, freed) >= n {
 			break
 		}
 		freed = freed.Add(v.quotaNeed())
-		victims = append(victims, v)
+		count++
+	}
+	if count == 0 || p.quotas.FittingWithout(workspace, need, freed) < u.width() {
+		return
 	}
-	if p.quotas.FittingWithout(workspace, need, freed) < u.width() {
+	if p.pick(u, p.claimedRoom(), companyTrusted) == nil && p.cheapestSlots(u) == nil {
 		return
 	}
-	for _, v := range victims {
+	for _, v := range victims.runs[:count] {
 		p.stop(v, "its quota is for "+u.job.spec.ID)
 	}
+	victims.runs, victims.stopping = victims.runs[count:], freed
 }
 
-// quotaVictims lists the runs in the unit's workspace that may be stopped for it, the
-// cheapest first, and returns what those that are being stopped hold of the quota.
-func (p *Planner) quotaVictims(u *unit) (victims []*unit, stopping yuccapaddle.Need) {
+// victimsInQuota returns the victims in a workspace, which it looks for once in a round of
+// placement. Runs on a worker that does not answer are none: their stop cannot be sent, and
+// they hold the quota until their leases have ended.
+func (p *Planner) victimsInQuota(workspace string) *quotaVictims {
+	if v := p.quotaVictims[workspace]; v != nil {
+		return v
+	}
+	victims := &quotaVictims{}
+	costs := map[*unit]float64{}
 	for _, j := range p.jobs {
-		if j.spec.Workspace != u.job.spec.Workspace || !j.busy() {
+		if j.spec.Workspace != workspace || !j.busy() {
 			continue
 		}
 		for _, v := range j.units {
 			switch {
-			case !v.live():
+			case !v.live() || p.onSilentWorker(v):
 			case v.stopping:
-				stopping = stopping.Add(v.quotaNeed())
-			case p.priority(j) > u.job.priority && p.mayPreempt(v, u):
-				victims = append(victims, v)
+				victims.stopping = victims.stopping.Add(v.quotaNeed())
+			case p.priority(j) > 0 && (!v.stepSpec().LimitsUnavailable || p.mayDisrupt(v)):
+				victims.runs = append(victims.runs, v)
+				costs[v] = p.lostWork(v)
 			}
 		}
 	}
-	slices.SortFunc(victims, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(p.lostWork(a), p.lostWork(b)), a.compare(b))
-	})
-	return victims, stopping
+	slices.SortFunc(victims.runs, func(a, b *unit) int { return cmp.Or(cmp.Compare(costs[a], costs[b]), a.compare(b)) })
+	p.quotaVictims[workspace] = victims
+	return victims
+}
+
+// onSilentWorker reports whether a member of the unit is on a worker that does not answer.
+func (p *Planner) onSilentWorker(u *unit) bool {
+	for i := range u.members {
+		if m := &u.members[i]; !m.ended && p.worker(m.worker).unresponsive {
+			return true
+		}
+	}
+	return false
+}
+
+// quotaAllows reports whether the start of a run that has been placed keeps its workspace
+// within its quota, which may have been lowered since. A gang of which a start was sent goes
+// on as a whole.
+func (p *Planner) quotaAllows(u *unit) bool {
+	for i := range u.members {
+		if m := &u.members[i]; !m.ended && !m.unsent {
+			return true
+		}
+	}
+	return !p.quotas.Exceeded(u.job.spec.Workspace, u.stepSpec().Need)
 }
 
 // quotaNeed returns what the unit's runs hold of its workspace's quota.
@@ -128,7 +188,7 @@
 	j := newJob(spec)
 	for i := range spec.Steps { // one unit for each step: all of its units need the same
 		u := &unit{job: j, stepIndex: i}
-		if most := p.quotas.FittingAlone(spec.Workspace, u.stepSpec().Need); most < u.width() {
+		if most := p.quotas.FittingBeside(spec.Workspace, u.stepSpec().Need, yuccapaddle.Need{}); most < u.width() {
 			return p.neededQuota(u) + "; its quota allows " + itoa(most) + " such tasks at once"
 		}
 	}
@@ -138,6 +198,9 @@
 // quotaWait says that a unit waits for its workspace's quota and in which resources, "" if
 // it does not.
 func (p *Planner) quotaWait(u *unit) string {
+	if u.claim != nil {
+		return "" // its quota is kept for it
+	}
 	short := p.quotas.Short(u.job.spec.Workspace, u.stepSpec().Need, u.width())
 	if len(short) == 0 {
 		return ""
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -190,6 +190,10 @@
 			p.stop(x.u, "a former host may have started it")
 			continue
 		}
+		if !p.quotaAllows(x.u) {
+			p.stop(x.u, "its workspace's quota has been lowered")
+			continue
+		}
 		if room := x.u.stepSpec().Room(); room.Fits(free) {
 			free = free.Sub(room)
 			p.resendStart(w, x)
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -1,48 +1,105 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"yuccapaddle"
 	"yuccapaddle/internal/sharer"
 )
 
-// shareAgeing is how long the oldest waiting job of a priority waits until it goes before
-// those of workspaces with a smaller share. Only one job at a time does: if all old jobs
-// did, a long queue would be served in the order of acceptance and not by weight.
-const shareAgeing = 30 * time.Second
+const (
+	// shareAgeing is how long a job waits until it may go before those of workspaces with a
+	// smaller share.
+	shareAgeing = 30 * time.Second
+	// ageingInterval is the least time between two jobs that do: if all old jobs did, a long
+	// queue would be served in the order of acceptance and not by weight.
+	ageingInterval = 10 * time.Second
+	// maxAgedJobs is how many of the oldest jobs are tried in a round: some may never get
+	// room.
+	maxAgedJobs = 4
+)
 
-// orderByShare reorders the waiting units of each priority by what their workspaces hold for
-// their weights, if the rules give any workspace a weight. The units of a job stay
-// together.
-func (p *Planner) orderByShare(list []*unit) []*unit {
-	weights := p.weights()
-	if len(weights) == 0 {
-		return list
-	}
+// waitingJobs are the jobs of one workspace that wait for room, each as its waiting units.
+type waitingJobs struct {
+	workspace string
+	jobs      [][]*unit
+}
+
+// placeByShare places the waiting units of each priority: always the next job of the
+// workspace that holds the least for its weight by then. So a job without room takes nothing
+// from its workspace. The units of a job stay together.
+func (p *Planner) placeByShare(list []*unit, weights map[string]int) {
 	total := p.usableCapacity()
-	used := map[string]yuccapaddle.Need{}
-	for i := range p.rules.Workspaces {
-		name := p.rules.Workspaces[i].Name
-		used[name] = p.quotas.Used(name)
-	}
-	ordered := make([]*unit, 0, len(list))
 	for start := 0; start < len(list); {
 		end := start
 		for end < len(list) && list[end].job.priority == list[start].job.priority {
 			end++
 		}
 		jobs := splitByJob(list[start:end])
-		claims := p.shareClaims(jobs)
-		for _, i := range sharer.Order(claims, used, weights, total) {
-			ordered = append(ordered, jobs[i]...)
+		aged := p.placeAged(jobs)
+		p.placeJobs(splitByWorkspace(jobs, aged), weights, total)
+		start = end
+	}
+}
+
+// placeAged places the job that has waited the longest of those that get room, if that is
+// long enough, and returns its index, -1 if there is none.
+func (p *Planner) placeAged(jobs [][]*unit) int {
+	if p.now.Sub(p.agedAt) < ageingInterval {
+		return -1
+	}
+	var aged []int
+	for i, units := range jobs {
+		if p.now.Sub(units[0].waitingSince) >= shareAgeing {
+			aged = append(aged, i)
 		}
-		for i := range claims { // they come before those of lower priority
-			used[claims[i].Workspace] = used[claims[i].Workspace].Add(claims[i].Need)
+	}
+	slices.SortStableFunc(aged, func(a, b int) int { return jobs[a][0].waitingSince.Compare(jobs[b][0].waitingSince) })
+	for _, i := range aged[:min(len(aged), maxAgedJobs)] {
+		p.placeInOrder(jobs[i])
+		if slices.ContainsFunc(jobs[i], func(u *unit) bool { return u.state != unitWaiting }) {
+			p.agedAt = p.now
+			return i
+		}
+	}
+	return -1
+}
+
+// placeJobs places the waiting jobs of one priority.
+func (p *Planner) placeJobs(waiting []waitingJobs, weights map[string]int, total yuccapaddle.Need) {
+	for len(waiting) > 0 {
+		holdings := make([]sharer.Holding, len(waiting))
+		for i := range waiting {
+			holdings[i] = sharer.Holding{Used: p.quotas.Used(waiting[i].workspace), Weight: weights[waiting[i].workspace]}
+		}
+		i := sharer.Least(holdings, total)
+		p.placeInOrder(waiting[i].jobs[0])
+		if waiting[i].jobs = waiting[i].jobs[1:]; len(waiting[i].jobs) == 0 {
+			waiting = slices.Delete(waiting, i, i+1)
 		}
-		start = end
 	}
-	return ordered
+}
+
+// splitByWorkspace groups jobs by their workspaces, in the order of the first job of each. It
+// leaves out the job at an index.
+func splitByWorkspace(jobs [][]*unit, without int) []waitingJobs {
+	var list []waitingJobs
+	index := map[string]int{}
+	for k, units := range jobs {
+		if k == without {
+			continue
+		}
+		workspace := units[0].job.spec.Workspace
+		i, ok := index[workspace]
+		if !ok {
+			i = len(list)
+			index[workspace] = i
+			list = append(list, waitingJobs{workspace: workspace})
+		}
+		list[i].jobs = append(list[i].jobs, units)
+	}
+	return list
 }
 
 // weights returns the weights of the workspaces that have one.
@@ -73,22 +130,6 @@
 	return jobs
 }
 
-// shareClaims returns a claim for each job: what its waiting units need. The jobs are in the
-// order of their acceptance.
-func (p *Planner) shareClaims(jobs [][]*unit) []sharer.Claim {
-	claims := make([]sharer.Claim, len(jobs))
-	for i, units := range jobs {
-		claims[i].Workspace = units[0].job.spec.Workspace
-		for _, u := range units {
-			claims[i].Need = claims[i].Need.Add(u.stepSpec().Need.Times(u.width()))
-		}
-	}
-	if len(jobs) > 0 && p.now.Sub(jobs[0][0].waitingSince) > shareAgeing {
-		claims[0].Aged = true
-	}
-	return claims
-}
-
 // usableCapacity returns the capacity of all workers that may get new runs.
 func (p *Planner) usableCapacity() yuccapaddle.Need {
 	total := yuccapaddle.Need{}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -277,14 +277,14 @@
 
 // Startable reports whether a start may still be sent: the worker is usable and is not that
 // of a suspect alone, the run has not ended or been stopped since the start was ordered, and
-// it keeps within the capacities that are known now.
+// it keeps within the capacities and the quota that are known now.
 func (p *Planner) Startable(st *yuccapaddle.RunStart) bool {
 	w := p.workers[st.Worker]
 	if w == nil || !p.usable(w) {
 		return false
 	}
 	x, ok := w.runs[st.Task]
-	return ok && x.u.run == st.Run && !x.u.stopping && (x.u.suspect || !p.aloneThere(w)) && p.fitsCapacity(w, x)
+	return ok && x.u.run == st.Run && !x.u.stopping && (x.u.suspect || !p.aloneThere(w)) && p.fitsCapacity(w, x) && p.quotaAllows(x.u)
 }
 
 // aloneThere reports whether a suspect was placed on a worker because nothing else ran
--- a/internal/quotakeeper/quotakeeper.go
+++ b/internal/quotakeeper/quotakeeper.go
@@ -74,10 +74,21 @@
 	return k.fitting(workspace, n, k.used[workspace].Add(k.reserved[workspace]).Sub(freed))
 }
 
-// FittingAlone returns how many such tasks the workspace may have running if nothing else
-// of it does.
-func (k *QuotaKeeper) FittingAlone(workspace string, n yuccapaddle.Need) int {
-	return k.fitting(workspace, n, yuccapaddle.Need{})
+// FittingBeside returns how many such tasks the workspace may have running if nothing else
+// of it does but runs that hold taken.
+func (k *QuotaKeeper) FittingBeside(workspace string, n, taken yuccapaddle.Need) int {
+	return k.fitting(workspace, n, taken)
+}
+
+// Exceeded reports whether the runs of the workspace hold more than its quota of a resource
+// that n contains.
+func (k *QuotaKeeper) Exceeded(workspace string, n yuccapaddle.Need) bool {
+	quota, used := k.quotas[workspace], k.used[workspace]
+	return exceeded(quota.CPU, used.CPU, n.CPU) || exceeded(quota.Memory, used.Memory, n.Memory) || exceeded(quota.GPU, used.GPU, n.GPU)
+}
+
+func exceeded(limit, used, each int) bool {
+	return limit > 0 && each > 0 && used > limit
 }
 
 func (k *QuotaKeeper) fitting(workspace string, n, taken yuccapaddle.Need) int {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -27,9 +27,9 @@
 	jobPrefix   = "yp/job/"
 	statePrefix = "yp/run/"
 	partPrefix  = "yp/part/"
-	// maxChanges is the most keys that one commit changes. The ledger takes 32 entries
+	// MaxChanges is the most keys that one commit changes. The ledger takes 32 entries
 	// per transaction, of which the head key needs two: a condition and a change.
-	maxChanges = 30
+	MaxChanges = 30
 )
 
 // Timeout of one call to the ledger, and bounds of the backoff between attempts.
@@ -75,13 +75,14 @@
 	ledger yuccapaddle.Ledger
 	epoch  uint64
 	// mu is held during a transaction. It guards the fields below.
-	mu       sync.Mutex
-	head     head   // as last seen in the ledger
-	revision uint64 // of the head
-	count    uint64 // of the latest transaction, whether it was applied or not
-	attempts *attempter.Attempter
-	loaded   map[string][]yuccapaddle.Entry // lists of records that Load has read, by prefix
-	slow     atomic.Bool                    // see Slow
+	mu             sync.Mutex
+	head           head   // as last seen in the ledger
+	revision       uint64 // of the head
+	count          uint64 // of the latest transaction, whether it was applied or not
+	attempts       *attempter.Attempter
+	loaded         map[string][]yuccapaddle.Entry // lists of records that Load has read, by prefix
+	lastAnswerTook time.Duration
+	latency        atomic.Int64 // see Latency, in nanoseconds
 }
 
 // Claim makes this host the writer of the records, and sets the lock in the same
@@ -137,10 +138,10 @@
 	return h.Address, h.Epoch, nil
 }
 
-// Slow reports whether the last answer of the ledger to a commit took long. After an outage
-// in which it was silent it is not slow.
-func (r *Recorder) Slow() bool {
-	return r.slow.Load()
+// Latency returns how long a transaction takes, as far as its answers tell: the shorter of
+// the last two, since the one that was under way when an outage ended took as long as that.
+func (r *Recorder) Latency() time.Duration {
+	return time.Duration(r.latency.Load())
 }
 
 // Epoch returns the epoch of this writer.
@@ -227,7 +228,7 @@
 	for len(groups) > 0 || len(remove) > 0 {
 		var t yuccapaddle.Transaction
 		t.Set, groups = pack(groups)
-		n := min(len(remove), maxChanges-len(t.Set))
+		n := min(len(remove), MaxChanges-len(t.Set))
 		t.Remove, remove = remove[:n], remove[n:]
 		if err := r.commitUntilKnown(ctx, t); err != nil {
 			return err
@@ -241,7 +242,7 @@
 // that fails between two transactions leaves complete records.
 func pack(groups [][]yuccapaddle.Change) (set []yuccapaddle.Change, rest [][]yuccapaddle.Change) {
 	for len(groups) > 0 {
-		room := maxChanges - len(set)
+		room := MaxChanges - len(set)
 		switch g := groups[0]; {
 		case len(g) <= room:
 			set, groups = append(set, g...), groups[1:]
@@ -314,7 +315,9 @@
 	answered := !errors.Is(err, yuccapaddle.ErrUnknown)
 	r.attempts.Note(answered, time.Since(start))
 	if answered {
-		r.slow.Store(time.Since(start) > shortCallTimeout)
+		took := time.Since(start)
+		r.latency.Store(int64(min(took, r.lastAnswerTook)))
+		r.lastAnswerTook = took
 	}
 	if err == nil {
 		r.head, r.revision = next, rev
