--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -159,9 +159,8 @@
 }
 
 // callTimes sends a request to each server in turn, up to attempts times, until one
-// responds. A call without a response may have taken effect and is
-// repeated nevertheless: every call of this program is idempotent, as submissions
-// and changes carry an id.
+// responds. A call without a response may have taken effect and is repeated nevertheless:
+// every call of this program is idempotent, as submissions and changes carry an id.
 func (c *Commander) callTimes(attempts int, method, path string, body, reply any) error {
 	if len(c.servers) == 0 {
 		return exitErrorf(codeUsage, "no server is given: use --server IP:port or set %s", serverEnv)
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -37,7 +37,7 @@
 	return site, err
 }
 
-// checkSite is loadSite and returns, beside the site, the warnings on the files.
+// checkSite is like loadSite and also returns the warnings on the files.
 func (f settingsFiles) checkSite() (*yuccapaddle.Site, []finding.Finding, error) {
 	if *f.base == "" {
 		return nil, nil, exitErrorf(codeUsage, "a base settings file is needed: use --base")
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -13,10 +13,11 @@
 	// endMargin is what a run's estimated end has to be ahead of its worker's leaving, for the
 	// end to be listed in time.
 	endMargin = 300 * time.Millisecond
-	// slack divides the estimated rest of a run to give its margin of uncertainty, 1/8.
+	// slack is the divisor of the estimated rest of a run that gives its margin of
+	// uncertainty, 1/8.
 	slack = 8
-	// minPercent is the progress from which a run's speed can be told: percentages are whole
-	// numbers, so that 5 of them are known to within a fifth.
+	// minPercent is the progress from which the speed of a run is estimated: percentages are
+	// whole numbers, so that 5 of them are known to within a fifth.
 	minPercent = 5
 )
 
@@ -92,10 +93,10 @@
 // A run whose stop saves its work, or that has no end, is stopped at once if it cannot end
 // in time and there is room for it elsewhere, and otherwise as late as is safe, since it
 // gets on where it is. A run that would lose its work is stopped only at once, and only if
-// it certainly cannot end in time, has done no more than it could still do, and its stop
-// frees room on workers that stay or lets it start again: a worker may stay longer than
-// the least time that it tells, which saves the run if it is kept and is worth more the
-// more the run has done.
+// it certainly cannot end in time, has run no longer than the time left, and its stop frees
+// room on workers that stay or lets it start again: the worker may stay longer than the
+// minimum time that it reports, so the run might still end if it is kept, which is worth
+// more the more the run has done.
 func (e *Evacuator) Decide(now time.Time, r *Run) Action {
 	leavesAt := r.LeavesAt()
 	if leavesAt.IsZero() {
--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -26,13 +26,13 @@
 	// stepBytes is what a step of a held job takes of maxHeldBytes, and a job beside its
 	// steps and texts.
 	stepBytes = 256
-	// maxOutageFactor is how many times the time that a caller has left an outage may have
+	// maxOutageRatio is how many times the time that a caller has left an outage may have
 	// lasted for its call to be held.
-	maxOutageFactor = 2
+	maxOutageRatio = 2
 	// keysPerJob is how many keys of the ledger a new job of up to 16 units takes.
 	keysPerJob = 3
-	// lowestUrgency is that of jobs in queues that the rules do not name.
-	lowestUrgency = math.MaxInt
+	// lowestPriority is that of jobs in queues that the rules do not name.
+	lowestPriority = math.MaxInt
 )
 
 // heldMetric counts what became of submissions that were held, by outcome.
@@ -56,14 +56,14 @@
 	if s.state.Load() == submissionWithdrawn {
 		return // its caller has hung up
 	}
-	if !e.hasChance(&s) {
+	if !e.mayCommitInTime(&s) {
 		if earlier, ok := e.held.Get(s.job.ID); ok && e.held.Withdraw(s.job.ID, earlier) {
 			e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
 		}
 		e.refuseHeld(s, "refused", "the ledger has not answered for long")
 		return
 	}
-	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.urgency(s.job.Queue), heldBytes(s.job), e.now)
+	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.queuePriority(s.job.Queue), heldBytes(s.job), e.now)
 	for _, earlier := range replaced {
 		e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
 	}
@@ -123,14 +123,14 @@
 	return e.rec.Latency() * time.Duration(1+n*keysPerJob/recorder.MaxChanges)
 }
 
-// hasChance reports whether a submission may be committed before its deadline: an outage
+// mayCommitInTime reports whether a submission may be committed before its deadline: an outage
 // that has lasted for some time will likely last about as long again.
-func (e *Executor) hasChance(s *submission) bool {
+func (e *Executor) mayCommitInTime(s *submission) bool {
 	since := e.startedAt
 	if e.committing {
 		since = e.commitStartedAt
 	}
-	return s.deadline.Sub(e.now) >= e.now.Sub(since)/maxOutageFactor
+	return s.deadline.Sub(e.now) >= e.now.Sub(since)/maxOutageRatio
 }
 
 // withdrawHeld removes a submission that its caller has taken back.
@@ -163,19 +163,19 @@
 		if r.Job == nil {
 			return -1
 		}
-		return e.urgency(r.Queue)
+		return e.queuePriority(r.Queue)
 	}
 	slices.SortStableFunc(b.Records, func(x, y yuccapaddle.JobRecord) int { return cmp.Compare(rank(&x), rank(&y)) })
 }
 
-// urgency returns the priority of a queue, 0 for the most urgent ones.
-func (e *Executor) urgency(queue string) int {
+// queuePriority returns the priority of a queue, 0 for the most urgent ones.
+func (e *Executor) queuePriority(queue string) int {
 	if rules := e.rules.Current(); rules != nil {
 		if q := rules.Queue(queue); q != nil {
 			return q.Priority
 		}
 	}
-	return lowestUrgency
+	return lowestPriority
 }
 
 // heldBytes returns about how much memory a job takes.
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -82,15 +82,15 @@
 }
 
 // jobStatus is the status of a job as it may be reported. final is closed once a final
-// state may be; it is nil if there is nothing to wait for.
+// state may be reported; it is nil if there is nothing to wait for.
 type jobStatus struct {
 	yuccapaddle.JobReport
 	found bool
 	final chan struct{}
 }
 
-// lookUp returns the status of a job as it may be reported, and registers a watcher for its final
-// state if that is still to come. A job without a commit yet is shown as queued.
+// lookUp returns the status of a job as it may be reported, and registers a watcher for its
+// final state if that is still to come. A job without a commit yet is shown as queued.
 func (e *Executor) lookUp(id, queue string, until time.Time) jobStatus {
 	job, ok := e.committedJobs[id]
 	if !ok {
--- a/internal/executor/look.go
+++ b/internal/executor/look.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// lookSlack is how much later than a look is due the reply to a pending hold may be and
-// still replace the look.
+// lookSlack is how long after a look is due the reply to a pending hold may arrive for the
+// look to be omitted.
 const lookSlack = 50 * time.Millisecond
 
 // holdWait returns how long a worker may delay its reply to a hold, in milliseconds: until
--- a/internal/executor/shown.go
+++ b/internal/executor/shown.go
@@ -47,6 +47,8 @@
 	return e.showsCompletions && e.committing && !e.now.Before(e.showCompletedAt()) && e.roleConfirmed()
 }
 
+// showCompletedAt returns when completed jobs may be reported before the commit in progress
+// ends.
 func (e *Executor) showCompletedAt() time.Time {
 	return e.commitStartedAt.Add(showCompletedAfter)
 }
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -142,7 +142,7 @@
 // neverRuns returns why a job could never run, "" if it can: its workspace's quota does not
 // allow it, or it is strict and no workers could hold it.
 func (e *Executor) neverRuns(j *yuccapaddle.Job) string {
-	if reason := e.plan.Unallowable(j); reason != "" || !j.Strict {
+	if reason := e.plan.InfeasibleByQuota(j); reason != "" || !j.Strict {
 		return reason
 	}
 	return e.plan.Infeasible(j)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -20,7 +20,7 @@
 type call[T comparable] struct {
 	value    T
 	deadline time.Time
-	urgency  int
+	priority int
 	bytes    int
 }
 
@@ -32,8 +32,8 @@
 
 // Add adds a call, and reports whether it is held: there is room for it, and it is not due.
 // An earlier call with the same ID is removed in either case, and returned in replaced.
-// The lowest urgency comes first.
-func (h *Holder[T]) Add(id string, value T, deadline time.Time, urgency, bytes int, now time.Time) (replaced []T, held bool) {
+// A lower priority number is more urgent.
+func (h *Holder[T]) Add(id string, value T, deadline time.Time, priority, bytes int, now time.Time) (replaced []T, held bool) {
 	if c, ok := h.calls[id]; ok {
 		replaced = append(replaced, c.value)
 		h.remove(id)
@@ -41,7 +41,7 @@
 	if !now.Before(deadline.Add(-h.margin)) || len(h.calls) >= h.maxCalls || h.bytes+bytes > h.maxBytes {
 		return replaced, false
 	}
-	h.calls[id] = call[T]{value, deadline, urgency, bytes}
+	h.calls[id] = call[T]{value, deadline, priority, bytes}
 	h.bytes += bytes
 	return replaced, true
 }
@@ -91,14 +91,14 @@
 }
 
 // TakeAll removes and returns all calls, the most urgent ones first, and of the same
-// urgency those with the earliest deadline.
+// priority those with the earliest deadline.
 func (h *Holder[T]) TakeAll() []T {
 	list := make([]call[T], 0, len(h.calls))
 	for _, c := range h.calls {
 		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b call[T]) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), a.deadline.Compare(b.deadline))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.deadline.Compare(b.deadline))
 	})
 	values := make([]T, len(list))
 	for i := range list {
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -20,16 +20,16 @@
 }
 
 // TestOrder checks that all calls are taken at once, urgent ones first, and of the same
-// urgency in the order of their deadlines.
+// priority in the order of their deadlines.
 func TestOrder(t *testing.T) {
 	c := qt.New(t)
 	h := holder.New[string](10, 1000, margin)
 	for _, x := range []struct {
 		id       string
 		deadline int
-		urgency  int
+		priority int
 	}{{"late", 3000, 2}, {"early", 2000, 2}, {"urgent", 3000, 0}, {"urgent early", 2500, 0}} {
-		_, held := h.Add(x.id, x.id, at(x.deadline), x.urgency, 1, start)
+		_, held := h.Add(x.id, x.id, at(x.deadline), x.priority, 1, start)
 		c.Check(held, qt.IsTrue)
 	}
 	c.Check(h.TakeAll(), qt.DeepEquals, []string{"urgent early", "urgent", "early", "late"})
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -44,8 +44,8 @@
 }
 
 // Check merges the files and returns the problems that Load reports, as errors, and
-// warnings: entries without an effect and limits that contradict each
-// other. The settings and the error are those of Load.
+// warnings: entries without an effect and limits that contradict each other. The settings
+// and the error are those of Load.
 func Check(base string, overlays ...string) (*Settings, []finding.Finding, error) {
 	m, err := mergeFiles(append([]string{base}, overlays...))
 	if err != nil {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -85,12 +85,12 @@
 	progressAt    time.Time // latest progress, placement or answered order
 	firstPercent  int       // the progress that this host has seen first, at firstAt
 	firstAt       time.Time
-	resends       int                     // of its start
-	reported      bool                    // a poll has listed it as running
-	pace          int                     // percentage of full speed at which it may work
-	adopted       bool                    // placed by a former host, and not reported to this one yet
-	unsent        bool                    // its start has not been sent, by a former host neither
-	stall         *stalldetector.Detector // nil if its progress is not watched
+	resends       int                          // of its start
+	reported      bool                         // a poll has listed it as running
+	pace          int                          // percentage of full speed at which it may work
+	adopted       bool                         // placed by a former host, and not reported to this one yet
+	unsent        bool                         // its start has not been sent, by a former host neither
+	stall         *stalldetector.StallDetector // nil if its progress is not watched
 }
 
 func newJob(spec *yuccapaddle.Job) *job {
--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 
@@ -93,7 +92,7 @@
 		}
 	}
 	list := make([]leavingRun, 0, len(units))
-	for u := range maps.Keys(units) {
+	for u := range units {
 		list = append(list, leavingRun{u, p.evacuatorRun(u)})
 	}
 	slices.SortFunc(list, func(a, b leavingRun) int {
--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -182,9 +182,9 @@
 	return u.stepSpec().Need.Times(u.liveMembers())
 }
 
-// Unallowable returns why the quota of its workspace never lets a job run, "" if it does: a
+// InfeasibleByQuota returns why the quota of its workspace never lets a job run, "" if it does: a
 // gang, or a single task, needs more than the whole quota.
-func (p *Planner) Unallowable(spec *yuccapaddle.Job) string {
+func (p *Planner) InfeasibleByQuota(spec *yuccapaddle.Job) string {
 	j := newJob(spec)
 	for i := range spec.Steps { // one unit for each step: all of its units need the same
 		u := &unit{job: j, stepIndex: i}
--- a/internal/planner/quota_test.go
+++ b/internal/planner/quota_test.go
@@ -212,7 +212,7 @@
 func TestNeverAllowed(t *testing.T) {
 	q := newQuotaCluster(t, 8, yuccapaddle.WorkspaceGrant{Name: "ws", Quota: yuccapaddle.Need{CPU: 80000}}, yuccapaddle.WorkspaceGrant{Name: "free"})
 	reason := func(workspace string, s yuccapaddle.Step) string {
-		return q.p.Unallowable(&yuccapaddle.Job{ID: "x", Queue: queueBatch, Workspace: workspace, Steps: []yuccapaddle.Step{s}})
+		return q.p.InfeasibleByQuota(&yuccapaddle.Job{ID: "x", Queue: queueBatch, Workspace: workspace, Steps: []yuccapaddle.Step{s}})
 	}
 	q.c.Check(reason("ws", wideGang), qt.Equals,
 		"for the quota of workspace ws: 12 tasks of 8000 cpu, 16000 MB, 1 gpu; its quota allows 10 such tasks at once")
--- a/internal/planner/stall.go
+++ b/internal/planner/stall.go
@@ -13,7 +13,7 @@
 // taken decides how long it may make no progress.
 
 const (
-	// stallQuantile is that of the run times which the patience is taken from. Runs of
+	// stallQuantile is that of the run times which the stall timeout is derived from. Runs of
 	// which the worker stood still for a while are among them, and a higher quantile would
 	// often be one of these.
 	stallQuantile = 0.9
@@ -174,7 +174,7 @@
 		case !x.u.placedAt.After(w.stalledAt):
 			opts = append(opts, stalldetector.WithSuspectWorker())
 		case p.priority(x.u.job) != 0:
-			opts = append(opts, stalldetector.WithFullPatience())
+			opts = append(opts, stalldetector.WithLongestTimeout())
 		}
 	}
 	if !m.stall.StandsStill(opts...) {
@@ -190,7 +190,7 @@
 	return p.now.Before(w.stalledUntil) && !w.latestProgress(nil).After(w.stalledAt)
 }
 
-// latestProgress returns when a run on the worker, of another unit than u, was last seen to
+// latestProgress returns when a run on the worker, of a unit other than u, was last seen to
 // make progress, the zero time if none was.
 func (w *worker) latestProgress(u *unit) time.Time {
 	var latest time.Time
--- a/internal/recorder/commit.go
+++ b/internal/recorder/commit.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// maxCuts is how many attempts at one commit end early because the ledger answers
-	// again. A slow ledger that answers reads only now and then must not have all attempts
-	// ended so.
-	maxCuts = 2
-	// maxCutTransfer is the longest transfer time of a commit whose attempts end early: one
-	// that fills a slow link keeps reads from being answered until it is sent.
-	maxCutTransfer = 50 * time.Millisecond
+	// maxInterruptions is how many attempts at one commit may be ended early because the
+	// ledger answers again. Without a bound, a slow ledger that answers some reads would have
+	// every attempt ended.
+	maxInterruptions = 2
+	// maxInterruptibleTransfer is the longest transfer time of a commit whose attempts may be
+	// ended early: a larger one fills a slow link, so that reads are not answered until it is
+	// sent.
+	maxInterruptibleTransfer = 50 * time.Millisecond
 	// minReadInterval is the least time between two reads of a ledger that refuses them.
 	minReadInterval = 50 * time.Millisecond
 )
@@ -30,17 +31,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.count++
-	backoff, transfer, cuts := minBackoff, transferTime(&t), 0
+	backoff, transfer, interruptions := minBackoff, transferTime(&t), 0
 	for n := 0; ; n++ {
 		start := time.Now()
-		cut, err := false, error(nil)
-		if n >= 2 && cuts < maxCuts && transfer <= maxCutTransfer {
-			cut, err = r.attemptUntilReturn(ctx, t, r.timeout(n, transfer))
+		interrupted, err := false, error(nil)
+		if n >= 2 && interruptions < maxInterruptions && transfer <= maxInterruptibleTransfer {
+			interrupted, err = r.attemptUntilReturn(ctx, t, r.timeout(n, transfer))
 		} else {
 			err = r.attempt(ctx, t, r.timeout(n, transfer))
 		}
-		if cut {
-			cuts++
+		if interrupted {
+			interruptions++
 		}
 		answers := false
 		if errors.Is(err, yuccapaddle.ErrUnknown) {
@@ -55,7 +56,7 @@
 		if errors.Is(err, errEarlierCommit) {
 			continue
 		}
-		if answers && (cut || time.Since(start) >= shortCallTimeout) {
+		if answers && (interrupted || time.Since(start) >= shortCallTimeout) {
 			backoff = minBackoff // the ledger is back
 		}
 		if sleeper.SleepJittered(ctx, backoff) != nil {
@@ -88,12 +89,12 @@
 // attemptUntilReturn is attempt, but ends the attempt early if the ledger has been silent
 // since its beginning and answers a read: an attempt that was sent to a silent ledger most
 // likely is lost. Without that a full attempt delays the next one by up to callTimeout.
-func (r *Recorder) attemptUntilReturn(ctx context.Context, t yuccapaddle.Transaction, timeout time.Duration) (cut bool, err error) {
+func (r *Recorder) attemptUntilReturn(ctx context.Context, t yuccapaddle.Transaction, timeout time.Duration) (interrupted bool, err error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g errgroup.Group
 	g.Go(func() error {
-		if cut = r.waitForReturn(callCtx); cut {
+		if interrupted = r.waitForReturn(callCtx); interrupted {
 			cancel()
 		}
 		return nil
@@ -101,7 +102,7 @@
 	err = r.attempt(callCtx, t, timeout)
 	cancel()
 	_ = g.Wait() // its function returns no error
-	return cut, err
+	return interrupted, err
 }
 
 // waitForReturn reads from the ledger until it answers, and reports whether it was silent
--- a/internal/recorder/silence_test.go
+++ b/internal/recorder/silence_test.go
@@ -111,9 +111,9 @@
 	return l.Bookkeeper.Commit(ctx, t)
 }
 
-// TestSlowCommitsNotCut checks that the attempts at a commit that takes long are not all
+// TestSlowCommitsNotInterrupted checks that the attempts at a commit that takes long are not all
 // ended early by reads that are answered in the course of each, and none at a large commit.
-func TestSlowCommitsNotCut(t *testing.T) {
+func TestSlowCommitsNotInterrupted(t *testing.T) {
 	for _, test := range []struct {
 		bytes int
 		most  time.Duration
--- a/internal/router/extend.go
+++ b/internal/router/extend.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// livenessInterval is the time between two looks at whether the host that carries out a
-// call is still the active one.
+// livenessInterval is the time between two checks whether the host that carries out a call
+// is still the active one.
 const livenessInterval = 60 * time.Millisecond
 
 // extend returns a context for a call to the active host that lasts for the time first, and
@@ -17,8 +17,8 @@
 	return ctx, cancel
 }
 
-// cancelUnlessAlive cancels the context at a look at which alive returns false. The first
-// look is after the given time, and there is none once the context has ended.
+// cancelUnlessAlive cancels the context once a check with alive returns false. The first
+// check is after the given time, and there is none once the context has ended.
 func cancelUnlessAlive(ctx context.Context, cancel context.CancelFunc, after time.Duration, alive func() bool) {
 	time.AfterFunc(after, func() {
 		switch {
--- a/internal/rulefetcher/rulefetcher.go
+++ b/internal/rulefetcher/rulefetcher.go
@@ -70,8 +70,8 @@
 // Option changes a call of Fetch.
 type Option func(*version)
 
-// WithReadAt tells that a host has read rules with the digest at a revision of the store.
-// If these are the rules that are fetched, they count as read at that revision.
+// WithReadAt sets a revision of the store at which a host has read rules with the digest. If
+// the fetched rules have that digest, they count as read at that revision.
 func WithReadAt(revision, digest uint64) Option {
 	return func(v *version) { *v = version{revision, digest} }
 }
--- a/internal/rulekeeper/rulekeeper.go
+++ b/internal/rulekeeper/rulekeeper.go
@@ -68,8 +68,8 @@
 	applyWithinMS int64                                   // in milliseconds
 }
 
-// errLowerVersion rejects rules that were read later than those in force and have a lower
-// version.
+// errLowerVersion is the error for rules that were read later than those in force and have
+// a lower version.
 var errLowerVersion = errors.New("the rules have a lower version than those in force")
 
 // snapshot is one version of the rules, with the bytes that it was decoded from.
--- a/internal/stalldetector/stalldetector.go
+++ b/internal/stalldetector/stalldetector.go
@@ -5,34 +5,36 @@
 import "time"
 
 const (
-	// plentyShare is the share of the learned run time after which a sound run has made
-	// plenty of progress. The reports count whole percents, so a run that takes twelve
-	// times as long still shows some.
+	// plentyShare is the share of the learned run time that a run may spend without progress.
+	// The reports count whole percents, so a run that takes twelve times as long still shows
+	// progress within it.
 	plentyShare = 0.12
-	// minPatience is the least time without progress. It is longer than a pause of 0.5 s,
+	// minTimeout is the least time without progress. It is longer than a pause of 0.5 s,
 	// after which a run goes on by itself.
-	minPatience = 750 * time.Millisecond
-	// maxPatience is the longest time without progress. It is shorter than the fixed
+	minTimeout = 750 * time.Millisecond
+	// maxTimeout is the longest time without progress. It is shorter than the fixed
 	// threshold of 3.5 s for runs about which nothing is learned, so that a report decides
 	// about the run before, and not the lack of one.
-	maxPatience = 3200 * time.Millisecond
-	// suspectFraction of the patience is enough on a worker where another run stands still.
+	maxTimeout = 3200 * time.Millisecond
+	// suspectFraction is the factor on the timeout on a worker where another run stands
+	// still.
 	suspectFraction = 0.5
-	// percentFactor is for how many percents, each at the average pace of the run so far,
-	// a report without progress is expected.
+	// percentFactor is the lower limit of the timeout, as a multiple of the average time that
+	// the run has taken for one percent so far.
 	percentFactor = 6
-	// confirmFraction of the patience lies at least between the first and the last report
-	// without progress, so that there are two.
+	// confirmFraction is the minimum time between the first and the last report without
+	// progress, as a share of the timeout. It requires at least two reports.
 	confirmFraction = 1.0 / 3
 	// minStanding is how many runs of a step have to stand still elsewhere, while none
 	// moves, for the cause to lie in the step.
 	minStanding = 2
-	unknown     = -1
+	// unknown is the percentage of a resumed run before its first report.
+	unknown = -1
 )
 
-// Detector judges one run. Its reports are those of the run's worker, in the order of
+// StallDetector judges one run. Its reports are those of the run's worker, in the order of
 // their arrival. It is not safe for concurrent use.
-type Detector struct {
+type StallDetector struct {
 	progressAt  time.Time // time without progress counts from here
 	progressed  bool      // progress has been seen
 	percent     int       // the highest reported, unknown before the first report of a resumed run
@@ -43,20 +45,20 @@
 	lastAt      time.Time // of these
 }
 
-// New returns a Detector of a run that has started at 0 percent.
-func New(startedAt time.Time) *Detector {
-	return &Detector{progressAt: startedAt, baseAt: startedAt}
+// New returns a StallDetector for a run that has started at 0 percent.
+func New(startedAt time.Time) *StallDetector {
+	return &StallDetector{progressAt: startedAt, baseAt: startedAt}
 }
 
-// NewResumed returns a Detector of a run that goes on at an unknown percentage, and makes
+// NewResumed returns a StallDetector for a run that goes on at an unknown percentage, and makes
 // no progress before readyAt.
-func NewResumed(readyAt time.Time) *Detector {
-	return &Detector{progressAt: readyAt, percent: unknown, basePercent: unknown}
+func NewResumed(readyAt time.Time) *StallDetector {
+	return &StallDetector{progressAt: readyAt, percent: unknown, basePercent: unknown}
 }
 
 // Observe records a report. One with a lower percentage than an earlier report has been
 // overtaken by it and proves nothing.
-func (d *Detector) Observe(percent int, at time.Time) {
+func (d *StallDetector) Observe(percent int, at time.Time) {
 	switch {
 	case d.percent == unknown:
 		d.percent, d.basePercent, d.baseAt = percent, percent, at
@@ -81,7 +83,7 @@
 }
 
 // Progress returns when the latest progress was seen, the zero time if none was.
-func (d *Detector) Progress() time.Time {
+func (d *StallDetector) Progress() time.Time {
 	if !d.progressed {
 		return time.Time{}
 	}
@@ -89,7 +91,7 @@
 }
 
 // Reports returns the number of reports without progress since the latest progress.
-func (d *Detector) Reports() int {
+func (d *StallDetector) Reports() int {
 	return d.reports
 }
 
@@ -99,7 +101,7 @@
 type circumstances struct {
 	runTime          time.Duration
 	suspectWorker    bool
-	fullPatience     bool
+	longestTimeout   bool
 	besideProgressAt time.Time
 	stepStanding     int
 	stepProgressAt   time.Time
@@ -117,9 +119,9 @@
 	return func(c *circumstances) { c.suspectWorker = true }
 }
 
-// WithFullPatience gives the run the longest time.
-func WithFullPatience() Option {
-	return func(c *circumstances) { c.fullPatience = true }
+// WithLongestTimeout sets the timeout to the longest one, whatever the learned run time.
+func WithLongestTimeout() Option {
+	return func(c *circumstances) { c.longestTimeout = true }
 }
 
 // WithProgressBeside sets when another run on the same worker was last seen to make
@@ -136,42 +138,42 @@
 
 // StandsStill reports whether the run stands still: at least two reports, apart from each
 // other, show no progress over a time in which it should have made plenty.
-func (d *Detector) StandsStill(opts ...Option) bool {
+func (d *StallDetector) StandsStill(opts ...Option) bool {
 	c := collect(opts)
-	patience := d.patience(c)
+	timeout := d.timeout(c)
 	return c.runTime > 0 && d.percent < 100 && d.reports > 0 &&
-		d.lastAt.Sub(d.progressAt) >= patience && d.lastAt.Sub(d.firstAt) >= confirmTime(patience)
+		d.lastAt.Sub(d.progressAt) >= timeout && d.lastAt.Sub(d.firstAt) >= confirmTime(timeout)
 }
 
 // Overdue reports whether the latest report shows no progress although it should, so that
 // another report is worth a call: a sound run has made some progress in a third of the
 // time after which it would stand still.
-func (d *Detector) Overdue(opts ...Option) bool {
-	patience := d.patience(collect(opts))
-	return d.percent < 100 && d.reports > 0 && d.lastAt.Sub(d.progressAt) >= confirmTime(patience)
+func (d *StallDetector) Overdue(opts ...Option) bool {
+	timeout := d.timeout(collect(opts))
+	return d.percent < 100 && d.reports > 0 && d.lastAt.Sub(d.progressAt) >= confirmTime(timeout)
 }
 
 // NextReport returns when the next report decides something about the run, the zero time
 // if there is no such time. A run that has not been reported without progress needs none
 // if it should end before, or if nothing is learned about it.
-func (d *Detector) NextReport(opts ...Option) time.Time {
+func (d *StallDetector) NextReport(opts ...Option) time.Time {
 	c := collect(opts)
-	patience := d.patience(c)
+	timeout := d.timeout(c)
 	if d.percent >= 100 {
 		return time.Time{}
 	}
-	confirm := confirmTime(patience)
+	confirm := confirmTime(timeout)
 	if d.reports > 0 {
-		return later(d.progressAt.Add(patience), d.lastAt.Add(confirm))
+		return later(d.progressAt.Add(timeout), d.lastAt.Add(confirm))
 	}
-	if left := time.Duration(float64(c.runTime) * float64(100-max(d.percent, 0)) / 100); left < patience-confirm {
+	if left := time.Duration(float64(c.runTime) * float64(100-max(d.percent, 0)) / 100); left < timeout-confirm {
 		return time.Time{}
 	}
-	return d.progressAt.Add(patience - confirm)
+	return d.progressAt.Add(timeout - confirm)
 }
 
-func confirmTime(patience time.Duration) time.Duration {
-	return time.Duration(confirmFraction * float64(patience))
+func confirmTime(timeout time.Duration) time.Duration {
+	return time.Duration(confirmFraction * float64(timeout))
 }
 
 func collect(opts []Option) *circumstances {
@@ -182,23 +184,23 @@
 	return c
 }
 
-// patience returns the time without progress after which the run stands still, or after
-// which a report is due if nothing is learned about it.
-func (d *Detector) patience(c *circumstances) time.Duration {
-	if c.runTime <= 0 || c.fullPatience || d.slowByItself(c) {
-		return maxPatience
+// timeout returns the time without progress after which the run counts as standing still, or
+// after which a report is due if there is no learned run time.
+func (d *StallDetector) timeout(c *circumstances) time.Duration {
+	if c.runTime <= 0 || c.longestTimeout || d.slowByItself(c) {
+		return maxTimeout
 	}
-	patience := max(time.Duration(plentyShare*float64(c.runTime)), minPatience)
+	timeout := max(time.Duration(plentyShare*float64(c.runTime)), minTimeout)
 	if c.suspectWorker {
-		patience = time.Duration(suspectFraction * float64(patience))
+		timeout = time.Duration(suspectFraction * float64(timeout))
 	}
-	return min(max(patience, percentFactor*d.percentTime()), maxPatience)
+	return min(max(timeout, percentFactor*d.percentTime()), maxTimeout)
 }
 
 // slowByItself reports whether the worker is not the cause: another run there has made
 // progress since this one was first reported without any, or no run of the step makes
 // progress anywhere, so that all of them may wait for something.
-func (d *Detector) slowByItself(c *circumstances) bool {
+func (d *StallDetector) slowByItself(c *circumstances) bool {
 	if d.reports == 0 {
 		return false
 	}
@@ -210,7 +212,7 @@
 
 // percentTime returns the time that the run has taken for one percent so far, 0 if it is
 // not known.
-func (d *Detector) percentTime() time.Duration {
+func (d *StallDetector) percentTime() time.Duration {
 	if made := d.percent - d.basePercent; made > 0 {
 		return d.progressAt.Sub(d.baseAt) / time.Duration(made)
 	}
--- a/rules.go
+++ b/rules.go
@@ -33,8 +33,7 @@
 }
 
 // WorkspaceGrant is a workspace in the operators' rules: its API keys, and the
-// number of accelerators that are guaranteed to its urgent jobs. Weight is its share
-// of a saturated cluster, and Quota caps what it may have running; 0 sets no limit.
+// number of accelerators that are guaranteed to its urgent jobs.
 type WorkspaceGrant struct {
 	Name       string
 	Keys       []string
