planner: a run declared as much longer than its queue's is not taken for a stalled one

Cause: before its first percent an urgent run of over 75 s in a queue of 2.5 s stood still by what was learned, and was started 36 times in a minute. Change: an estimate of more than 16 times the learned run time gives the longest time. Open: such a run that is not declared.

--- a/internal/planner/stall.go
+++ b/internal/planner/stall.go
@@ -22,6 +22,9 @@
 	learnedTimeAge = time.Second
 	// minLookGap is the least time from a reply to the next look at the worker.
 	minLookGap = 125 * time.Millisecond
+	// maxEstimateRatio is how many times the learned run time a caller's estimate may be for
+	// the learned one to count. Up to that a run shows its first percent in time.
+	maxEstimateRatio = 16
 	// maxStalls is how many stalls on a worker are told apart when workers are chosen.
 	maxStalls = 3
 )
@@ -169,13 +172,14 @@
 func (p *Planner) circumstances(w *worker, x assignment) []stalldetector.Option {
 	m := &x.u.members[x.member]
 	opts := []stalldetector.Option{stalldetector.WithRunTime(p.learnedRunTime(x.u))}
-	if p.stalledThere(w) {
-		switch {
-		case !x.u.placedAt.After(w.stalledAt):
-			opts = append(opts, stalldetector.WithSuspectWorker())
-		case p.priority(x.u.job) != 0:
-			opts = append(opts, stalldetector.WithLongestTimeout())
-		}
+	switch {
+	case p.muchLonger(x.u):
+		opts = append(opts, stalldetector.WithLongestTimeout())
+	case !p.stalledThere(w):
+	case !x.u.placedAt.After(w.stalledAt):
+		opts = append(opts, stalldetector.WithSuspectWorker())
+	case p.priority(x.u.job) != 0:
+		opts = append(opts, stalldetector.WithLongestTimeout())
 	}
 	if !m.stall.StandsStill(opts...) {
 		return opts
@@ -184,6 +188,15 @@
 	return append(opts, stalldetector.WithProgressBeside(w.latestProgress(x.u)), stalldetector.WithStep(standing, progressAt))
 }
 
+// muchLonger reports whether the caller expects a run that takes much longer than its queue
+// usually does. Before its first percent it would be taken for one that stands still, stopped
+// and started elsewhere without end. A caller that overstates gains nothing by it.
+func (p *Planner) muchLonger(u *unit) bool {
+	estimate := time.Duration(u.stepSpec().Estimate) * time.Millisecond
+	learned := p.learnedRunTime(u)
+	return learned > 0 && estimate > maxEstimateRatio*learned
+}
+
 // stalledThere reports whether a run was found standing still on the worker of late, and none
 // there has made progress since.
 func (p *Planner) stalledThere(w *worker) bool {
