review: a completed wave is done again after a failover and blocks its workers

The maintainer keeps the progress of waves in memory. A host that takes over drains the workers of completed waves again, for up to 0.8 of the wave's time, so that accepted jobs that need them are not started.

The cases are put in the order of their gravity: the renamed route is review/4 now.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 # review/build.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/yuccapaddled ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand cancel review/4
+exec target/review-stand rename review/4
--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -51,12 +51,15 @@
 
 type host struct {
 	name, callers, ready, peers string
+	settings                    string
+	out                         *os.File
 	cmd                         *exec.Cmd
 }
 
 // slot is a machine and the worker on it.
 type slot struct {
 	machine, address, zone, rack string
+	kind                         string
 	lives                        int
 	id                           string
 	cmd                          *exec.Cmd
@@ -108,7 +111,10 @@
 func (b *bed) start() error {
 	for i := range workerCount {
 		s := &slot{
-			machine: fmt.Sprintf("machine-%02d", i), address: freeAddress(0), zone: fmt.Sprintf("zone-%d", 1+i/perRack), rack: fmt.Sprintf("rack-%d", 1+i/perRack), state: "up",
+			machine: fmt.Sprintf("machine-%02d", i), address: freeAddress(0), zone: fmt.Sprintf("zone-%d", 1+i/perRack), rack: fmt.Sprintf("rack-%d", 1+i/perRack), kind: "a", state: "up",
+		}
+		if i%perRack == 0 && i > 0 {
+			s.kind = "b"
 		}
 		b.slots = append(b.slots, s)
 		if err := b.startWorker(s); err != nil {
@@ -143,18 +149,20 @@
 }
 
 // The ports of hosts and workers are drawn from below those that the system gives to
-// connections.
+// connections. Each process has a range of its own, so that two cases seldom meet.
 const (
-	firstPort = 20000
-	portRange = 10000
+	firstPort  = 20000
+	portRange  = 100
+	portRanges = 100
 )
 
 var usedPorts = map[int]bool{}
 
 // freeAddress returns a loopback address of which the port and the further next ones are free.
 func freeAddress(further int) string {
+	base := firstPort + os.Getpid()%portRanges*portRange
 	for {
-		port := firstPort + rand.IntN(portRange)
+		port := base + rand.IntN(portRange)
 		if isFree(port, further) {
 			for i := range further + 1 {
 				usedPorts[port+i] = true
@@ -204,14 +212,37 @@
 	if err != nil {
 		return err
 	}
+	h.settings, h.out = path, out
+	b.hosts = append(b.hosts, h)
+	return h.start()
+}
+
+// start starts a process of the host.
+func (h *host) start() error {
 	h.cmd = exec.Command("target/yuccapaddled", "platform")
-	h.cmd.Env = []string{"YUCCAPADDLE_CONFIG=" + path, "PATH=" + os.Getenv("PATH")}
-	h.cmd.Stdout, h.cmd.Stderr = out, out
+	h.cmd.Env = []string{"YUCCAPADDLE_CONFIG=" + h.settings, "PATH=" + os.Getenv("PATH")}
+	h.cmd.Stdout, h.cmd.Stderr = h.out, h.out
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	b.hosts = append(b.hosts, h)
 	return h.cmd.Start()
 }
 
+// restartDelay is how long after its end the platform starts a process again.
+const restartDelay = time.Second
+
+// kill kills the process of a host, and starts the next one, as the platform does.
+func (b *bed) kill(h *host) {
+	b.note("trouble: %s is killed, and started again %s later", h.name, restartDelay)
+	_ = h.cmd.Process.Kill()
+	_ = h.cmd.Wait()
+	time.AfterFunc(restartDelay, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if !b.closed {
+			_ = h.start()
+		}
+	})
+}
+
 // startWorker starts the next life of the worker on a machine.
 func (b *bed) startWorker(s *slot) error {
 	self, err := os.Executable()
@@ -220,7 +251,7 @@
 	}
 	s.lives++
 	s.id = fmt.Sprintf("%s-life-%d", s.machine, s.lives)
-	cmd := exec.Command(self, "worker", s.id, s.address, b.storeAt, s.zone, s.rack, s.machine)
+	cmd := exec.Command(self, "worker", s.id, s.address, b.storeAt, s.zone, s.rack, s.machine, s.kind)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
 	if err != nil {
@@ -353,7 +384,7 @@
 
 // submit hands a job in until it is accepted.
 func (b *bed) submit(path string, body any) error {
-	for i := range 10 {
+	for i := range 12 {
 		if status, _ := b.call(i%hostCount, http.MethodPost, path, body, deadlineMS*time.Millisecond); status == http.StatusOK {
 			return nil
 		}
@@ -442,7 +473,7 @@
 		list := []map[string]any{}
 		for _, s := range b.slots {
 			row := map[string]any{
-				"machine": s.machine, "pool": "sleeves", "state": s.state, "zone": s.zone, "labels": []string{"a", s.rack},
+				"machine": s.machine, "pool": "sleeves", "state": s.state, "zone": s.zone, "labels": []string{s.kind, s.rack},
 				"capacity": map[string]int{"cpu": 64000, "mem-mb": 262144, "gpu": 8},
 			}
 			if s.state == "up" {
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -247,12 +247,7 @@
 // staleCancel freezes the active host. A job is accepted at another one, and its consumer's
 // cancelling reaches the frozen host, which answers it when it wakes.
 func staleCancel(b *bed, trouble bool) (string, error) {
-	active := -1
-	for i, h := range b.hosts {
-		if string(b.store.get("yp/lock")) == h.peers {
-			active = i
-		}
-	}
+	active := b.active()
 	if active < 0 {
 		return "", errors.New("no host is active")
 	}
@@ -288,3 +283,111 @@
 	}
 	return "", nil
 }
+
+const (
+	// finish is finish_s, and idle the 3 s for which a job may have nothing running.
+	finish = 14 * time.Second
+	idle   = 3 * time.Second
+	// oneRack is the rack of the first machines.
+	oneRack = "rack-1"
+)
+
+// waveAgain kills the active host some time after a wave of maintenance is completed, and
+// hands in a job that needs the rack of the wave.
+func waveAgain(b *bed, trouble bool) (string, error) {
+	var machines []string
+	for _, s := range b.slots {
+		if s.rack == oneRack {
+			machines = append(machines, s.machine)
+		}
+	}
+	data, _ := json.Marshal(map[string]any{"wave": 7, "machines": machines, "duration-s": 90.0, "max-count": len(machines)})
+	b.store.put("op/wave/7", data)
+	b.note("operator: wave 7 of %s, 90 s, max-count %d", strings.Join(machines, ", "), len(machines))
+	until := time.Now().Add(30 * time.Second)
+	for !strings.Contains(string(b.store.get("status/wave/7")), "completed") {
+		if time.Now().After(until) {
+			return "", errors.New("the wave is not completed")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	b.note("the wave is completed")
+	lasting := newID()
+	tasks := step{"count": len(machines), "cpu": 4000, "mem-mb": 1024, "gpu": 1, "est-runtime-ms": 1000, "long-running": true, "max-per-server": 1, "required-label": oneRack}
+	if err := b.submit("/proofs/"+lasting, jobBody("0", tasks)); err != nil {
+		return "", err
+	}
+	if len(b.waitEvents(len(machines), 15*time.Second, starts(lasting))) < len(machines) {
+		return "", errors.New("the tasks that last were not started")
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		b.kill(b.hosts[max(b.active(), 0)]) // the active host
+	}
+	time.Sleep(5 * time.Second) // contact-ms is 3,000
+	job := newID()
+	s := oneTask()
+	s["required-label"] = oneRack
+	if err := b.submit("/proofs/"+job, jobBody("2000", s)); err != nil {
+		return "", err
+	}
+	b.waitEvents(1, finish+idle, starts(job))
+	if len(b.find(starts(job))) > 0 {
+		return "", nil
+	}
+	found := fmt.Sprintf("LOST: job %s has had nothing running for %s since it was accepted, and its rack has room for 56 such tasks; the wave is shown as %s",
+		job, finish+idle, b.store.get("status/wave/7"))
+	b.waitEvents(1, 25*time.Second, starts(job))
+	b.note("25 s later the job has been started: %t", len(b.find(starts(job))) > 0)
+	return found, nil
+}
+
+// active returns the index of the active host, -1 if there is none.
+func (b *bed) active() int {
+	for i, h := range b.hosts {
+		if string(b.store.get("yp/lock")) == h.peers {
+			return i
+		}
+	}
+	return -1
+}
+
+// afterRun is how long after its last run a task that lasts may have none, before idle counts.
+const afterRun = 6 * time.Second
+
+// lastingTask runs a task that lasts, of a kind of worker of which there are two, and that
+// fails in its first two runs.
+func lastingTask(b *bed, trouble bool) (string, error) {
+	job := newID()
+	s := step{"count": 1, "cpu": 8000, "mem-mb": 1024, "gpu": 1, "est-runtime-ms": 1000, "long-running": true, "required-label": "b"}
+	spec := "0"
+	if trouble {
+		spec = "4000 twice"
+	}
+	if err := b.submit("/proofs/"+job, jobBody(spec, s)); err != nil {
+		return "", err
+	}
+	if len(b.waitEvents(1, 10*time.Second, starts(job))) == 0 {
+		return "", errors.New("the task was not started")
+	}
+	if !trouble {
+		time.Sleep(15 * time.Second)
+		if !b.running(job) {
+			return "", errors.New("the task does not last")
+		}
+		return "", nil
+	}
+	if len(b.waitEvents(2, 30*time.Second, failures(job))) < 2 {
+		return "", errors.New("the task has not failed twice")
+	}
+	failed := b.find(failures(job))
+	again := b.waitEvents(3, 40*time.Second, starts(job))
+	gap := time.Since(failed[1].at)
+	if len(again) > 2 {
+		gap = again[2].at.Sub(failed[1].at)
+	}
+	if gap > afterRun+idle {
+		return fmt.Sprintf("LOST: a task that lasts has had no run for %.1f s after its last one, and two workers that may run it had nothing to do", gap.Seconds()), nil
+	}
+	return "", nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,7 +24,7 @@
 // cases are the scripts by name. Each returns what it has found, "" if the rule held.
 // trouble is false for the run without the disruption.
 var cases = map[string]func(b *bed, trouble bool) (string, error){
-	"crash": crashes, "rename": rename, "stale": staleCancel, "cancel": cancelPending, "budget": budget, "upkeep": upkeepWave,
+	"crash": crashes, "rename": rename, "stale": staleCancel, "cancel": cancelPending, "budget": budget, "wave": waveAgain, "lasting": lastingTask, "upkeep": upkeepWave,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -46,12 +46,12 @@
 	percent int
 }
 
-// runWorker runs a worker: ID ADDRESS STORE ZONE RACK MACHINE.
+// runWorker runs a worker: ID ADDRESS STORE ZONE RACK MACHINE KIND.
 func runWorker(args []string) error {
 	w := &worker{id: args[0], started: time.Now(), runs: map[string]*run{}, highest: map[string]int{}}
 	w.reg = map[string]any{
 		"service": "sleeves", "address": args[1], "zone": args[3], "version": "v1", "slots": 8, "state": "ready", "warmup-left-ms": 0,
-		"capacity": map[string]int{"cpu": 64000, "mem-mb": 262144, "gpu": 8}, "labels": []string{"a", args[4]},
+		"capacity": map[string]int{"cpu": 64000, "mem-mb": 262144, "gpu": 8}, "labels": []string{args[6], args[4]},
 		"machine": args[5], "born": w.started.UnixMilli(),
 	}
 	go w.checkIn("http://" + args[2] + "/check-in/" + w.id)
@@ -204,11 +204,14 @@
 		return "old"
 	}
 	// The spec is the run time in milliseconds, 0 for a task that lasts, and "fail" after it
-	// for one that fails.
+	// for one that fails, or "twice" for one that lasts but fails in its first two runs.
 	ms, fails, _ := strings.Cut(o.Spec, " ")
 	n, _ := strconv.Atoi(ms)
+	if fails == "twice" && o.Run > 2 {
+		n = 0
+	}
 	w.highest[o.Task] = o.Run
-	w.runs[o.Task] = &run{number: o.Run, at: time.Now(), lasts: time.Duration(n) * time.Millisecond, fails: fails == "fail", percent: 100}
+	w.runs[o.Task] = &run{number: o.Run, at: time.Now(), lasts: time.Duration(n) * time.Millisecond, fails: fails != "", percent: 100}
 	w.report("start", o.Task, o.Run, "-")
 	return ""
 }
