review: the stand-in waits for the processes that it ends

Workers that were killed at the end of a script were left to be collected by the system. stop now waits for all of them.

--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -46,6 +46,7 @@
 	events   []event
 	upkeeps  []upkeep
 	closed   bool
+	workers  sync.WaitGroup // the readers of the workers' events
 	versions int
 }
 
@@ -249,6 +250,12 @@
 	if err != nil {
 		return err
 	}
+	b.mu.Lock()
+	closed := b.closed
+	b.mu.Unlock()
+	if closed {
+		return nil
+	}
 	s.lives++
 	s.id = fmt.Sprintf("%s-life-%d", s.machine, s.lives)
 	cmd := exec.Command(self, "worker", s.id, s.address, b.storeAt, s.zone, s.rack, s.machine, s.kind)
@@ -262,7 +269,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	go b.readEvents(cmd, out)
+	b.workers.Go(func() { b.readEvents(cmd, out) })
 	return nil
 }
 
@@ -293,22 +300,24 @@
 	}
 }
 
-// stop ends all processes that were started.
+// stop ends all processes that were started, and waits for them.
 func (b *bed) stop() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.closed = true
-	for _, h := range b.hosts {
+	hosts, slots := b.hosts, b.slots
+	b.mu.Unlock()
+	for _, h := range hosts {
 		if h.cmd != nil && h.cmd.Process != nil {
 			_ = h.cmd.Process.Kill()
 			_ = h.cmd.Wait()
 		}
 	}
-	for _, s := range b.slots {
+	for _, s := range slots {
 		if s.cmd != nil && s.cmd.Process != nil {
 			_ = s.cmd.Process.Kill()
 		}
 	}
+	b.workers.Wait()
 	b.record.Close()
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(b.dir)
