--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"yuccapaddle"
 )
 
@@ -15,8 +17,13 @@
 	found := false
 	err := e.runAndCommit(ctx, func() {
 		e.cancelHeld(id, queue)
-		if _, q, ok := e.plan.Report(id); ok && (queue == "" || q == queue) {
+		_, q, ok := e.plan.Report(id)
+		switch {
+		case !ok:
+		case queue == "" || q == queue:
 			found = e.plan.Cancel(id)
+		default:
+			e.noteHidden(id, q, queue, "cancel")
 		}
 	})
 	return err == nil && found, err // after an error the loop may still write found
@@ -104,6 +111,9 @@
 		}
 	}
 	status := jobStatus{JobReport: job.JobReport, found: ok && (queue == "" || job.queue == queue)}
+	if ok && !status.found {
+		e.noteHidden(id, job.queue, queue, "show")
+	}
 	if status.found && !job.State.Final() && time.Now().Before(until) {
 		status.final = make(chan struct{})
 		e.watchers[id] = append(e.watchers[id], status.final)
@@ -111,6 +121,14 @@
 	return status
 }
 
+// noteHidden logs and counts a call that is told that a job does not exist, although it does,
+// since the call came through another queue.
+func (e *Executor) noteHidden(id, jobQueue, callQueue, call string) {
+	e.meter.Count("hidden_jobs", call, 1)
+	e.log.Info("hidden from the caller", zap.String("job", id), zap.String("call", call),
+		zap.String("job_queue", jobQueue), zap.String("call_queue", callQueue), zap.Int64("rules", e.plan.Rules().Version))
+}
+
 // removeWatcher removes a watcher of a job, if it is still registered.
 func (e *Executor) removeWatcher(id string, final chan struct{}) {
 	list := slices.DeleteFunc(e.watchers[id], func(c chan struct{}) bool { return c == final })
