executor, jobhandler: callers find their jobs after a queue is renamed or moved

Cause: a job keeps the name of its queue from when it was accepted, a call brought the name of the queue that matches now, and a job of another name counted as unknown. The name stood for where a caller asks and for who it is. Change: a job's record keeps authority, prefix and the digest of the API key; a call carries the same to the active host; Caller.MaySee decides by workspace and by name or address of the queue. An active host with older rules than the caller's host has the call repeated.

--- a/batch.go
+++ b/batch.go
@@ -101,7 +101,7 @@
 	Parts map[int][]byte
 	// PartCount is the number of parts that the job can have.
 	PartCount int
-	// Queue and Report are the job's queue and state as callers see them.
-	Queue  string
+	// Spec is the job as it was submitted, and Report its state as callers see it.
+	Spec   *Job
 	Report JobReport
 }
--- a/internal/converter/converter.go
+++ b/internal/converter/converter.go
@@ -88,6 +88,25 @@
 	return time.UnixMilli(ms).UTC()
 }
 
+// JobKey returns the message for a caller's call about a job.
+func JobKey(id string, c *yuccapaddle.Caller) *peer.JobKey {
+	data, _ := json.Marshal(c) // there is nothing in it that could fail
+	return &peer.JobKey{Id: id, Queue: c.Queue, Caller: data}
+}
+
+// Caller returns the caller in a message. A host of an earlier version names only the queue.
+// It returns an error if the caller cannot be decoded.
+func Caller(m *peer.JobKey) (yuccapaddle.Caller, error) {
+	c := yuccapaddle.Caller{Queue: m.GetQueue()}
+	if len(m.GetCaller()) == 0 {
+		return c, nil
+	}
+	if err := json.Unmarshal(m.GetCaller(), &c); err != nil {
+		return c, fmt.Errorf("decode the caller: %w", err)
+	}
+	return c, nil
+}
+
 // JobAnswer returns the message for a job's report; found tells whether the job
 // exists.
 func JobAnswer(r yuccapaddle.JobReport, found bool) *peer.JobAnswer {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -109,7 +109,7 @@
 // committedJob is the committed status of a job, as callers see it.
 type committedJob struct {
 	yuccapaddle.JobReport
-	queue string
+	spec *yuccapaddle.Job
 }
 
 // Option changes an executor under construction.
@@ -236,10 +236,7 @@
 // advance applies changed rules, admits pending submissions, plans and commits, and
 // renews the workers' leases.
 func (e *Executor) advance() {
-	if r := e.rules.Current(); r != nil && r.Digest != e.rulesDigest {
-		e.rulesDigest = r.Digest
-		e.plan.Configure(r)
-	}
+	e.applyRules()
 	e.admitPending()
 	if !e.committing {
 		if e.mayPlace() {
@@ -253,6 +250,14 @@
 	e.reportUsage()
 }
 
+// applyRules gives the planner the rules in force if they have changed.
+func (e *Executor) applyRules() {
+	if r := e.rules.Current(); r != nil && r.Digest != e.rulesDigest {
+		e.rulesDigest = r.Digest
+		e.plan.Configure(r)
+	}
+}
+
 // mayPlace reports whether tasks may be placed: the registrations and the rules are
 // fresh enough, and the role is confirmed, so that no other host is placing tasks.
 func (e *Executor) mayPlace() bool {
@@ -323,7 +328,7 @@
 // ends holds the last run end of each worker that the commit covers.
 func (e *Executor) executeBatch(b *yuccapaddle.Batch, waiters []chan struct{}, ends []appliedEnd) {
 	for _, r := range b.Records {
-		e.committedJobs[r.ID] = committedJob{r.Report, r.Queue}
+		e.committedJobs[r.ID] = committedJob{r.Report, r.Spec}
 		if r.Report.State.Final() {
 			delete(e.shownJobs, r.ID)
 			e.notifyWatchers(r.ID)
--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -142,11 +142,11 @@
 }
 
 // cancelHeld refuses a held submission whose job is canceled.
-func (e *Executor) cancelHeld(id, queue string) {
+func (e *Executor) cancelHeld(id string, c *yuccapaddle.Caller) {
 	if e.held == nil {
 		return
 	}
-	if s, ok := e.held.Get(id); ok && (queue == "" || s.job.Queue == queue) && e.held.Withdraw(id, s) {
+	if s, ok := e.held.Get(id); ok && c.MaySee(s.job, e.plan.Rules()) && e.held.Withdraw(id, s) {
 		e.refuseHeld(s, "canceled", "the job was canceled while its submission was held")
 	}
 }
@@ -163,7 +163,7 @@
 		if r.Job == nil {
 			return -1
 		}
-		return e.queuePriority(r.Queue)
+		return e.queuePriority(r.Spec.Queue)
 	}
 	slices.SortStableFunc(b.Records, func(x, y yuccapaddle.JobRecord) int { return cmp.Compare(rank(&x), rank(&y)) })
 }
--- a/internal/executor/held_test.go
+++ b/internal/executor/held_test.go
@@ -64,7 +64,7 @@
 
 // known reports whether the active host knows the job.
 func (r *rig) known(id string) bool {
-	_, found, err := r.exec.Show(r.t.Context(), id, "", time.Time{})
+	_, found, err := r.exec.Show(r.t.Context(), id, yuccapaddle.Caller{}, time.Time{})
 	r.c.Assert(err, qt.IsNil)
 	return found
 }
@@ -237,7 +237,7 @@
 		time.Sleep(time.Second)
 		exec := r.exec
 		r.group.Go(func() error {
-			found, err := exec.Cancel(r.t.Context(), "1", "batch")
+			found, err := exec.Cancel(r.t.Context(), "1", yuccapaddle.Caller{Queue: "batch"})
 			r.c.Check(err, qt.IsNil)
 			r.c.Check(found, qt.IsFalse)
 			return nil
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -10,23 +10,52 @@
 	"yuccapaddle"
 )
 
-// Cancel cancels a job and returns once the cancellation is committed. It reports
-// whether there is such a job; an empty queue stands for any. Errors match
-// ErrNotAccepted or ErrUnknown.
-func (e *Executor) Cancel(ctx context.Context, id, queue string) (bool, error) {
-	found := false
+// Cancel cancels a job and returns once the cancellation is committed. It reports whether
+// there is such a job that the caller may see. Errors match ErrNotAccepted or ErrUnknown.
+func (e *Executor) Cancel(ctx context.Context, id string, c yuccapaddle.Caller) (bool, error) {
+	var found visibility
 	err := e.runAndCommit(ctx, func() {
-		e.cancelHeld(id, queue)
-		_, q, ok := e.plan.Report(id)
-		switch {
-		case !ok:
-		case queue == "" || q == queue:
-			found = e.plan.Cancel(id)
-		default:
-			e.noteHidden(id, q, queue, "cancel")
+		e.cancelHeld(id, &c)
+		if found = e.visibilityOf(e.plan.Spec(id), &c, "cancel"); found == visible {
+			e.plan.Cancel(id)
 		}
 	})
-	return err == nil && found, err // after an error the loop may still write found
+	switch {
+	case err != nil: // the loop may still write found
+		return false, err
+	case found == unsettled:
+		return false, yuccapaddle.ErrNotAccepted
+	}
+	return found == visible, nil
+}
+
+// visibility says whether a caller may see a job.
+type visibility int
+
+const (
+	hidden visibility = iota // as a job that does not exist
+	visible
+	// unsettled means that the caller was identified by later rules than this host has.
+	unsettled
+)
+
+// visibilityOf returns whether a caller may see a job, which is nil if there is none. It logs
+// and counts the calls to which an existing job is hidden.
+func (e *Executor) visibilityOf(j *yuccapaddle.Job, c *yuccapaddle.Caller, call string) visibility {
+	rules := e.plan.Rules()
+	switch {
+	case j == nil:
+		return hidden
+	case c.MaySee(j, rules):
+		return visible
+	case c.Version > rules.Version:
+		return unsettled
+	}
+	e.meter.Count("hidden_jobs", call, 1)
+	e.log.Info("hidden from the caller", zap.String("job", j.ID), zap.String("call", call),
+		zap.String("job_queue", j.Queue), zap.String("call_queue", c.Queue),
+		zap.Bool("same_workspace", c.Workspace == j.Workspace), zap.Int64("rules", rules.Version))
+	return hidden
 }
 
 // runAndCommit calls f on the loop and waits until its effects are committed. Errors
@@ -66,15 +95,17 @@
 	return zero, yuccapaddle.ErrUnknown
 }
 
-// Show returns the committed status of a job, and whether there is such a job. With
-// WithCompletionsShown a completion may be shown before its commit. It waits for a final
-// state until the given time. An empty queue stands for any. Errors match
-// ErrNotAccepted or ErrUnknown.
-func (e *Executor) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
+// Show returns the committed status of a job, and whether there is such a job that the caller
+// may see. With WithCompletionsShown a completion may be shown before its commit. It waits for a final
+// state until the given time. Errors match ErrNotAccepted or ErrUnknown.
+func (e *Executor) Show(ctx context.Context, id string, c yuccapaddle.Caller, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	for {
-		status, err := runOnLoop(ctx, e, func() jobStatus { return e.lookUp(id, queue, until) })
+		status, err := runOnLoop(ctx, e, func() jobStatus { return e.lookUp(id, &c, until) })
+		if err == nil && status.found == unsettled {
+			err = yuccapaddle.ErrNotAccepted
+		}
 		if err != nil || status.final == nil {
-			return status.JobReport, status.found, err
+			return status.JobReport, status.found == visible, err
 		}
 		timer := time.NewTimer(time.Until(until))
 		select {
@@ -92,43 +123,30 @@
 // state may be reported; it is nil if there is nothing to wait for.
 type jobStatus struct {
 	yuccapaddle.JobReport
-	found bool
+	found visibility
 	final chan struct{}
 }
 
 // lookUp returns the status of a job as it may be reported, and registers a watcher for its
 // final state if that is still to come. A job without a commit yet is shown as queued.
-func (e *Executor) lookUp(id, queue string, until time.Time) jobStatus {
+func (e *Executor) lookUp(id string, c *yuccapaddle.Caller, until time.Time) jobStatus {
 	job, ok := e.committedJobs[id]
 	if !ok {
-		var q string
-		_, q, ok = e.plan.Report(id)
-		job = committedJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, q}
+		job = committedJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, e.plan.Spec(id)}
 	}
 	if !job.State.Final() {
 		if completed, shown := e.completedJob(id); shown {
 			job = completed
 		}
 	}
-	status := jobStatus{JobReport: job.JobReport, found: ok && (queue == "" || job.queue == queue)}
-	if ok && !status.found {
-		e.noteHidden(id, job.queue, queue, "show")
-	}
-	if status.found && !job.State.Final() && time.Now().Before(until) {
+	status := jobStatus{JobReport: job.JobReport, found: e.visibilityOf(job.spec, c, "show")}
+	if status.found == visible && !job.State.Final() && time.Now().Before(until) {
 		status.final = make(chan struct{})
 		e.watchers[id] = append(e.watchers[id], status.final)
 	}
 	return status
 }
 
-// noteHidden logs and counts a call that is told that a job does not exist, although it does,
-// since the call came through another queue.
-func (e *Executor) noteHidden(id, jobQueue, callQueue, call string) {
-	e.meter.Count("hidden_jobs", call, 1)
-	e.log.Info("hidden from the caller", zap.String("job", id), zap.String("call", call),
-		zap.String("job_queue", jobQueue), zap.String("call_queue", callQueue), zap.Int64("rules", e.plan.Rules().Version))
-}
-
 // removeWatcher removes a watcher of a job, if it is still registered.
 func (e *Executor) removeWatcher(id string, final chan struct{}) {
 	list := slices.DeleteFunc(e.watchers[id], func(c chan struct{}) bool { return c == final })
--- a/internal/executor/known_test.go
+++ b/internal/executor/known_test.go
@@ -63,7 +63,7 @@
 			r.c.Assert(submissions.Wait(), qt.IsNil)
 			r.takeOver()
 			for i, id := range ids {
-				_, found, err := r.exec.Show(t.Context(), id, "batch", time.Time{})
+				_, found, err := r.exec.Show(t.Context(), id, yuccapaddle.Caller{Queue: "batch"}, time.Time{})
 				r.c.Assert(err, qt.IsNil)
 				r.c.Check(found && errors.Is(errs[i], yuccapaddle.ErrNotAccepted), qt.IsFalse, qt.Commentf("job %s is known, and was answered: %v", id, errs[i]))
 			}
--- a/internal/executor/lease_test.go
+++ b/internal/executor/lease_test.go
@@ -156,7 +156,7 @@
 			if st, err := r.exec.Status(ctx); err != nil {
 				r.c.Check(st, qt.IsNil)
 			}
-			if found, err := r.exec.Cancel(ctx, "none", ""); err != nil {
+			if found, err := r.exec.Cancel(ctx, "none", yuccapaddle.Caller{}); err != nil {
 				r.c.Check(found, qt.IsFalse)
 			}
 		}
--- a/internal/executor/load.go
+++ b/internal/executor/load.go
@@ -43,6 +43,7 @@
 		case records := <-results:
 			e.readClock()
 			e.restore(records)
+			e.applyRules()   // calls are judged by them before the loop begins
 			e.handleEvents() // the registrations, before any submission
 			e.restored.Store(true)
 			return nil
@@ -100,7 +101,7 @@
 		n++
 	}
 	for _, r := range e.plan.Reports() {
-		e.committedJobs[r.ID] = committedJob{r.Report, r.Queue}
+		e.committedJobs[r.ID] = committedJob{r.Report, r.Spec}
 	}
 	for _, id := range e.plan.BusyWorkers() {
 		e.link(id) // its leases have to be tracked even if it never registers again
--- a/internal/executor/outage_test.go
+++ b/internal/executor/outage_test.go
@@ -75,7 +75,7 @@
 		time.Sleep(4 * time.Second)
 		r.c.Assert(submissions.Wait(), qt.IsNil)
 		for i, id := range ids {
-			report, found, err := r.exec.Show(t.Context(), id, "batch", time.Time{})
+			report, found, err := r.exec.Show(t.Context(), id, yuccapaddle.Caller{Queue: "batch"}, time.Time{})
 			r.c.Assert(err, qt.IsNil)
 			if errors.Is(errs[i], yuccapaddle.ErrNotAccepted) {
 				r.c.Check(found, qt.IsFalse, qt.Commentf("job %s is %s", id, report.State))
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -48,16 +48,17 @@
 	runner        yuccapaddle.Runner // the rig itself if nil
 	hosts         int                // started so far
 	logs          logs
-	clock         yuccapaddle.Clock // of the executor, the system's if nil
-	meter         yuccapaddle.Meter // of the executor, none if nil
-	lossy         bool              // the ledger loses replies, see lossyLedger
-	leaveWithinMS int64             // see executor.Bounds
-	moveLeaving   bool              // see yuccapaddle.PlanLimits
-	learnStalls   bool              // see yuccapaddle.PlanLimits
-	registryDelay time.Duration     // from the call to the moment that its reply shows
-	platformHangs atomic.Bool       // the registrations and the rules have no answer
-	rulesVersion  atomic.Int64      // of the operators' rules
-	quotaGPU      atomic.Int64      // see setQuota
+	clock         yuccapaddle.Clock                   // of the executor, the system's if nil
+	meter         yuccapaddle.Meter                   // of the executor, none if nil
+	lossy         bool                                // the ledger loses replies, see lossyLedger
+	leaveWithinMS int64                               // see executor.Bounds
+	moveLeaving   bool                                // see yuccapaddle.PlanLimits
+	learnStalls   bool                                // see yuccapaddle.PlanLimits
+	registryDelay time.Duration                       // from the call to the moment that its reply shows
+	platformHangs atomic.Bool                         // the registrations and the rules have no answer
+	rulesVersion  atomic.Int64                        // of the operators' rules
+	quotaGPU      atomic.Int64                        // see setQuota
+	queues        atomic.Pointer[[]yuccapaddle.Queue] // see setQueues
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
 	// always true if nil.
 	confirmed              func() bool
@@ -182,6 +183,12 @@
 	r.rulesVersion.Add(1)
 }
 
+// setQueues puts queues into the next version of the rules, in place of the usual ones.
+func (r *rig) setQueues(list ...yuccapaddle.Queue) {
+	r.queues.Store(&list)
+	r.rulesVersion.Add(1)
+}
+
 // Decode implements yuccapaddle.RuleSource.
 func (r *rig) Decode(data []byte) (*yuccapaddle.Rules, error) {
 	var version int64
@@ -201,6 +208,9 @@
 			{Name: "south", Keys: []string{"s"}, Guaranteed: 8},
 		},
 	}
+	if list := r.queues.Load(); list != nil {
+		rules.Queues = *list
+	}
 	return rules.Index(), nil
 }
 
@@ -319,7 +329,7 @@
 
 // state returns the committed state of a job.
 func (r *rig) state(id, queue string) yuccapaddle.JobState {
-	report, _, err := r.exec.Show(r.t.Context(), id, queue, time.Time{})
+	report, _, err := r.exec.Show(r.t.Context(), id, yuccapaddle.Caller{Queue: queue}, time.Time{})
 	r.c.Assert(err, qt.IsNil)
 	return report.State
 }
--- a/internal/executor/shown.go
+++ b/internal/executor/shown.go
@@ -62,8 +62,8 @@
 	if !e.plan.Completed(id) || !e.showsUncommitted() || !e.uncommitted.Listed(id, e.listsEnds) {
 		return committedJob{}, false
 	}
-	report, queue, _ := e.plan.Report(id)
-	job := committedJob{report, queue}
+	report, _, _ := e.plan.Report(id)
+	job := committedJob{report, e.plan.Spec(id)}
 	e.shownJobs[id] = job
 	e.meter.Count("early_completions", "shown", 1)
 	e.log.Info("shown before its commit", zap.String("job", id), zap.Int64("commit_ms_ago", e.now.Sub(e.commitStartedAt).Milliseconds()))
--- a/internal/executor/shown_test.go
+++ b/internal/executor/shown_test.go
@@ -53,7 +53,7 @@
 		waiting := r.exec
 		r.group.Go(func() error {
 			start := time.Now()
-			report, found, err := waiting.Show(r.t.Context(), shownJob, "batch", start.Add(3*time.Second))
+			report, found, err := waiting.Show(r.t.Context(), shownJob, yuccapaddle.Caller{Queue: "batch"}, start.Add(3*time.Second))
 			r.c.Check(err, qt.IsNil)
 			r.c.Check(found, qt.IsTrue)
 			r.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
@@ -62,7 +62,7 @@
 			return nil
 		})
 		r.waitForState(shownJob, "batch", yuccapaddle.JobCompleted, 500*time.Millisecond+maxShowTime)
-		_, found, err := r.exec.Show(r.t.Context(), shownJob, "quick", time.Time{})
+		_, found, err := r.exec.Show(r.t.Context(), shownJob, yuccapaddle.Caller{Queue: "quick"}, time.Time{})
 		r.c.Check(err, qt.IsNil)
 		r.c.Check(found, qt.IsFalse, qt.Commentf("it is of another queue"))
 		for range 30 {
@@ -142,7 +142,7 @@
 		r.waitForState(shownJob, "batch", yuccapaddle.JobCompleted, 500*time.Millisecond+maxShowTime)
 		exec := r.exec
 		r.group.Go(func() error {
-			found, err := exec.Cancel(r.t.Context(), shownJob, "batch")
+			found, err := exec.Cancel(r.t.Context(), shownJob, yuccapaddle.Caller{Queue: "batch"})
 			r.c.Check(err, qt.IsNil)
 			r.c.Check(found, qt.IsTrue)
 			return nil
@@ -165,7 +165,7 @@
 		r.silenceBeforeEnd()
 		exec := r.exec
 		r.group.Go(func() error {
-			_, err := exec.Cancel(r.t.Context(), shownJob, "batch")
+			_, err := exec.Cancel(r.t.Context(), shownJob, yuccapaddle.Caller{Queue: "batch"})
 			r.c.Check(err, qt.IsNil)
 			return nil
 		})
--- a/internal/executor/silent_test.go
+++ b/internal/executor/silent_test.go
@@ -66,7 +66,7 @@
 				workers.silent.Store(false)
 				r.unregistered.Clear()
 				r.waitForState("0000000000000001", "batch", yuccapaddle.JobCompleted, 10*time.Second)
-				report, _, err := r.exec.Show(t.Context(), "0000000000000001", "batch", time.Time{})
+				report, _, err := r.exec.Show(t.Context(), "0000000000000001", yuccapaddle.Caller{Queue: "batch"}, time.Time{})
 				r.c.Assert(err, qt.IsNil)
 				r.c.Check(report.Runs, qt.Equals, 1, qt.Commentf("silent for %v, unregistered: %v", silence, unregistered))
 			})
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -110,8 +110,7 @@
 
 // known reports whether a job with the ID has been admitted, by this host or a former one.
 func (e *Executor) known(id string) bool {
-	_, _, ok := e.plan.Report(id)
-	return ok
+	return e.plan.Spec(id) != nil
 }
 
 // admit passes a job to the planner, and returns false if it does not: the job could never
--- a/internal/jobmaker/jobmaker.go
+++ b/internal/jobmaker/jobmaker.go
@@ -117,7 +117,7 @@
 func (m *JobMaker) Cancel(ctx context.Context, key string, deadline time.Time) (yuccapaddle.Outcome, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	found, err := m.jobs.Cancel(ctx, JobID(key), "")
+	found, err := m.jobs.Cancel(ctx, JobID(key), yuccapaddle.Caller{})
 	if err != nil {
 		return yuccapaddle.Outcome{}, fmt.Errorf("cancel request %s: %w", key, err)
 	}
@@ -135,7 +135,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, waitUntil.Add(showTimeoutSlack))
 	defer cancel()
-	report, found, err := m.jobs.Show(ctx, JobID(key), "", deadline)
+	report, found, err := m.jobs.Show(ctx, JobID(key), yuccapaddle.Caller{}, deadline)
 	if err != nil {
 		return yuccapaddle.Outcome{}, fmt.Errorf("ask for request %s: %w", key, err)
 	}
--- a/internal/jobmaker/jobmaker_test.go
+++ b/internal/jobmaker/jobmaker_test.go
@@ -31,12 +31,12 @@
 }
 
 // Cancel implements yuccapaddle.JobService.
-func (s *fakeJobService) Cancel(_ context.Context, id, _ string) (bool, error) {
+func (s *fakeJobService) Cancel(_ context.Context, id string, _ yuccapaddle.Caller) (bool, error) {
 	return s.job != nil && s.job.ID == id, s.err
 }
 
 // Show implements yuccapaddle.JobService.
-func (s *fakeJobService) Show(_ context.Context, id, _ string, _ time.Time) (yuccapaddle.JobReport, bool, error) {
+func (s *fakeJobService) Show(_ context.Context, id string, _ yuccapaddle.Caller, _ time.Time) (yuccapaddle.JobReport, bool, error) {
 	return s.report, s.job != nil && s.job.ID == id, s.err
 }
 
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -50,17 +50,25 @@
 
 // Cancel implements peer.JobsServer.
 func (s *JobServer) Cancel(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
+	caller, err := converter.Caller(req)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
 	return s.withExecutor(req.GetEpoch(), func(e *executor.Executor) (*peer.JobAnswer, error) {
-		found, err := e.Cancel(ctx, req.GetId(), req.GetQueue())
+		found, err := e.Cancel(ctx, req.GetId(), caller)
 		return &peer.JobAnswer{Found: found}, err
 	})
 }
 
 // Show implements peer.JobsServer.
 func (s *JobServer) Show(ctx context.Context, req *peer.JobKey) (*peer.JobAnswer, error) {
+	caller, err := converter.Caller(req)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
 	until := time.Now().Add(min(time.Duration(max(req.GetWaitMs(), 0))*time.Millisecond, maxWait))
 	return s.withExecutor(req.GetEpoch(), func(e *executor.Executor) (*peer.JobAnswer, error) {
-		report, found, err := e.Show(ctx, req.GetId(), req.GetQueue(), until)
+		report, found, err := e.Show(ctx, req.GetId(), caller, until)
 		return converter.JobAnswer(report, found), err
 	})
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -148,6 +148,14 @@
 	return j.report(), j.spec.Queue, true
 }
 
+// Spec returns a job as it was submitted, nil if there is no such job.
+func (p *Planner) Spec(id string) *yuccapaddle.Job {
+	if j := p.jobs[id]; j != nil {
+		return j.spec
+	}
+	return nil
+}
+
 // Pending returns the number of jobs in state JobQueued for each queue: no worker has
 // reported a run of theirs yet.
 func (p *Planner) Pending() map[string]int64 {
@@ -160,11 +168,11 @@
 	return counts
 }
 
-// Reports returns a record of each job with only its ID, queue and report.
+// Reports returns a record of each job with only its ID, submission and report.
 func (p *Planner) Reports() []yuccapaddle.JobRecord {
 	list := make([]yuccapaddle.JobRecord, 0, len(p.jobs))
 	for id, j := range p.jobs {
-		list = append(list, yuccapaddle.JobRecord{ID: id, Queue: j.spec.Queue, Report: j.report()})
+		list = append(list, yuccapaddle.JobRecord{ID: id, Spec: j.spec, Report: j.report()})
 	}
 	return list
 }
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -81,7 +81,7 @@
 
 // record returns what has changed of a job since the last commit.
 func (j *job) record() yuccapaddle.JobRecord {
-	r := yuccapaddle.JobRecord{ID: j.spec.ID, Queue: j.spec.Queue, Report: j.report(), PartCount: j.partCount()}
+	r := yuccapaddle.JobRecord{ID: j.spec.ID, Spec: j.spec, Report: j.report(), PartCount: j.partCount()}
 	if j.uncommitted {
 		r.Job = encode(j.spec)
 	}
--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -173,7 +173,7 @@
 		for i, call := range calls {
 			s := <-call
 			id := fmt.Sprintf("%016d", i+2)
-			_, found, err := others[0].Show(t.Context(), id, "batch", time.Time{})
+			_, found, err := others[0].Show(t.Context(), id, yuccapaddle.Caller{Queue: "batch"}, time.Time{})
 			c.Assert(err, qt.IsNil)
 			c.Check(found && errors.Is(s.err, yuccapaddle.ErrNotAccepted), qt.IsFalse, qt.Commentf("job %s is known, and was answered: %v", id, s.err))
 			c.Check(found, qt.Equals, s.err == nil, qt.Commentf("job %s: %v", id, s.err))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,29 +90,33 @@
 }
 
 // Cancel implements yuccapaddle.JobService.
-func (r *Router) Cancel(ctx context.Context, id, queue string) (bool, error) {
+func (r *Router) Cancel(ctx context.Context, id string, caller yuccapaddle.Caller) (bool, error) {
 	answer, err := r.callActive(ctx, &request{
 		local: func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
-			found, err := e.Cancel(ctx, id, queue)
+			found, err := e.Cancel(ctx, id, caller)
 			return &peer.JobAnswer{Found: found}, err
 		},
 		remote: func(ctx context.Context, c peer.JobsClient, epoch uint64) (*peer.JobAnswer, error) {
-			return c.Cancel(ctx, &peer.JobKey{Id: id, Queue: queue, Epoch: epoch})
+			key := converter.JobKey(id, &caller)
+			key.Epoch = epoch
+			return c.Cancel(ctx, key)
 		},
 	})
 	return answer.GetFound(), err
 }
 
 // Show implements yuccapaddle.JobService.
-func (r *Router) Show(ctx context.Context, id, queue string, until time.Time) (yuccapaddle.JobReport, bool, error) {
+func (r *Router) Show(ctx context.Context, id string, caller yuccapaddle.Caller, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	answer, err := r.callActive(ctx, &request{
 		waitUntil: until,
 		local: func(ctx context.Context, e *executor.Executor) (*peer.JobAnswer, error) {
-			report, found, err := e.Show(ctx, id, queue, until)
+			report, found, err := e.Show(ctx, id, caller, until)
 			return converter.JobAnswer(report, found), err
 		},
 		remote: func(ctx context.Context, c peer.JobsClient, _ uint64) (*peer.JobAnswer, error) {
-			return c.Show(ctx, &peer.JobKey{Id: id, Queue: queue, WaitMs: max(time.Until(until).Milliseconds(), 0)})
+			key := converter.JobKey(id, &caller)
+			key.WaitMs = max(time.Until(until).Milliseconds(), 0)
+			return c.Show(ctx, key)
 		},
 	})
 	return converter.JobReport(answer), answer.GetFound(), err
--- a/job.go
+++ b/job.go
@@ -94,8 +94,12 @@
 	// Service is the service of the workers that run the job. It is copied from the
 	// queue, which may be removed later.
 	Service string `json:"v,omitempty"`
-	Payload string `json:"p,omitempty"`
-	Steps   []Step `json:"t"`
+	// Origin is how the job was handed in, nil if a host of an earlier version accepted it
+	// or if the project's own interface did. By it callers find the job after its queue has
+	// been renamed.
+	Origin  *Origin `json:"from,omitempty"`
+	Payload string  `json:"p,omitempty"`
+	Steps   []Step  `json:"t"`
 	// Once means that a task that may have started is not started again, except
 	// from its own checkpoint.
 	Once bool `json:"once,omitempty"`
--- a/jobservice.go
+++ b/jobservice.go
@@ -14,11 +14,12 @@
 	Rules() *Rules
 	// Submit returns once the job is committed.
 	Submit(ctx context.Context, j *Job) error
-	// Cancel reports whether the job exists; if so, its cancellation is committed.
-	Cancel(ctx context.Context, id, queue string) (bool, error)
-	// Show returns the committed state of a job, and whether the job exists. It
-	// returns when the state is final, or at until. An empty queue matches any.
-	Show(ctx context.Context, id, queue string, until time.Time) (JobReport, bool, error)
+	// Cancel reports whether there is such a job that the caller may see; if so, its
+	// cancellation is committed.
+	Cancel(ctx context.Context, id string, c Caller) (bool, error)
+	// Show returns the committed state of a job, and whether there is such a job that the
+	// caller may see. It returns when the state is final, or at until.
+	Show(ctx context.Context, id string, c Caller, until time.Time) (JobReport, bool, error)
 	// Pending returns the number of jobs of the queue that have not started.
 	Pending(queue string) int64
 }
--- a/rules.go
+++ b/rules.go
@@ -63,19 +63,29 @@
 	Unreadable     []string
 	workspaceByKey map[string]*WorkspaceGrant
 	queueByName    map[string]*Queue
+	queueByAddress map[queueAddress]*Queue
 }
 
-// Index builds the indexes that Queue and WorkspaceByKey use, and returns r.
+// queueAddress is what callers address a queue by.
+type queueAddress struct{ authority, prefix string }
+
+// Index builds the indexes that Queue, QueueAt and WorkspaceByKey use, and returns r.
 func (r *Rules) Index() *Rules {
 	r.workspaceByKey = map[string]*WorkspaceGrant{}
 	r.queueByName = map[string]*Queue{}
+	r.queueByAddress = map[queueAddress]*Queue{}
 	for i := range r.Workspaces {
 		for _, k := range r.Workspaces[i].Keys {
 			r.workspaceByKey[k] = &r.Workspaces[i]
 		}
 	}
 	for i := range r.Queues {
-		r.queueByName[r.Queues[i].Name] = &r.Queues[i]
+		q := &r.Queues[i]
+		r.queueByName[q.Name] = q
+		address := queueAddress{q.Authority, q.Prefix}
+		if r.queueByAddress[address] == nil { // of two, Match returns the first
+			r.queueByAddress[address] = q
+		}
 	}
 	return r
 }
@@ -85,6 +95,11 @@
 	return r.queueByName[name]
 }
 
+// QueueAt returns the queue with exactly that authority and prefix, nil if there is none.
+func (r *Rules) QueueAt(authority, prefix string) *Queue {
+	return r.queueByAddress[queueAddress{authority, prefix}]
+}
+
 // WorkspaceByKey returns the grant of the workspace that owns the API key, nil if
 // there is none.
 func (r *Rules) WorkspaceByKey(key string) *WorkspaceGrant {
