executor: a job under the ID of another caller's job is refused, not confirmed

What callers saw: a caller who handed a job in under an ID that a job of another workspace had was answered 200, although its job was not accepted. Cause: a submission with a known ID counted as the same job handed in again; only the IDs were compared. Found on the paths related to renamed queues. Evidence: TestSubmittedAgain on, 200 in place of 409 at both hosts, through both queues. Change: Caller.MayRepeat: the job's workspace through any queue, or who may see the job; others are answered 409 (ErrIDTaken). Result: TestSubmittedAgain passes; executor, router and handler tests pass.

--- a/caller.go
+++ b/caller.go
@@ -14,6 +14,8 @@
 	Public bool `json:"public,omitempty"`
 	// Key is the digest of the call's API key, empty without one that is known.
 	Key string `json:"key,omitempty"`
+	// Version is that of the rules.
+	Version int64 `json:"version,omitempty"`
 }
 
 // Caller is who asks for a job, and the queue through which. The zero Caller stands for the
@@ -23,8 +25,6 @@
 	Queue     string `json:"queue"`
 	Workspace string `json:"workspace,omitempty"`
 	Origin
-	// Version is that of the rules by which the caller was identified.
-	Version int64 `json:"version,omitempty"`
 }
 
 // keyDigestBytes is the length of the digest of an API key before it is encoded.
@@ -33,7 +33,7 @@
 // NewCaller returns the caller of a queue who carries an API key, by rules r. An unknown key
 // counts as none.
 func NewCaller(r *Rules, q *Queue, key string) Caller {
-	c := Caller{Queue: q.Name, Version: r.Version, Origin: Origin{Authority: q.Authority, Prefix: q.Prefix, Public: q.Public}}
+	c := Caller{Queue: q.Name, Origin: Origin{Authority: q.Authority, Prefix: q.Prefix, Public: q.Public, Version: r.Version}}
 	if w := r.WorkspaceByKey(key); w != nil {
 		digest := sha256.Sum256([]byte(key))
 		c.Workspace, c.Key = w.Name, hex.EncodeToString(digest[:keyDigestBytes])
@@ -68,9 +68,11 @@
 	return !r.hasQueueOf(j) && (owner || c.Public && j.open())
 }
 
-// Same reports whether a job that the caller hands in under the ID of j is j, handed in again.
-func (c *Caller) Same(j *Job, r *Rules) bool {
-	return c.Workspace == j.Workspace || c.MaySee(j, r)
+// MayRepeat reports whether a job that the caller hands in under the ID of j counts as j,
+// handed in again. It does for the workspace of j through any queue, since IDs are not bound
+// to queues.
+func (c *Caller) MayRepeat(j *Job, r *Rules) bool {
+	return c.owns(j, r) || c.MaySee(j, r)
 }
 
 // owns reports whether the job is of the caller's workspace. A workspace that the rules do
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -130,8 +130,8 @@
 // lookUp returns the status of a job as it may be reported, and registers a watcher for its
 // final state if that is still to come. A job without a commit yet is shown as queued.
 func (e *Executor) lookUp(id string, c *yuccapaddle.Caller, until time.Time) jobStatus {
-	job, ok := e.committedJobs[id]
-	if !ok {
+	job, committed := e.committedJobs[id]
+	if !committed {
 		job = committedJob{yuccapaddle.JobReport{State: yuccapaddle.JobQueued}, e.plan.Spec(id)}
 	}
 	if !job.State.Final() {
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -56,7 +56,7 @@
 // if commits stall, with WithHeldCalls only shortly before the deadline of ctx; such a job
 // never runs, since only admitted jobs are part of a commit. It is an *InfeasibleError for a
 // strict job that the registered workers could not hold, and for one that needs more than
-// its workspace's quota. Other errors match ErrNotAccepted if the job was not admitted, and
+// its workspace's quota, and ErrIDTaken if another caller's job has the ID. Other errors match ErrNotAccepted if the job was not admitted, and
 // ErrUnknown if it was.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
 	s := e.newSubmission(ctx, j)
@@ -119,12 +119,14 @@
 	if !s.state.CompareAndSwap(submissionWaiting, submissionAdmitted) {
 		return false
 	}
-	_, committed := e.committedJobs[s.job.ID]
+	earlier, committed := e.jobWithID(s.job.ID)
 	switch {
+	case earlier != nil && !e.repeats(s, earlier):
+		return false
 	case committed:
 		s.result <- admission{committed: true}
 		return true
-	case e.known(s.job.ID):
+	case earlier != nil:
 		s.result <- admission{done: e.addCommitWaiter()}
 		return true
 	}
@@ -138,6 +140,30 @@
 	return true
 }
 
+// jobWithID returns the job with the ID, nil if there is none, and whether it is committed.
+func (e *Executor) jobWithID(id string) (j *yuccapaddle.Job, committed bool) {
+	if job, ok := e.committedJobs[id]; ok {
+		return job.spec, true
+	}
+	return e.plan.Spec(id), false
+}
+
+// repeats reports whether a submission hands an accepted job in again. It refuses the
+// submission if another caller's job has its ID.
+func (e *Executor) repeats(s submission, earlier *yuccapaddle.Job) bool {
+	c, rules := yuccapaddle.CallerOf(s.job), e.plan.Rules()
+	if c.MayRepeat(earlier, rules) {
+		return true
+	}
+	err := yuccapaddle.ErrIDTaken
+	if c.Version > rules.Version {
+		err = yuccapaddle.ErrNotAccepted // by the rules that this host has not read yet they may be the same
+	}
+	e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", err.Error()), zap.String("queue", s.job.Queue))
+	s.result <- admission{err: err}
+	return false
+}
+
 // neverRuns returns why a job could never run, "" if it can: its workspace's quota does not
 // allow it, or it is strict and no workers could hold it.
 func (e *Executor) neverRuns(j *yuccapaddle.Job) string {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -145,6 +145,8 @@
 	switch {
 	case errors.As(err, &infeasible):
 		return &peer.JobAnswer{Refused: true, Why: infeasible.Reason, Epoch: epoch}, nil
+	case errors.Is(err, yuccapaddle.ErrIDTaken):
+		return &peer.JobAnswer{Refused: true, Taken: true, Epoch: epoch}, nil
 	case errors.Is(err, executor.ErrLedgerUnavailable):
 		return &peer.JobAnswer{Refused: true, Epoch: epoch}, nil
 	case errors.Is(err, yuccapaddle.ErrNotAccepted):
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -174,7 +174,7 @@
 // request.
 func isRefusal(err error) bool {
 	var infeasible *yuccapaddle.InfeasibleError
-	return errors.Is(err, errRefused) || errors.As(err, &infeasible)
+	return errors.Is(err, errRefused) || errors.Is(err, yuccapaddle.ErrIDTaken) || errors.As(err, &infeasible)
 }
 
 // callOnce makes one attempt, at the local executor if this host is active, otherwise at
@@ -199,7 +199,7 @@
 	case err != nil:
 		return attempt{err: err, epoch: epoch, maybeExecuted: sent() && status.Code(err) != codes.InvalidArgument}
 	case answer.GetRefused():
-		return attempt{err: refusal(answer.GetWhy()), loadedEpoch: answer.GetEpoch()}
+		return attempt{err: refusal(answer), loadedEpoch: answer.GetEpoch()}
 	case answer.GetInactive():
 		return attempt{err: errNoActiveHost}
 	}
@@ -228,7 +228,7 @@
 		return attempt{answer: answer}
 	case errors.Is(err, executor.ErrLedgerUnavailable):
 		return attempt{err: errRefused, loadedEpoch: loadedEpoch}
-	case errors.As(err, &infeasible):
+	case errors.As(err, &infeasible), errors.Is(err, yuccapaddle.ErrIDTaken):
 		return attempt{err: err, loadedEpoch: loadedEpoch}
 	}
 	return attempt{err: err, epoch: e.Epoch(), maybeExecuted: !errors.Is(err, yuccapaddle.ErrNotAccepted)}
@@ -236,9 +236,12 @@
 
 // refusal returns the error for a request that the active host refused, for want of
 // workers if there is a reason.
-func refusal(why string) error {
-	if why != "" {
-		return &yuccapaddle.InfeasibleError{Reason: why}
+func refusal(a *peer.JobAnswer) error {
+	switch {
+	case a.GetTaken():
+		return yuccapaddle.ErrIDTaken
+	case a.GetWhy() != "":
+		return &yuccapaddle.InfeasibleError{Reason: a.GetWhy()}
 	}
 	return errRefused
 }
--- a/jobservice.go
+++ b/jobservice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 	// Rules returns the operators' rules in force on this host, nil if none are
 	// known yet.
 	Rules() *Rules
-	// Submit returns once the job is committed.
+	// Submit returns once the job is committed, also if it had been accepted before.
 	Submit(ctx context.Context, j *Job) error
 	// Cancel reports whether there is such a job that the caller may see; if so, its
 	// cancellation is committed.
@@ -27,6 +28,10 @@
 // ErrNotAccepted reports a request that was not carried out and will not be.
 var ErrNotAccepted = errors.New("the request was not taken")
 
+// ErrIDTaken reports a job that is refused because another caller's job has its ID. It matches
+// ErrNotAccepted.
+var ErrIDTaken = fmt.Errorf("%w: another job has its ID", ErrNotAccepted)
+
 // InfeasibleError reports a job that is refused because it would not fit on the
 // registered workers even if they were idle, or not into the quota of its workspace. It
 // matches ErrNotAccepted.
