planner: jobs of a renamed queue count among the waiting ones of the new name

What callers saw: after a queue was renamed, GET of its prefix gave a count of waiting jobs that left out all that were accepted before. Change: a job whose queue's name is not in force counts for the queue at its address as well; under the old name it goes on counting, for hosts that do not have the new rules. A queue that was moved keeps its jobs by its name.

--- a/caller.go
+++ b/caller.go
@@ -65,7 +65,7 @@
 	if c.throughQueueOf(j) {
 		return owner || j.open() || c.Public && c.Queue == j.Queue
 	}
-	return !r.hasQueueOf(j) && (owner || c.Public && j.open())
+	return r.QueueOf(j) == nil && (owner || c.Public && j.open())
 }
 
 // MayRepeat reports whether a job that the caller hands in under the ID of j counts as j,
@@ -98,9 +98,3 @@
 func (j *Job) open() bool {
 	return j.Workspace == "" || j.Origin != nil && j.Origin.Public
 }
-
-// hasQueueOf reports whether the rules have the job's queue, which may have been renamed or
-// moved.
-func (r *Rules) hasQueueOf(j *Job) bool {
-	return r.Queue(j.Queue) != nil || j.Origin != nil && r.QueueAt(j.Origin.Authority, j.Origin.Prefix) != nil
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -157,12 +157,17 @@
 }
 
 // Pending returns the number of jobs in state JobQueued for each queue: no worker has
-// reported a run of theirs yet.
+// reported a run of theirs yet. A job of a queue that was renamed counts under both names:
+// some hosts may not know the new one yet.
 func (p *Planner) Pending() map[string]int64 {
 	counts := map[string]int64{}
 	for _, j := range p.jobs {
-		if j.state == yuccapaddle.JobQueued {
-			counts[j.spec.Queue]++
+		if j.state != yuccapaddle.JobQueued {
+			continue
+		}
+		counts[j.spec.Queue]++
+		if q := p.rules.QueueOf(j.spec); q != nil && q.Name != j.spec.Queue {
+			counts[q.Name]++
 		}
 	}
 	return counts
--- a/rules.go
+++ b/rules.go
@@ -100,6 +100,18 @@
 	return r.queueByAddress[queueAddress{authority, prefix}]
 }
 
+// QueueOf returns the queue of an accepted job, nil if there is none any more: the one of that
+// name, which may have been moved, or the one in its place, which has another name.
+func (r *Rules) QueueOf(j *Job) *Queue {
+	if q := r.Queue(j.Queue); q != nil {
+		return q
+	}
+	if j.Origin == nil {
+		return nil
+	}
+	return r.QueueAt(j.Origin.Authority, j.Origin.Prefix)
+}
+
 // WorkspaceByKey returns the grant of the workspace that owns the API key, nil if
 // there is none.
 func (r *Rules) WorkspaceByKey(key string) *WorkspaceGrant {
