planner: a job keeps the terms of its queue after the queue is removed

On the same path urgent jobs fell to the lowest priority, advised ones were started without a ticket, and objectives counted as over. Change: the record keeps the terms as it keeps the service; Rules.TermsOf answers for a job. A queue that goes leaves its last terms and service to its jobs, and what differs from the record is committed, so that a later host decides alike. Terms of a queue under another name are not taken over. In tests: the cluster of internal/planner stores a job that is committed again; the expected job of jobmaker's TestJob has its terms.

--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -31,8 +30,6 @@
 	maxOutageRatio = 2
 	// keysPerJob is how many keys of the ledger a new job of up to 16 units takes.
 	keysPerJob = 3
-	// lowestPriority is that of jobs in queues that the rules do not name.
-	lowestPriority = math.MaxInt
 )
 
 // heldMetric counts what became of submissions that were held, by outcome.
@@ -63,7 +60,7 @@
 		e.refuseHeld(s, "refused", "the ledger has not answered for long")
 		return
 	}
-	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.queuePriority(s.job.Queue), heldBytes(s.job), e.now)
+	replaced, held := e.held.Add(s.job.ID, s, s.deadline, e.priority(s.job), heldBytes(s.job), e.now)
 	for _, earlier := range replaced {
 		e.refuseHeld(earlier, "replaced", "a later call for the job replaces it")
 	}
@@ -163,19 +160,18 @@
 		if r.Job == nil {
 			return -1
 		}
-		return e.queuePriority(r.Spec.Queue)
+		return e.priority(r.Spec)
 	}
 	slices.SortStableFunc(b.Records, func(x, y yuccapaddle.JobRecord) int { return cmp.Compare(rank(&x), rank(&y)) })
 }
 
-// queuePriority returns the priority of a queue, 0 for the most urgent ones.
-func (e *Executor) queuePriority(queue string) int {
+// priority returns the priority of a job, 0 for the most urgent ones.
+func (e *Executor) priority(j *yuccapaddle.Job) int {
 	if rules := e.rules.Current(); rules != nil {
-		if q := rules.Queue(queue); q != nil {
-			return q.Priority
-		}
+		terms, _ := rules.TermsOf(j)
+		return terms.Priority
 	}
-	return lowestPriority
+	return yuccapaddle.LowestPriority
 }
 
 // heldBytes returns about how much memory a job takes.
--- a/internal/jobmaker/jobmaker.go
+++ b/internal/jobmaker/jobmaker.go
@@ -85,8 +85,9 @@
 	if step.Gang {
 		step.Span = r.Span
 	}
+	terms := q.Terms()
 	return &yuccapaddle.Job{
-		ID: JobID(r.Key()), Key: r.Key(), Queue: q.Name, Service: q.Service, Workspace: r.Workspace,
+		ID: JobID(r.Key()), Key: r.Key(), Queue: q.Name, Service: q.Service, Terms: &terms, Workspace: r.Workspace,
 		Payload: string(r.Payload), Once: !r.Repeatable, Strict: true, Steps: []yuccapaddle.Step{step},
 	}, nil
 }
--- a/internal/jobmaker/jobmaker_test.go
+++ b/internal/jobmaker/jobmaker_test.go
@@ -64,7 +64,7 @@
 	o := m.Submit(t.Context(), request(yuccapaddle.ClassQuick, ""), deadline)
 	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictWaiting)
 	c.Check(s.job, qt.DeepEquals, &yuccapaddle.Job{
-		ID: jobmaker.JobID("w/r1"), Key: "w/r1", Queue: "checks", Service: "s", Workspace: "w", Payload: `{"a":1}`, Once: true, Strict: true,
+		ID: jobmaker.JobID("w/r1"), Key: "w/r1", Queue: "checks", Service: "s", Terms: &yuccapaddle.Terms{}, Workspace: "w", Payload: `{"a":1}`, Once: true, Strict: true,
 		Steps: []yuccapaddle.Step{{Count: 3, Need: yuccapaddle.Need{GPU: 2}, Gang: true, Span: yuccapaddle.SpanRack}},
 	})
 	m.Submit(t.Context(), request(yuccapaddle.ClassQuick, "sweeps"), deadline)
--- a/internal/planner/advice.go
+++ b/internal/planner/advice.go
@@ -34,8 +34,8 @@
 
 // needsTicket reports whether the unit's queue requires tickets.
 func (p *Planner) needsTicket(u *unit) bool {
-	q := p.rules.Queue(u.job.spec.Queue)
-	return q != nil && q.Advised
+	terms, _ := p.rules.TermsOf(u.job.spec)
+	return terms.Advised
 }
 
 // hasTicket reports whether the unit has a valid ticket for the worker, or needs none.
--- a/internal/planner/cluster_test.go
+++ b/internal/planner/cluster_test.go
@@ -146,9 +146,12 @@
 	for _, r := range b.Records {
 		stored := cl.records[r.ID]
 		if stored == nil {
-			stored = &yuccapaddle.StoredJob{Job: r.Job}
+			stored = &yuccapaddle.StoredJob{}
 			cl.records[r.ID], cl.parts[r.ID] = stored, map[int][]byte{}
 		}
+		if r.Job != nil {
+			stored.Job = r.Job
+		}
 		stored.State = r.State
 		maps.Copy(cl.parts[r.ID], r.Parts)
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -20,7 +20,7 @@
 	openedOccurrences int                    // occurrences whose units exist
 	endedAt           time.Time
 	reason            string // why it failed
-	uncommitted       bool   // no record of it has been taken, so the next one has to contain spec
+	specChanged       bool   // since its last record, so that the next one has to contain it
 	// priority is that of its queue in the latest placement round.
 	priority int
 }
--- a/internal/planner/order.go
+++ b/internal/planner/order.go
@@ -55,9 +55,9 @@
 	left := p.chainTimes(u.job, likelyRunTime)[u.stepIndex]
 	cores := float64(u.waitingTasks()) * (float64(step.Need.CPU)/1000 + coresPerGPU*float64(step.Need.GPU))
 	w := &prioritizer.Waiting{Since: since, Objective: since, Cost: left.Seconds() * cores, AlwaysFirst: step.Endless}
-	if q := p.rules.Queue(u.job.spec.Queue); q != nil {
+	if terms, ok := p.rules.TermsOf(u.job.spec); ok {
 		longest := slices.Max(p.chainTimes(u.job, usualRunTime))
-		w.Objective = since.Add(time.Duration(max(q.Stretch, 1)*float64(longest)) + time.Duration(q.ObjectiveMS)*time.Millisecond)
+		w.Objective = since.Add(time.Duration(max(terms.Stretch, 1)*float64(longest)) + time.Duration(terms.ObjectiveMS)*time.Millisecond)
 	}
 	w.LatestStart = w.Objective.Add(-left)
 	return w
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -222,27 +222,41 @@
 	)
 }
 
-// lowestPriority is the priority of jobs whose queue no longer exists.
-const lowestPriority = 100
-
-// priority returns the priority of the job's queue: 0 is urgent, and a higher number
-// gives way to a lower one.
+// priority returns the priority of the job: 0 is urgent, and a higher number gives way to a
+// lower one.
 func (p *Planner) priority(j *job) int {
-	if q := p.rules.Queue(j.spec.Queue); q != nil {
-		return q.Priority
-	}
-	return lowestPriority
+	terms, _ := p.rules.TermsOf(j.spec)
+	return terms.Priority
 }
 
-// service returns the service whose workers run the job. It stores it in the job's
-// spec, to be used after the queue has been removed.
+// service returns the service whose workers run the job. After its queue has been removed it
+// is the one that the job keeps.
 func (p *Planner) service(j *job) string {
 	if q := p.rules.Queue(j.spec.Queue); q != nil {
-		j.spec.Service = q.Service
+		return q.Service
 	}
 	return j.spec.Service
 }
 
+// keepTerms has the jobs of queues that the next rules do not name keep the terms and the
+// service that they have had last. What differs from a job's record is committed, so that
+// every later host goes by the same.
+func (p *Planner) keepTerms(next *yuccapaddle.Rules) {
+	for _, j := range p.jobs {
+		q := p.rules.Queue(j.spec.Queue)
+		if q == nil || next.Queue(j.spec.Queue) != nil || j.state.Final() {
+			continue
+		}
+		terms := q.Terms()
+		if j.spec.Terms != nil && *j.spec.Terms == terms && j.spec.Service == q.Service {
+			continue
+		}
+		j.spec.Terms, j.spec.Service = &terms, q.Service
+		j.specChanged = true
+		p.markDirty(j)
+	}
+}
+
 // tryPlace places a unit and reports whether it has. If there is no room it requests
 // advice, and preempts other units for an urgent one.
 func (p *Planner) tryPlace(u *unit) bool {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,6 +91,7 @@
 
 // Configure replaces the operators' rules.
 func (p *Planner) Configure(r *yuccapaddle.Rules) {
+	p.keepTerms(r)
 	p.rules = r
 	p.quotas.SetQuotas(r.Workspaces)
 	p.changed = true
@@ -112,7 +113,7 @@
 	j := newJob(spec)
 	p.jobs[spec.ID] = j
 	p.markDirty(j)
-	j.uncommitted = true
+	j.specChanged = true
 	p.changed = true
 	p.addDecision(yuccapaddle.Decision{Event: "accepted", Job: spec.ID, Detail: strings.TrimSpace(spec.Queue + " " + spec.Key)})
 	p.openOccurrences(j)
@@ -194,7 +195,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.dirtyJobs)) {
 		j := p.dirtyJobs[id]
 		b.Records = append(b.Records, j.record())
-		j.uncommitted = false
+		j.specChanged = false
 		clear(j.dirtyParts)
 	}
 	b.Removed = p.removed
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -82,7 +82,7 @@
 // record returns what has changed of a job since the last commit.
 func (j *job) record() yuccapaddle.JobRecord {
 	r := yuccapaddle.JobRecord{ID: j.spec.ID, Spec: j.spec, Report: j.report(), PartCount: j.partCount()}
-	if j.uncommitted {
+	if j.specChanged {
 		r.Job = encode(j.spec)
 	}
 	r.State = encode(&stateRecord{State: j.state, OpenedOccurrences: j.openedOccurrences, Reason: j.reason})
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -312,8 +312,8 @@
 	if p.failIfCrashing(u) {
 		return true
 	}
-	q := p.rules.Queue(u.job.spec.Queue)
-	if q == nil || q.Attempts <= 0 || u.failures < q.Attempts || u.stepSpec().Endless {
+	terms, _ := p.rules.TermsOf(u.job.spec)
+	if terms.Attempts <= 0 || u.failures < terms.Attempts || u.stepSpec().Endless {
 		return false
 	}
 	u.job.reason = "task " + u.taskID(0).String() + " has failed " + itoa(u.failures) + " times"
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -120,10 +120,10 @@
 // use the reserve. Its slack is the time that its queue's objective leaves beyond its
 // estimated run time.
 func (p *Planner) waitedEnough(u *unit) bool {
-	q := p.rules.Queue(u.job.spec.Queue)
-	if q == nil {
+	terms, ok := p.rules.TermsOf(u.job.spec)
+	if !ok {
 		return false
 	}
-	slack := max(q.Stretch-1, 0)*float64(u.stepSpec().Estimate) + float64(q.ObjectiveMS)
+	slack := max(terms.Stretch-1, 0)*float64(u.stepSpec().Estimate) + float64(terms.ObjectiveMS)
 	return p.now.Sub(u.waitingSince).Seconds()*1000 > reserveSlackShare*slack
 }
--- a/job.go
+++ b/job.go
@@ -91,9 +91,11 @@
 	ID        string `json:"id"`
 	Queue     string `json:"q"`
 	Workspace string `json:"w,omitempty"`
-	// Service is the service of the workers that run the job. It is copied from the
-	// queue, which may be removed later.
+	// Service is the service of the workers that run the job, and Terms what its queue gives
+	// to it. Both are copied from the queue, which may be removed later. Terms is nil in
+	// records of earlier versions.
 	Service string `json:"v,omitempty"`
+	Terms   *Terms `json:"terms,omitempty"`
 	// Origin is how the job was handed in, nil if a host of an earlier version accepted it
 	// or if the project's own interface did. By it callers find the job after its queue has
 	// been renamed.
--- a/rules.go
+++ b/rules.go
@@ -23,6 +23,23 @@
 	Advised bool
 }
 
+// Terms are what a queue gives to its jobs. Each field is as in Queue.
+type Terms struct {
+	Priority    int     `json:"priority,omitempty"`
+	Attempts    int     `json:"attempts,omitempty"`
+	ObjectiveMS int     `json:"objective,omitempty"`
+	Stretch     float64 `json:"stretch,omitempty"`
+	Advised     bool    `json:"advised,omitempty"`
+}
+
+// LowestPriority is that of jobs whose queue the rules do not name and which keep no terms.
+const LowestPriority = 100
+
+// Terms returns the terms of the queue's jobs.
+func (q *Queue) Terms() Terms {
+	return Terms{Priority: q.Priority, Attempts: q.Attempts, ObjectiveMS: q.ObjectiveMS, Stretch: q.Stretch, Advised: q.Advised}
+}
+
 // Wave is the operators' order to maintain a set of machines, at most MaxDown at
 // a time and all within DurationS seconds.
 type Wave struct {
@@ -112,6 +129,19 @@
 	return r.QueueAt(j.Origin.Authority, j.Origin.Prefix)
 }
 
+// TermsOf returns the terms of an accepted job: those of the queue of that name, or else those
+// that the job keeps. Without either, ok is false and the terms have LowestPriority and no
+// limits.
+func (r *Rules) TermsOf(j *Job) (terms Terms, ok bool) {
+	if q := r.Queue(j.Queue); q != nil {
+		return q.Terms(), true
+	}
+	if j.Terms != nil {
+		return *j.Terms, true
+	}
+	return Terms{Priority: LowestPriority}, false
+}
+
 // WorkspaceByKey returns the grant of the workspace that owns the API key, nil if
 // there is none.
 func (r *Rules) WorkspaceByKey(key string) *WorkspaceGrant {
