executor, planner: a worker's own answers count more than its registration

What callers saw: after another writer had registered a later start time under the ID of a sound worker for a second, the runs there did not come to their end in time (a job of 20 s was not done after 24 s): they were begun anew. With a clock far ahead, every later start to that worker had a deadline that never passes. Cause: a registration with a later incarnation counted as a restart, and any clock above the present one as the worker's, for good. TestOddDrainForgotten: a drain of an incarnation that the worker never had kept all later crashes there from counting. Change: once a worker has answered, its answers tell incarnation and clock. A registered clock is followed within what the worker's own clock may have come to. A later registered incarnation has a busy worker asked at once; its answer decides. Before the first answer the latest registration counts.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -27,6 +27,13 @@
 	probeInterval = 600 * time.Millisecond
 	// minClockRate is the lowest rate of a worker's clock against this host's clock.
 	minClockRate = 0.98
+	// maxClockRate is the highest rate of that clock that is believed, and clockSlackMS how
+	// much further, in milliseconds, it may be ahead of what its worker has told.
+	maxClockRate = 1.02
+	clockSlackMS = 1000
+	// maxMS is the highest time in milliseconds that a worker may tell, so that sums with it
+	// stay far from overflow.
+	maxMS = 1<<53 - 1
 	// restartBits is the number of low bits of a fencing token that count the restarts
 	// of the worker; the epoch is above them.
 	restartBits = 16
@@ -35,8 +42,11 @@
 // link is the state of the communication with one worker.
 type link struct {
 	clock        int64     // last reading of the worker's clock, in milliseconds
+	registered   int64     // the clock in its latest registration, before it has answered
 	clockAt      time.Time // when the reading arrived here
 	incarnation  int64     // start of the worker in Unix milliseconds, 0 if unknown
+	answered     bool      // the worker itself has told the incarnation and the clock
+	rumoured     int64     // another incarnation that its registration has named last
 	restarts     uint64    // of the worker since this host became active
 	holdPending  bool
 	holdSentAt   time.Time
@@ -70,7 +80,8 @@
 	return at.Add(time.Duration(ms) * time.Millisecond)
 }
 
-// minClock returns a lower bound of the worker's clock, in milliseconds.
+// minClock returns a lower bound of the worker's clock, in milliseconds. Until the worker has
+// answered it rests on its registration.
 func (l *link) minClock(now time.Time) int64 {
 	if l.clockAt.IsZero() {
 		return 0
@@ -78,19 +89,44 @@
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*minClockRate)
 }
 
-// updateClock stores a reading of the worker's clock that had arrived by the given time,
-// unless it is below the present lower bound. The reading may be older than its arrival,
-// but is often much newer than the call: a worker that delays its reply reads its clock
-// at the end.
+// maxClock returns an upper bound of the worker's clock, in milliseconds, after it has
+// answered.
+func (l *link) maxClock(now time.Time) int64 {
+	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
+}
+
+// updateClock stores a reading of the worker's clock from an answer that had arrived by the
+// given time, unless it is below the present lower bound. The reading may be older than its
+// arrival, but is often much newer than the call: a worker that delays its reply reads its
+// clock at the end. The first answer replaces what the registration said.
 func (l *link) updateClock(clock int64, at time.Time) {
-	if clock <= 0 || clock < l.minClock(at) {
+	if clock <= 0 || clock > maxMS || l.answered && clock < l.minClock(at) {
 		return
 	}
 	l.clock, l.clockAt = clock, at
 }
 
-// restart resets the link for a new incarnation of the worker. The tokens that follow
-// are higher, so that the worker refuses orders from before its restart.
+// updateFromRegistration stores what the latest registration says of the worker. It may be
+// that of another writer: what the worker itself has told counts more, and without an answer
+// yet a later registration replaces the one before. It returns whether the registration is
+// the first that names a later incarnation than the worker has.
+func (l *link) updateFromRegistration(w *yuccapaddle.Worker, at time.Time) (maybeRestarted bool) {
+	switch {
+	case l.answered && w.Incarnation == l.incarnation:
+		if w.Clock >= l.minClock(at) && w.Clock <= l.maxClock(at) {
+			l.clock, l.clockAt = w.Clock, at
+		}
+	case l.answered:
+		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.rumoured
+		l.rumoured = w.Incarnation
+	case w.Incarnation != l.incarnation || w.Clock != l.registered:
+		l.incarnation, l.clock, l.clockAt, l.registered = w.Incarnation, w.Clock, at, w.Clock
+	}
+	return maybeRestarted
+}
+
+// restart resets the link for a new incarnation of the worker, as which it has answered. The
+// tokens that follow are higher, so that the worker refuses orders from before its restart.
 func (l *link) restart(incarnation, clock int64, at time.Time) {
 	l.incarnation, l.clock, l.clockAt = incarnation, clock, at
 	l.committedEnd, l.ackedEnd = 0, 0
@@ -112,20 +148,13 @@
 }
 
 // updateClocks updates incarnations and clocks from registrations that had arrived by that
-// time.
+// time. It asks a busy worker that may have restarted.
 func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
 	for i := range list {
-		w := &list[i]
-		l := e.link(w.ID)
-		switch {
-		case l.incarnation == 0:
-			l.incarnation = w.Incarnation
-		case l.incarnation < w.Incarnation:
-			l.restart(w.Incarnation, w.Clock, at)
-			continue
-		}
-		if l.incarnation == w.Incarnation {
-			l.updateClock(w.Clock, at)
+		id := list[i].ID
+		l := e.link(id)
+		if l.updateFromRegistration(&list[i], at) && e.plan.Busy(id) {
+			e.poll(id, l)
 		}
 	}
 }
@@ -266,13 +295,14 @@
 		e.log.Info("worker answers again", zap.String("worker", id))
 	}
 	if reply.Incarnation != l.incarnation {
-		restarted := l.incarnation != 0
+		restarted := l.answered
 		l.restart(reply.Incarnation, reply.Clock, at)
 		if restarted {
 			return // the next hold has a token that fences off orders from before the restart
 		}
 	}
 	l.updateClock(reply.Clock, at)
+	l.answered = true
 	l.ackedEnd, l.reported = max(l.ackedEnd, o.AckedEnd), true
 	e.trackEnds(id, &reply)
 	e.plan.HandlePollReply(id, &reply, poll)
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -59,6 +59,7 @@
 	rulesVersion  atomic.Int64                        // of the operators' rules
 	quotaGPU      atomic.Int64                        // see setQuota
 	queues        atomic.Pointer[[]yuccapaddle.Queue] // see setQueues
+	odd           atomic.Pointer[oddEntries]          // what another writer has registered
 	// confirmed and predecessorRenewsUntil are passed to executor.WithRole; confirmed is
 	// always true if nil.
 	confirmed              func() bool
@@ -68,6 +69,9 @@
 	recordsHang            atomic.Bool                   // lists of records have no answer
 }
 
+// oddEntries changes a list of registrations as another writer has changed it.
+type oddEntries func([]yuccapaddle.Worker) []yuccapaddle.Worker
+
 // logs collects the log output of all hosts.
 type logs struct {
 	mu  sync.Mutex
@@ -137,6 +141,9 @@
 			list = append(list, w.Worker())
 		}
 	}
+	if odd := r.odd.Load(); odd != nil {
+		list = (*odd)(list)
+	}
 	return list, nil
 }
 
--- a/internal/planner/crash_test.go
+++ b/internal/planner/crash_test.go
@@ -392,3 +392,24 @@
 	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
 	cl.c.Check(cl.startedOn[badTask], qt.HasLen, 2)
 }
+
+// TestOddDrainForgotten guards against crashes that do not count any more at a worker under
+// whose ID another writer has once registered that a later incarnation drains.
+func TestOddDrainForgotten(t *testing.T) {
+	cl := newCluster(t, 2*perRack)
+	for id, w := range cl.registered {
+		sound := w
+		w.Incarnation, w.Draining = w.Incarnation+3_600_000_000_000, true
+		cl.registered[id] = w
+		cl.register()
+		cl.registered[id] = sound
+	}
+	cl.register()
+	for id := range cl.registered {
+		cl.answer(id)
+	}
+	cl.submitBad(badJob, shortTask)
+	report := cl.playUntilFinal(badJob, time.Minute)
+	cl.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
+	cl.c.Check(cl.startedOn[badTask], qt.HasLen, 2)
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -268,9 +268,10 @@
 }
 
 // clearLeaving takes back that a worker is to leave once it answers as it was and that no
-// longer holds.
+// longer holds. What was to leave may be an incarnation that it has never had, if another
+// writer has registered that.
 func (p *Planner) clearLeaving(w *worker) {
-	if w.leavingIncarnation != 0 && w.leavingIncarnation == w.reportedIncarnation && w.registered && !w.Draining && !w.inMaintenance {
+	if w.leavingIncarnation != 0 && w.leavingIncarnation >= w.reportedIncarnation && w.registered && !w.Draining && !w.inMaintenance {
 		p.setLeaving(w, 0)
 	}
 }
