executor: the expected time of a commit counts the changes of other jobs

Cause: the expected time of the next commit counted the transactions of the new jobs, not those of other changed jobs, which come first in the same commit. Evidence: with placements of jobs that were accepted one commit earlier (next commit), the test failed in 9 of 9 runs; each held job waited for 40 others. Change: Planner.NextKeys: what has changed, and what has a place in prospect.

--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -115,9 +115,10 @@
 }
 
 // nextCommitTime returns how long a commit with n new jobs is expected to take, by the
-// ledger's latency: the transactions of a commit follow one another.
+// ledger's latency: the transactions of a commit follow one another, and those of the jobs
+// that have changed come first.
 func (e *Executor) nextCommitTime(n int) time.Duration {
-	return e.rec.Latency() * time.Duration(1+n*keysPerJob/recorder.MaxChanges)
+	return e.rec.Latency() * time.Duration(1+(e.plan.NextKeys()+n*keysPerJob)/recorder.MaxChanges)
 }
 
 // mayCommitInTime reports whether a submission may be committed before its deadline: an outage
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -95,6 +95,30 @@
 	return r
 }
 
+// keysOfPlacement is how many keys of the ledger a job takes of which a unit is placed: its
+// state and a part.
+const keysOfPlacement = 2
+
+// NextKeys returns about how many keys of the ledger the next commit changes without further
+// jobs: those of the jobs that have changed, and of those that have a place in prospect.
+func (p *Planner) NextKeys() int {
+	keys := 0
+	for _, j := range p.dirtyJobs {
+		keys += 1 + len(j.dirtyParts)
+		if j.specChanged {
+			keys++
+		}
+	}
+	placed := map[*job]bool{}
+	for u := range p.claims {
+		if u.claim != nil && p.dirtyJobs[u.job.spec.ID] == nil && !placed[u.job] {
+			placed[u.job] = true
+			keys += keysOfPlacement
+		}
+	}
+	return keys
+}
+
 // encodePart encodes the units of part n that have been placed at least once.
 func (j *job) encodePart(n int) []byte {
 	var list []unitRecord
