planner: a worker gets runs once it has answered as what is registered

What callers saw: entries of another writer that look like workers drew tasks, most of all those with much room; gangs with a member there ended, and jobs that may run only once were shown as failed. Cause: a registration alone made a worker usable. A unit claims the room that was chosen for it, workers that have not answered as the incarnation registered are polled, and it is placed when they have, or elsewhere. TestWorkerProvesItself: late or odd registrations do not shut a worker out.

--- a/batch.go
+++ b/batch.go
@@ -19,6 +19,9 @@
 	// LearnStalls stops runs that stand still by what runs of their queue and step have
 	// taken, and not only after a fixed time.
 	LearnStalls bool
+	// ProveWorkers gives runs only to workers that have answered a poll as the incarnation that
+	// their registration names.
+	ProveWorkers bool
 }
 
 // Batch is the result of a planning step. Records and Removed are committed
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -99,6 +99,7 @@
 			MoveLeaving:      s.Capacity.MoveLeaving,
 			OrderByDelayCost: s.Capacity.OrderByDelay,
 			LearnStalls:      s.Capacity.LearnStalls,
+			ProveWorkers:     true,
 		},
 	}
 	opts := append(outageOptions(&s.Outage),
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -246,6 +246,7 @@
 	}
 	e.notifyCompleted()
 	e.sendHolds()
+	e.sendProofPolls()
 	e.sendLooks()
 	e.reportUsage()
 }
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -257,7 +257,7 @@
 		return
 	}
 	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.committedEnd}
-	if e.roleConfirmed() {
+	if e.roleConfirmed() && l.answered {
 		o.Deadline = e.leaseDeadline(l)
 	}
 	e.sendHold(&w, id, l, o, false)
@@ -298,7 +298,11 @@
 		restarted := l.answered
 		l.restart(reply.Incarnation, reply.Clock, at)
 		if restarted {
-			return // the next hold has a token that fences off orders from before the restart
+			// The next hold has a token that fences off orders from before the restart.
+			if !e.plan.Busy(id) {
+				e.poll(id, l)
+			}
+			return
 		}
 	}
 	l.updateClock(reply.Clock, at)
--- a/internal/executor/look.go
+++ b/internal/executor/look.go
@@ -17,6 +17,13 @@
 	return min(max(wait.Milliseconds(), 0), holdWaitMS)
 }
 
+// sendProofPolls polls the workers that have to prove that their registration is theirs.
+func (e *Executor) sendProofPolls() {
+	for _, id := range e.plan.TakeProofRequests() {
+		e.poll(id, e.link(id))
+	}
+}
+
 // sendLooks polls the workers of which the planner needs a report now, unless the reply to
 // a pending hold is about to arrive.
 func (e *Executor) sendLooks() {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -117,7 +117,11 @@
 		if p.unplaceable[u.key()] && !u.choosy() {
 			continue
 		}
-		if !p.tryPlace(u) {
+		switch {
+		case p.tryPlace(u):
+		case p.awaitsProof(u):
+			p.reserveClaimed(u)
+		default:
 			p.unplaceable[u.key()] = p.unplaceable[u.key()] || !u.suspect
 			p.noteWait(u)
 			p.reserveClaimed(u)
@@ -147,7 +151,7 @@
 		workers = p.pickUpTo(list[0], n, p.claimedRoom())
 	}
 	for i, id := range workers {
-		p.assign(list[i], []string{id})
+		p.place(list[i], []string{id})
 	}
 	if len(workers) < len(list) {
 		next := list[len(workers)]
@@ -282,13 +286,13 @@
 		p.requestAdvice(u)
 		return p.preempt(u)
 	}
-	p.assign(u, workers)
-	return true
+	return p.place(u, workers)
 }
 
-// tryPlaceClaimed places a unit on the workers of its claim once all have room. It drops
-// the claim and places the unit anew if a worker has become unusable or will lack room even
-// once what is being stopped has ended, or if room is still missing after claimTimeout.
+// tryPlaceClaimed places a unit on the workers of its claim once all have room and are proven.
+// It drops the claim and places the unit anew if a worker has become unusable or will lack
+// room even once what is being stopped has ended, or if room or a proof is still missing after
+// claimTimeout.
 func (p *Planner) tryPlaceClaimed(u *unit) bool {
 	taken := map[string]yuccapaddle.Need{}
 	for _, id := range u.claim {
@@ -307,9 +311,11 @@
 		}
 	}
 	workers := u.claim
+	if !p.requestProofs(workers) && p.now.Sub(u.claimedAt) <= claimTimeout {
+		return false
+	}
 	u.claim = nil
-	p.assign(u, workers)
-	return true
+	return p.place(u, workers)
 }
 
 // claimedRoom returns the room on each worker that is kept for units with a claim.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -53,6 +53,7 @@
 	evacuator          *evacuator.Evacuator
 	learnedTimes       map[runKind]learnedTime
 	looks              map[string]time.Time // see LookAt
+	proofs             []string             // see TakeProofRequests
 }
 
 // Option configures a Planner in New.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -57,6 +57,7 @@
 	p.clearAnswered(w, poll)
 	w.silentSince = time.Time{}
 	p.clearLeaving(w)
+	p.noteProof(w)
 	p.planLook(w)
 }
 
--- a/internal/planner/suspect.go
+++ b/internal/planner/suspect.go
@@ -151,6 +151,9 @@
 		return false, true
 	}
 	if workers := p.pick(u, p.claimedRoom(), companyNone); workers != nil {
+		if !p.requestProofs(workers) {
+			return false, true
+		}
 		p.assign(u, workers)
 		u.placedAlone = true
 		p.addDecision(yuccapaddle.Decision{Event: EventSuspectAlone, Job: u.job.spec.ID, Task: u.taskID(0).String(), Worker: workers[0], Run: u.run})
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -30,6 +30,8 @@
 	silentSince         time.Time // when it left the first poll without an answer, zero if it answers
 	leavingIncarnation  int64     // the latest one that was draining or to go into maintenance
 	startBackoffUntil   time.Time // it gets no new runs until then
+	proofDueAt          time.Time // it is asked to prove itself again then, zero if it was not asked
+	refutedUntil        time.Time // see refuted
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
 	// highestCapacity holds the most of each resource that it has registered in its present
@@ -150,6 +152,9 @@
 			}
 		}
 		w.noteCapacity(reg)
+		if w.Incarnation != reg.Incarnation {
+			w.forgetProof()
+		}
 		if reg.Draining {
 			p.setLeaving(w, reg.Incarnation)
 		}
@@ -204,6 +209,8 @@
 		return "refuses starts"
 	case len(w.orphans) > 0:
 		return "runs what nobody wants"
+	case p.refuted(w):
+		return "answers as another than is registered"
 	}
 	return ""
 }
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -84,6 +86,7 @@
 	for i := range workerCount {
 		b.addWorker(i)
 	}
+	b.addOddEntries()
 	ctx, cancel := context.WithCancel(t.Context())
 	b.cleanups = append(b.cleanups, cancel)
 	b.group.Go(func() error { return b.platform.Run(ctx) })
@@ -126,6 +129,23 @@
 	b.workers = append(b.workers, w)
 }
 
+// addOddEntries registers what names no worker to use, as another writer may: text that cannot
+// be decoded, values out of range, and entries with much room that look like workers.
+func (b *testbed) addOddEntries() {
+	const valid = `{"service":"svc","address":"%s","zone":"z0","state":"ready","capacity":{"cpu":%d,"mem-mb":1000000,"gpu":1000},"labels":["a","r0"],"clock-ms":%d,"born":%d}`
+	for id, value := range map[string]string{
+		"odd-deep":    strings.Repeat("[", 100_000),
+		"odd-port":    fmt.Sprintf(valid, "127.0.0.1:65536", 1000, 1, 1),
+		"odd-number":  fmt.Sprintf(valid, "127.0.0.1:1", 1000, 1, 1) + "9",
+		"odd-clock":   fmt.Sprintf(valid, "127.0.0.1:1", 1000, int64(math.MinInt64), 1),
+		"odd-start":   fmt.Sprintf(valid, "127.0.0.1:1", 1000, 1, int64(math.MaxInt64)),
+		"odd-nobody":  fmt.Sprintf(valid, b.freeAddress(), 1_000_000, 1, 1),
+		"odd-another": fmt.Sprintf(valid, b.workers[0].proxy.address(), 1_000_000, 1, int64(1<<52)),
+	} {
+		b.platform.Store().Put("servers/"+id, []byte(value))
+	}
+}
+
 // setDeregistered removes a worker's registration from the platform or restores it.
 func (b *testbed) setDeregistered(w *worker, deregistered bool) {
 	if deregistered {
