--- a/internal/jobmaker/jobmaker.go
+++ b/internal/jobmaker/jobmaker.go
@@ -86,10 +86,11 @@
 		step.Span = r.Span
 	}
 	terms := q.Terms()
-	return &yuccapaddle.Job{
+	job := &yuccapaddle.Job{
 		ID: JobID(r.Key()), Key: r.Key(), Queue: q.Name, Service: q.Service, Terms: &terms, Workspace: r.Workspace,
 		Payload: string(r.Payload), Once: !r.Repeatable, Strict: true, Steps: []yuccapaddle.Step{step},
-	}, nil
+	}
+	return job, job.CheckSize(len(r.Payload))
 }
 
 // selectQueue returns the queue that the request names or, if it names none, the first
--- a/internal/jobmaker/jobmaker_test.go
+++ b/internal/jobmaker/jobmaker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,16 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(o.Reason, qt.Equals, "cancelled before it started")
 }
+
+// TestLargeRequest guards against a request that the store would refuse, which would end the
+// role of the active host.
+func TestLargeRequest(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeJobService{rules: rules}
+	r := request(yuccapaddle.ClassQuick, "")
+	r.Payload = []byte(`"` + strings.Repeat("<", 400_000) + `"`)
+	o := jobmaker.New(s).Submit(t.Context(), r, time.Now().Add(time.Minute))
+	c.Check(o.Verdict, qt.Equals, yuccapaddle.VerdictRefused)
+	c.Check(o.Reason, qt.Matches, "not run: a job takes up to .*")
+	c.Check(s.job, qt.IsNil)
+}
--- a/job.go
+++ b/job.go
@@ -1,6 +1,7 @@
 package yuccapaddle
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -150,6 +151,30 @@
 	return nil
 }
 
+const (
+	// maxJobBytes is the size of the largest job as it is stored. The store takes more in a
+	// value, but one that it refuses would end the role of the active host.
+	maxJobBytes = 256 << 10
+	// maxEscape is how many bytes a byte that a caller sends may take when it is stored.
+	maxEscape = 6
+)
+
+// CheckSize returns an error if the job is too large to be stored. received is the number of
+// bytes in which its caller has sent it; a small job is not encoded.
+func (j *Job) CheckSize(received int) error {
+	if received <= maxJobBytes/(2*maxEscape) {
+		return nil
+	}
+	data, err := json.Marshal(j)
+	if err != nil {
+		return fmt.Errorf("encode the job: %w", err)
+	}
+	if len(data) > maxJobBytes {
+		return fmt.Errorf("a job takes up to %d bytes when it is stored, this one takes %d", maxJobBytes, len(data))
+	}
+	return nil
+}
+
 func (s *Step) check(position int) error {
 	if s.Count < 1 || s.Count > maxTasksPerStep {
 		return fmt.Errorf("a step has 1 to %d tasks, this one has %d", maxTasksPerStep, s.Count)
