--- a/internal/converter/converter_test.go
+++ b/internal/converter/converter_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -45,3 +46,21 @@
 		}
 	})
 }
+
+// FuzzCaller: any bytes in place of a caller are decoded or fail with an error.
+func FuzzCaller(f *testing.F) {
+	f.Add("q", []byte(`{"queue":"q","workspace":"w","host":"h","prefix":"/q/","public":true,"key":"k","version":3}`))
+	f.Add("q", []byte(`{`))
+	f.Add("", []byte(``))
+	f.Fuzz(func(t *testing.T, queue string, data []byte) {
+		c, err := Caller(&peer.JobKey{Id: "j", Queue: queue, Caller: data})
+		if err != nil {
+			return
+		}
+		again, err := Caller(JobKey("j", &c))
+		qt.Assert(t, err, qt.IsNil)
+		if utf8.Valid(data) && utf8.ValidString(queue) {
+			qt.Check(t, again, qt.Equals, c)
+		}
+	})
+}
