planner: claims count towards the limit of a step's tasks on one worker

Tasks that wait for a worker to prove itself claim room there; the limit counted runs and not claims, so that several tasks of a step were placed there once it had answered. Change: the limit counts the claims of other units of the step as well, and is checked again, like the worker's service and labels, when a claim is used.

--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -153,12 +153,30 @@
 			limit--
 		}
 	}
+	limit -= p.claimedBeside(u, w)
 	if limit <= 0 {
 		return -1
 	}
 	return limit
 }
 
+// claimedBeside returns for how many tasks other units of the unit's step claim room on the
+// worker.
+func (p *Planner) claimedBeside(u *unit, w *worker) int {
+	n := 0
+	for v := range p.claims {
+		if v == u || v.key() != u.key() {
+			continue
+		}
+		for _, id := range v.claim {
+			if id == w.ID {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // tasksThatFit returns how many of n tasks of the unit's step fit into the free capacity,
 // up to limit: 0 means no limit, and a negative limit allows none.
 func tasksThatFit(u *unit, n int, free yuccapaddle.Need, limit int) int {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -294,10 +294,11 @@
 // room even once what is being stopped has ended, or if room or a proof is still missing after
 // claimTimeout.
 func (p *Planner) tryPlaceClaimed(u *unit) bool {
-	taken := map[string]yuccapaddle.Need{}
+	taken, tasks := map[string]yuccapaddle.Need{}, map[string]int{}
 	for _, id := range u.claim {
 		w := p.workers[id]
-		if w == nil || !p.usable(w) || p.suspectBeside(u, w) {
+		tasks[id]++
+		if w == nil || !p.usable(w) || !p.compatible(u, w) || p.suspectBeside(u, w) || p.beyondLimit(u, w, tasks[id]) {
 			u.claim = nil
 			return p.tryPlace(u)
 		}
@@ -318,6 +319,13 @@
 	return p.place(u, workers)
 }
 
+// beyondLimit reports whether so many tasks of a unit on a worker are more than its step's
+// PerWorker limit allows.
+func (p *Planner) beyondLimit(u *unit, w *worker, tasks int) bool {
+	left := p.perWorkerLeft(u, w)
+	return left != 0 && tasks > left
+}
+
 // claimedRoom returns the room on each worker that is kept for units with a claim.
 func (p *Planner) claimedRoom() map[string]yuccapaddle.Need {
 	claimed := map[string]yuccapaddle.Need{}
