executor: that there is no such job is confirmed by the ledger

Cause: a host took what it does not know for what does not exist. Changes of jobs are commits and fail at a former host; that there is nothing to change is none. Evidence: TestAbsenceAtFormerHost on: no error from Cancel and Show. Change: before that answer the head key is read, after the call; it names the writer. If that is another, the call is not carried out and goes on to it. Calls at the same time share a read (internal/confirmer). While the store is away the answer is 503 in place of 410. TestRenamedWhileCommitting of today asks for the foreign caller only after the commit, as a foreign call needs no ledger but its check of absence would.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/confirmer"
 	"yuccapaddle/internal/holder"
 	"yuccapaddle/internal/planner"
 	"yuccapaddle/internal/recorder"
@@ -97,6 +98,7 @@
 	watchers           map[string][]chan struct{} // by job, closed once its final state is committed
 	showsCompletions   bool                       // see WithCompletionsShown
 	uncommitted        *tracker.Tracker
+	absence            *confirmer.Confirmer    // see confirmAbsence
 	shownJobs          map[string]committedJob // reported as completed before their commit
 	rulesDigest        uint64
 	registryDown       bool // the last read of the registrations failed
@@ -146,6 +148,7 @@
 	for _, o := range opts {
 		o(e)
 	}
+	e.absence = confirmer.New(func() error { return e.rec.Confirm(e.ctx) }, func(f func() error) { e.group.Go("confirmation", f) })
 	return e
 }
 
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -25,15 +25,28 @@
 		return false, err
 	case found == unsettled:
 		return false, yuccapaddle.ErrNotAccepted
+	case found == absent:
+		return false, e.confirmAbsence(ctx)
 	}
 	return found == visible, nil
 }
 
+// confirmAbsence returns nil if this host was still active after a job was not found here, so
+// that none had been accepted elsewhere, and ErrNotAccepted otherwise.
+func (e *Executor) confirmAbsence(ctx context.Context) error {
+	if err := e.absence.Confirm(ctx); err != nil {
+		e.log.Info("cannot tell whether there is a job", zap.Error(err))
+		return yuccapaddle.ErrNotAccepted
+	}
+	return nil
+}
+
 // visibility says whether a caller may see a job.
 type visibility int
 
 const (
-	hidden visibility = iota // as a job that does not exist
+	absent visibility = iota // there is no such job here
+	hidden                   // as if there were none
 	visible
 	// unsettled means that the caller was identified by later rules than this host has.
 	unsettled
@@ -45,7 +58,7 @@
 	rules := e.plan.Rules()
 	switch {
 	case j == nil:
-		return hidden
+		return absent
 	case c.MaySee(j, rules):
 		return visible
 	case c.Version > rules.Version:
@@ -101,8 +114,12 @@
 func (e *Executor) Show(ctx context.Context, id string, c yuccapaddle.Caller, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	for {
 		status, err := runOnLoop(ctx, e, func() jobStatus { return e.lookUp(id, &c, until) })
-		if err == nil && status.found == unsettled {
+		switch {
+		case err != nil:
+		case status.found == unsettled:
 			err = yuccapaddle.ErrNotAccepted
+		case status.found == absent:
+			err = e.confirmAbsence(ctx)
 		}
 		if err != nil || status.final == nil {
 			return status.JobReport, status.found == visible, err
--- a/internal/executor/known_test.go
+++ b/internal/executor/known_test.go
@@ -70,3 +70,31 @@
 		})
 	}
 }
+
+// TestAbsenceAtFormerHost guards against a host that was replaced while it stood still, and that
+// says of a job of its successor that it does not exist: the cancellation would be taken for
+// done, and the job runs on.
+func TestAbsenceAtFormerHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 4)
+		r.takeOver()
+		former, stop := r.exec, r.stop
+		defer func() {
+			stop()
+			r.close()
+		}()
+		time.Sleep(time.Second)
+		r.stop = nil
+		r.takeOver()
+		r.c.Assert(r.exec.Submit(t.Context(), r.smallJob("0000000000000001")), qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := former.Cancel(ctx, "0000000000000001", yuccapaddle.Caller{Queue: "batch"})
+		r.c.Check(err, qt.ErrorIs, yuccapaddle.ErrNotAccepted)
+		_, _, err = former.Show(ctx, "0000000000000001", yuccapaddle.Caller{Queue: "batch"}, time.Time{})
+		r.c.Check(err, qt.ErrorIs, yuccapaddle.ErrNotAccepted)
+		found, err := r.exec.Cancel(ctx, "0000000000000002", yuccapaddle.Caller{Queue: "batch"})
+		r.c.Check(err, qt.IsNil)
+		r.c.Check(found, qt.IsFalse)
+	})
+}
--- a/internal/executor/queue_test.go
+++ b/internal/executor/queue_test.go
@@ -86,7 +86,7 @@
 		time.Sleep(100 * time.Millisecond)
 		r.setQueues(renamed)
 		time.Sleep(rulesTime)
-		r.checkRenamed("a")
+		r.c.Check(r.sees("a", callerOf(&renamed, "north")), qt.IsTrue)
 		r.ledger.SetFault(bookkeeper.FaultNone)
 		<-accepted.done
 		r.c.Check(accepted.err, qt.IsNil)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -19,6 +19,7 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/attempter"
 	"yuccapaddle/internal/awaiter"
+	"yuccapaddle/internal/sleeper"
 )
 
 // Keys of the ledger.
@@ -74,6 +75,7 @@
 type Recorder struct {
 	ledger yuccapaddle.Ledger
 	epoch  uint64
+	nonce  string
 	// mu is held during a transaction. It guards the fields below.
 	mu             sync.Mutex
 	head           head   // as last seen in the ledger
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the head key: %w", err)
 	}
-	r := &Recorder{ledger: ledger, revision: e.Revision, attempts: attempter.New(callTimeout, shortCallTimeout)}
+	r := &Recorder{ledger: ledger, nonce: nonce, revision: e.Revision, attempts: attempter.New(callTimeout, shortCallTimeout)}
 	if e.Revision != 0 {
 		if err := json.Unmarshal(e.Value, &r.head); err != nil {
 			return nil, fmt.Errorf("decode the head key: %w", err)
@@ -124,6 +126,35 @@
 	return r.commit(ctx, lockTransaction(lock))
 }
 
+// Confirm returns nil once the ledger has told, after the call, that this host is still the
+// writer of the records. The error matches ErrReplaced if another host is. Otherwise Confirm
+// asks again until the context ends.
+func (r *Recorder) Confirm(ctx context.Context) error {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		e, err := r.ledger.Get(callCtx, headKey)
+		cancel()
+		if err == nil {
+			return r.checkWriter(e.Value)
+		}
+		if sleeper.SleepJittered(ctx, maxBackoff) != nil {
+			return fmt.Errorf("read the head key: %w", err)
+		}
+	}
+}
+
+// checkWriter returns an error unless the value of the head key names this process.
+func (r *Recorder) checkWriter(value []byte) error {
+	var h head
+	if err := json.Unmarshal(value, &h); err != nil {
+		return fmt.Errorf("decode the head key: %w", err)
+	}
+	if h.Epoch != r.epoch || h.Nonce != r.nonce {
+		return fmt.Errorf("%w: %s, epoch %d", ErrReplaced, h.Host, h.Epoch)
+	}
+	return nil
+}
+
 // Writer returns the address and the epoch of the writer of the records, "" and 0 if there
 // has been none.
 func Writer(ctx context.Context, ledger yuccapaddle.Ledger) (address string, epoch uint64, err error) {
