executor: a cancellation refuses the submission that waits for a commit

Cause: a cancellation looked at known jobs and held submissions, not at those that wait for the commit in progress. Evidence: TestCancelOvertakesAdmission failed without the change: the job was accepted and known afterwards. Change: such submissions are refused, as held ones are.

--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -16,6 +16,7 @@
 	var found visibility
 	err := e.runAndCommit(ctx, func() {
 		e.cancelHeld(id, &c)
+		e.cancelPending(id, &c)
 		if found = e.visibilityOf(e.plan.Spec(id), &c, "cancel"); found == visible {
 			e.plan.Cancel(id)
 		}
--- a/internal/executor/known_test.go
+++ b/internal/executor/known_test.go
@@ -98,3 +98,31 @@
 		r.c.Check(found, qt.IsFalse)
 	})
 }
+
+// TestCancelOvertakesAdmission guards against a job that runs although its cancellation was
+// answered: it waited for a commit in progress, and was admitted afterwards.
+func TestCancelOvertakesAdmission(t *testing.T) {
+	withRig(t, 4, func(r *rig) {
+		r.committed = func(yuccapaddle.Transaction) { time.Sleep(400 * time.Millisecond) }
+		time.Sleep(time.Second)
+		first := r.call(r.smallJob("1"))
+		time.Sleep(50 * time.Millisecond)
+		canceled, kept := r.call(r.smallJob("2")), r.call(r.smallJob("3"))
+		time.Sleep(50 * time.Millisecond)
+		exec := r.exec
+		r.group.Go(func() error {
+			_, _ = exec.Cancel(r.t.Context(), "3", yuccapaddle.Caller{Queue: "quick"}) // not through its queue
+			return nil
+		})
+		found, err := r.exec.Cancel(r.t.Context(), "2", yuccapaddle.Caller{Queue: "batch"})
+		r.c.Check(err, qt.IsNil)
+		r.c.Check(found, qt.IsFalse)
+		for _, c := range []*call{first, canceled, kept} {
+			<-c.done
+		}
+		r.c.Check(first.err, qt.IsNil)
+		r.c.Check(canceled.err, qt.ErrorIs, yuccapaddle.ErrNotAccepted)
+		r.c.Check(kept.err, qt.IsNil)
+		r.c.Check(r.known("2"), qt.IsFalse)
+	})
+}
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -208,6 +209,17 @@
 	}
 }
 
+// cancelPending refuses the queued submissions of a job that is canceled.
+func (e *Executor) cancelPending(id string, c *yuccapaddle.Caller) {
+	e.pendingSubmissions = slices.DeleteFunc(e.pendingSubmissions, func(s submission) bool {
+		if s.job.ID != id || !c.MaySee(s.job, e.plan.Rules()) {
+			return false
+		}
+		e.refuse(s, "the job was canceled before it was admitted", zap.Int64("received_ms_ago", e.now.Sub(s.receivedAt).Milliseconds()))
+		return true
+	})
+}
+
 // refuseOverdue holds or refuses the submissions that have waited for the job records to be
 // loaded for longer than a caller is asked to wait for a commit.
 func (e *Executor) refuseOverdue() {
