maintainer: a host that takes over leaves completed waves alone

Cause: how far a wave is was known only to the host that worked on it. Evidence: TestCompletedBefore without the call of skipCompleted: all workers are drained. Change: the status of a wave, which operators read in the ledger, is read when a host first sees the wave; a completed one is left alone.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -47,6 +47,7 @@
 	down          map[string]time.Time // when the machine was ordered down
 	drainingSince map[string]time.Time // when the drain of its worker began
 	workers       map[string]string    // ID of its worker, to end the drain later
+	looked        bool                 // it is known whether a former host has completed it
 	announced     bool                 // the start has been reported
 	completed     bool                 // the end has been reported
 }
@@ -79,6 +80,9 @@
 // step advances every open wave.
 func (m *Maintainer) step(ctx context.Context) error {
 	m.releaseWithdrawn(ctx)
+	if err := m.skipCompleted(ctx); err != nil {
+		return err
+	}
 	waves := m.openWaves()
 	if len(waves) == 0 {
 		return nil
@@ -100,6 +104,27 @@
 	return errors.Join(errs...)
 }
 
+// skipCompleted marks the waves as completed that a former host has completed: their workers
+// must not be drained again.
+func (m *Maintainer) skipCompleted(ctx context.Context) error {
+	for _, w := range m.openWaves() {
+		if w.looked {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		completed, err := m.fleet.Completed(callCtx, w.Number)
+		cancel()
+		if err != nil {
+			return err
+		}
+		w.looked, w.completed = true, completed
+		if completed {
+			m.log.Info("wave was completed before", zap.Int64("wave", w.Number))
+		}
+	}
+	return nil
+}
+
 // releaseWithdrawn lets the workers get new runs again whose machines were taken out of a
 // wave, or whose wave was withdrawn, before the maintenance.
 func (m *Maintainer) releaseWithdrawn(ctx context.Context) {
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -85,6 +85,9 @@
 	return nil
 }
 
+// Completed implements yuccapaddle.Fleet.
+func (f *fleet) Completed(context.Context, int64) (bool, error) { return f.completed, nil }
+
 // Report implements yuccapaddle.Fleet.
 func (f *fleet) Report(_ context.Context, _ int64, completed bool) error {
 	if completed {
@@ -144,6 +147,20 @@
 	runWave(t, 1, func(fl *fleet) { fl.maintained["m0"], fl.maintained["m1"] = 1, 1 }, func(fl *fleet) { fl.c.Check(fl.completed, qt.IsTrue) })
 }
 
+// TestCompletedBefore guards against workers that a host which takes over drains again for a
+// wave that a former host has completed.
+func TestCompletedBefore(t *testing.T) {
+	runWave(t, 4, func(fl *fleet) {
+		fl.completed, fl.busyUntil = true, time.Now().Add(time.Hour)
+		for _, n := range machineNames {
+			fl.maintained[n] = 1
+		}
+	}, func(fl *fleet) {
+		fl.c.Check(fl.completed, qt.IsTrue)
+		fl.c.Check(fl.drained, qt.HasLen, 0)
+	})
+}
+
 // TestLongList checks that a wave advances although the list of machines takes longer to
 // arrive than a silent call is waited for.
 func TestLongList(t *testing.T) {
--- a/runner.go
+++ b/runner.go
@@ -177,6 +177,8 @@
 	Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error
 	// Report sends the progress of a wave to the operators.
 	Report(ctx context.Context, wave int64, completed bool) error
+	// Completed returns whether a wave has been reported as completed, by any host.
+	Completed(ctx context.Context, wave int64) (bool, error)
 }
 
 // Drainer drains workers. Package executor implements it.
