executor: confirmations are started on the loop; the count of restarts is bounded

Cause: a confirmation was started by its caller, also after the loop had ended, when nothing may be started any more; and more than 65,535 restarts of a worker would run into the epoch of its fencing tokens. Change: the loop starts it, and callers stop waiting when the role ends; the count stays at its highest value. Result: executor, confirmer and router pass twice with the race detector.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -148,7 +148,7 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.absence = confirmer.New(func() error { return e.rec.Confirm(e.ctx) }, func(f func() error) { e.group.Go("confirmation", f) })
+	e.absence = confirmer.New(func() error { return e.rec.Confirm(e.ctx) }, e.startConfirmation)
 	return e
 }
 
--- a/internal/executor/jobs.go
+++ b/internal/executor/jobs.go
@@ -35,6 +35,9 @@
 // confirmAbsence returns nil if this host was still active after a job was not found here, so
 // that none had been accepted elsewhere, and ErrNotAccepted otherwise.
 func (e *Executor) confirmAbsence(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(e.ctx, cancel)()
 	if err := e.absence.Confirm(ctx); err != nil {
 		e.log.Info("cannot tell whether there is a job", zap.Error(err))
 		return yuccapaddle.ErrNotAccepted
@@ -42,6 +45,12 @@
 	return nil
 }
 
+// startConfirmation starts a function of the confirmer. The loop does so, since nothing may be
+// started once the loop has ended.
+func (e *Executor) startConfirmation(f func() error) {
+	e.post(func() { e.group.Go("confirmation", f) })
+}
+
 // visibility says whether a caller may see a job.
 type visibility int
 
@@ -110,8 +119,8 @@
 }
 
 // Show returns the committed status of a job, and whether there is such a job that the caller
-// may see. With WithCompletionsShown a completion may be shown before its commit. It waits for a final
-// state until the given time. Errors match ErrNotAccepted or ErrUnknown.
+// may see. With WithCompletionsShown a completion may be shown before its commit. It waits for
+// a final state until the given time. Errors match ErrNotAccepted or ErrUnknown.
 func (e *Executor) Show(ctx context.Context, id string, c yuccapaddle.Caller, until time.Time) (yuccapaddle.JobReport, bool, error) {
 	for {
 		status, err := runOnLoop(ctx, e, func() jobStatus { return e.lookUp(id, &c, until) })
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -46,7 +46,7 @@
 	clockAt      time.Time // when the reading arrived here
 	incarnation  int64     // start of the worker in Unix milliseconds, 0 if unknown
 	answered     bool      // the worker itself has told the incarnation and the clock
-	rumoured     int64     // another incarnation that its registration has named last
+	named        int64     // another incarnation that its registration has named last
 	restarts     uint64    // of the worker since this host became active
 	holdPending  bool
 	holdSentAt   time.Time
@@ -117,8 +117,8 @@
 			l.clock, l.clockAt = w.Clock, at
 		}
 	case l.answered:
-		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.rumoured
-		l.rumoured = w.Incarnation
+		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.named
+		l.named = w.Incarnation
 	case w.Incarnation != l.incarnation || w.Clock != l.registered:
 		l.incarnation, l.clock, l.clockAt, l.registered = w.Incarnation, w.Clock, at, w.Clock
 	}
@@ -135,7 +135,7 @@
 
 // token returns the fencing token for orders to the worker.
 func (e *Executor) token(l *link) uint64 {
-	return e.rec.Epoch()<<restartBits | l.restarts
+	return e.rec.Epoch()<<restartBits | min(l.restarts, 1<<restartBits-1)
 }
 
 // leaseDeadline returns the deadline of the lease that an order sent now grants, in
