--- a/internal/planner/quota.go
+++ b/internal/planner/quota.go
@@ -22,7 +22,7 @@
 func (p *Planner) reserveOrphans() {
 	for _, w := range p.workers {
 		for t := range w.orphans {
-			if j := p.jobs[t.Job]; j != nil && t.Step < len(j.spec.Steps) {
+			if j := p.jobs[t.Job]; j != nil && t.Step >= 0 && t.Step < len(j.spec.Steps) {
 				p.quotas.Reserve(j.spec.Workspace, j.spec.Steps[t.Step].Need)
 			}
 		}
--- a/internal/planner/quota_test.go
+++ b/internal/planner/quota_test.go
@@ -289,3 +289,20 @@
 	})
 	q.c.Check(order, qt.DeepEquals, []string{"j0", "j1", "j2", "j3", "j4", "j5"})
 }
+
+// TestOrphanOfNoStep guards against a worker that lists a run of a step which its job does not
+// have: the planner ended with it, on one host after the other.
+func TestOrphanOfNoStep(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 1, Need: oneGPUTask, Estimate: 1000})
+	for _, step := range []int{-51, -1, 1, 99} {
+		sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{
+			Incarnation: 1, Running: []yuccapaddle.Run{{Task: yuccapaddle.TaskID{Job: "b", Step: step}, Run: 1}},
+		}, sim.p.NextPoll())
+		sim.advance(time.Second)
+	}
+	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+	sim.advance(3 * time.Second)
+	report, _, _ := sim.p.Report("b")
+	sim.c.Check(report.State, qt.Equals, yuccapaddle.JobCompleted)
+}
