--- /dev/null
+++ b/internal/executor/clock.go
@@ -0,0 +1,95 @@
+package executor
+
+import (
+	"time"
+
+	"yuccapaddle"
+)
+
+// Deadlines in orders are times on the clock of their worker. That clock is known from the
+// worker's answers and its registrations.
+const (
+	// minClockRate is the lowest rate of a worker's clock against this host's clock.
+	minClockRate = 0.98
+	// maxClockRate is the highest rate of that clock that is believed, and clockSlackMS how
+	// much further, in milliseconds, it may be ahead of what its worker has told.
+	maxClockRate = 1.02
+	clockSlackMS = 1000
+	// maxMS is the highest time in milliseconds that a worker may tell, so that sums with it
+	// stay far from overflow.
+	maxMS = 1<<53 - 1
+)
+
+// minClock returns a lower bound of the worker's clock, in milliseconds. Until the worker has
+// answered it rests on its registration.
+func (l *link) minClock(now time.Time) int64 {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*minClockRate)
+}
+
+// maxClock returns an upper bound of the worker's clock, in milliseconds, after it has
+// answered.
+func (l *link) maxClock(now time.Time) int64 {
+	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
+}
+
+// updateClock stores a reading of the worker's clock from an answer that had arrived by the
+// given time, unless it is below the present lower bound. The reading may be older than its
+// arrival, but is often much newer than the call: a worker that delays its reply reads its
+// clock at the end. The first answer replaces what the registration said.
+func (l *link) updateClock(clock int64, at time.Time) {
+	if clock <= 0 || clock > maxMS || l.answered && clock < l.minClock(at) {
+		return
+	}
+	l.clock, l.clockAt = clock, at
+}
+
+// updateFromRegistration stores what the latest registration says of the worker. It may be
+// that of another writer: what the worker itself has told counts more, and without an answer
+// yet a later registration replaces the one before. It returns whether the registration is
+// the first that names a later incarnation than the worker has.
+func (l *link) updateFromRegistration(w *yuccapaddle.Worker, at time.Time) (maybeRestarted bool) {
+	switch {
+	case l.answered && w.Incarnation == l.incarnation:
+		if w.Clock >= l.minClock(at) && w.Clock <= l.maxClock(at) {
+			l.clock, l.clockAt = w.Clock, at
+		}
+	case l.answered:
+		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.named
+		l.named = w.Incarnation
+	case w.Incarnation != l.incarnation || w.Clock != l.registered:
+		l.incarnation, l.clock, l.clockAt, l.registered = w.Incarnation, w.Clock, at, w.Clock
+	}
+	return maybeRestarted
+}
+
+// restart resets the link for a new incarnation of the worker, as which it has answered. The
+// tokens that follow are higher, so that the worker refuses orders from before its restart.
+func (l *link) restart(incarnation, clock int64, at time.Time) {
+	l.incarnation, l.clock, l.clockAt = incarnation, clock, at
+	l.committedEnd, l.ackedEnd = 0, 0
+	l.restarts++
+}
+
+// leaseDeadline returns the deadline of the lease that an order sent now grants, in
+// milliseconds of the worker's clock, and moves leasesEndBy accordingly.
+func (e *Executor) leaseDeadline(l *link) int64 {
+	if end := e.leaseEnd(e.now); end.After(l.leasesEndBy) {
+		l.leasesEndBy = end
+	}
+	return l.minClock(e.now) + e.bounds.MaxLeaseMS
+}
+
+// updateClocks updates incarnations and clocks from registrations that had arrived by that
+// time. It asks a busy worker that may have restarted.
+func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
+	for i := range list {
+		id := list[i].ID
+		l := e.link(id)
+		if l.updateFromRegistration(&list[i], at) && e.plan.Busy(id) {
+			e.poll(id, l)
+		}
+	}
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -25,15 +25,6 @@
 	holdRetryDelay = 200 * time.Millisecond
 	// probeInterval is the time between holds to a silent worker that runs nothing.
 	probeInterval = 600 * time.Millisecond
-	// minClockRate is the lowest rate of a worker's clock against this host's clock.
-	minClockRate = 0.98
-	// maxClockRate is the highest rate of that clock that is believed, and clockSlackMS how
-	// much further, in milliseconds, it may be ahead of what its worker has told.
-	maxClockRate = 1.02
-	clockSlackMS = 1000
-	// maxMS is the highest time in milliseconds that a worker may tell, so that sums with it
-	// stay far from overflow.
-	maxMS = 1<<53 - 1
 	// restartBits is the number of low bits of a fencing token that count the restarts
 	// of the worker; the epoch is above them.
 	restartBits = 16
@@ -80,85 +71,11 @@
 	return at.Add(time.Duration(ms) * time.Millisecond)
 }
 
-// minClock returns a lower bound of the worker's clock, in milliseconds. Until the worker has
-// answered it rests on its registration.
-func (l *link) minClock(now time.Time) int64 {
-	if l.clockAt.IsZero() {
-		return 0
-	}
-	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*minClockRate)
-}
-
-// maxClock returns an upper bound of the worker's clock, in milliseconds, after it has
-// answered.
-func (l *link) maxClock(now time.Time) int64 {
-	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
-}
-
-// updateClock stores a reading of the worker's clock from an answer that had arrived by the
-// given time, unless it is below the present lower bound. The reading may be older than its
-// arrival, but is often much newer than the call: a worker that delays its reply reads its
-// clock at the end. The first answer replaces what the registration said.
-func (l *link) updateClock(clock int64, at time.Time) {
-	if clock <= 0 || clock > maxMS || l.answered && clock < l.minClock(at) {
-		return
-	}
-	l.clock, l.clockAt = clock, at
-}
-
-// updateFromRegistration stores what the latest registration says of the worker. It may be
-// that of another writer: what the worker itself has told counts more, and without an answer
-// yet a later registration replaces the one before. It returns whether the registration is
-// the first that names a later incarnation than the worker has.
-func (l *link) updateFromRegistration(w *yuccapaddle.Worker, at time.Time) (maybeRestarted bool) {
-	switch {
-	case l.answered && w.Incarnation == l.incarnation:
-		if w.Clock >= l.minClock(at) && w.Clock <= l.maxClock(at) {
-			l.clock, l.clockAt = w.Clock, at
-		}
-	case l.answered:
-		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.named
-		l.named = w.Incarnation
-	case w.Incarnation != l.incarnation || w.Clock != l.registered:
-		l.incarnation, l.clock, l.clockAt, l.registered = w.Incarnation, w.Clock, at, w.Clock
-	}
-	return maybeRestarted
-}
-
-// restart resets the link for a new incarnation of the worker, as which it has answered. The
-// tokens that follow are higher, so that the worker refuses orders from before its restart.
-func (l *link) restart(incarnation, clock int64, at time.Time) {
-	l.incarnation, l.clock, l.clockAt = incarnation, clock, at
-	l.committedEnd, l.ackedEnd = 0, 0
-	l.restarts++
-}
-
 // token returns the fencing token for orders to the worker.
 func (e *Executor) token(l *link) uint64 {
 	return e.rec.Epoch()<<restartBits | min(l.restarts, 1<<restartBits-1)
 }
 
-// leaseDeadline returns the deadline of the lease that an order sent now grants, in
-// milliseconds of the worker's clock, and moves leasesEndBy accordingly.
-func (e *Executor) leaseDeadline(l *link) int64 {
-	if end := e.leaseEnd(e.now); end.After(l.leasesEndBy) {
-		l.leasesEndBy = end
-	}
-	return l.minClock(e.now) + e.bounds.MaxLeaseMS
-}
-
-// updateClocks updates incarnations and clocks from registrations that had arrived by that
-// time. It asks a busy worker that may have restarted.
-func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
-	for i := range list {
-		id := list[i].ID
-		l := e.link(id)
-		if l.updateFromRegistration(&list[i], at) && e.plan.Busy(id) {
-			e.poll(id, l)
-		}
-	}
-}
-
 // appliedEnd is the number of the last run end of a worker that the planner has applied.
 // Numbers begin anew when the worker restarts.
 type appliedEnd struct {
@@ -339,76 +256,3 @@
 		e.stopErr = ErrNotActive
 	}
 }
-
-// sendStart sends a start order, unless the worker may no longer get the run that the
-// planner decided to start there.
-func (e *Executor) sendStart(st yuccapaddle.RunStart) {
-	l := e.link(st.Worker)
-	w, ok := e.plan.Worker(st.Worker)
-	if !ok || !e.plan.Startable(&st) || !e.mayPlace() {
-		e.plan.HandleStartReply(st.Worker, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
-		return
-	}
-	e.plan.NoteStartSent(&st)
-	sentAt := e.now
-	o := yuccapaddle.StartOrder{
-		Task: st.Task, Run: st.Run, Payload: st.Payload, Checkpoint: st.Checkpoint, Ticket: st.Ticket, Once: st.Once,
-		Deadline: e.leaseDeadline(l), Token: e.token(l),
-	}
-	sendBy := e.placeBy()
-	e.group.Go("start", func() error {
-		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
-		defer cancel()
-		clock, err := e.startBy(ctx, &w, o, sendBy)
-		at := e.clock.Now()
-		e.post(func() { e.handleStartReply(l, st, clock, sentAt, at, err) })
-		return nil
-	})
-}
-
-// startBy sends a start order unless the time sendBy is over: this process may have been
-// paused since the order was decided.
-func (e *Executor) startBy(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.StartOrder, sendBy time.Time) (clock int64, err error) {
-	if !e.clock.Now().Before(sendBy) || !e.roleConfirmed() {
-		return 0, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent}
-	}
-	return e.runner.Start(ctx, w, o)
-}
-
-func (e *Executor) handleStartReply(l *link, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
-	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
-	l.updateClock(clock, at)
-	var refusal *yuccapaddle.RefusalError
-	if errors.As(err, &refusal) {
-		l.updateClock(refusal.Clock, at)
-		if refusal.Reason == yuccapaddle.RefusedOutdated {
-			e.stopSuperseded(st.Worker)
-			return
-		}
-	}
-	if e.plan.HandleStartReply(st.Worker, st.Task, st.Run, err) {
-		e.poll(st.Worker, l)
-	}
-}
-
-func (e *Executor) sendStop(st yuccapaddle.RunStop) {
-	l := e.link(st.Worker)
-	w, ok := e.plan.Worker(st.Worker)
-	if !ok || w.Address == "" {
-		return
-	}
-	o := yuccapaddle.StopOrder{Task: st.Task, Run: st.Run, Token: e.token(l)}
-	e.group.Go("stop", func() error {
-		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
-		defer cancel()
-		clock, err := e.runner.Stop(ctx, &w, o)
-		at := e.clock.Now()
-		e.post(func() {
-			l.updateClock(clock, at)
-			if err == nil && e.plan.HandleStopConfirmed(st.Worker, st.Task, st.Run) {
-				e.poll(st.Worker, l)
-			}
-		})
-		return nil
-	})
-}
--- /dev/null
+++ b/internal/executor/order.go
@@ -0,0 +1,82 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yuccapaddle"
+)
+
+// sendStart sends a start order, unless the worker may no longer get the run that the
+// planner decided to start there.
+func (e *Executor) sendStart(st yuccapaddle.RunStart) {
+	l := e.link(st.Worker)
+	w, ok := e.plan.Worker(st.Worker)
+	if !ok || !e.plan.Startable(&st) || !e.mayPlace() {
+		e.plan.HandleStartReply(st.Worker, st.Task, st.Run, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent})
+		return
+	}
+	e.plan.NoteStartSent(&st)
+	sentAt := e.now
+	o := yuccapaddle.StartOrder{
+		Task: st.Task, Run: st.Run, Payload: st.Payload, Checkpoint: st.Checkpoint, Ticket: st.Ticket, Once: st.Once,
+		Deadline: e.leaseDeadline(l), Token: e.token(l),
+	}
+	sendBy := e.placeBy()
+	e.group.Go("start", func() error {
+		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
+		defer cancel()
+		clock, err := e.startBy(ctx, &w, o, sendBy)
+		at := e.clock.Now()
+		e.post(func() { e.handleStartReply(l, st, clock, sentAt, at, err) })
+		return nil
+	})
+}
+
+// startBy sends a start order unless the time sendBy is over: this process may have been
+// paused since the order was decided.
+func (e *Executor) startBy(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.StartOrder, sendBy time.Time) (clock int64, err error) {
+	if !e.clock.Now().Before(sendBy) || !e.roleConfirmed() {
+		return 0, &yuccapaddle.RefusalError{Reason: yuccapaddle.RefusedUnsent}
+	}
+	return e.runner.Start(ctx, w, o)
+}
+
+func (e *Executor) handleStartReply(l *link, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
+	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
+	l.updateClock(clock, at)
+	var refusal *yuccapaddle.RefusalError
+	if errors.As(err, &refusal) {
+		l.updateClock(refusal.Clock, at)
+		if refusal.Reason == yuccapaddle.RefusedOutdated {
+			e.stopSuperseded(st.Worker)
+			return
+		}
+	}
+	if e.plan.HandleStartReply(st.Worker, st.Task, st.Run, err) {
+		e.poll(st.Worker, l)
+	}
+}
+
+func (e *Executor) sendStop(st yuccapaddle.RunStop) {
+	l := e.link(st.Worker)
+	w, ok := e.plan.Worker(st.Worker)
+	if !ok || w.Address == "" {
+		return
+	}
+	o := yuccapaddle.StopOrder{Task: st.Task, Run: st.Run, Token: e.token(l)}
+	e.group.Go("stop", func() error {
+		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
+		defer cancel()
+		clock, err := e.runner.Stop(ctx, &w, o)
+		at := e.clock.Now()
+		e.post(func() {
+			l.updateClock(clock, at)
+			if err == nil && e.plan.HandleStopConfirmed(st.Worker, st.Task, st.Run) {
+				e.poll(st.Worker, l)
+			}
+		})
+		return nil
+	})
+}
