executor: log where a registration and its worker's answers differ

The logs could not tell whether a clock or a start time that a decision rests on is the word of the worker or of its registration. Two lines now do: one when a registration contradicts what the worker has told, one when the first answer differs from what the registration had let this host assume, with both values. No change of logic.

--- a/internal/executor/clock.go
+++ b/internal/executor/clock.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"yuccapaddle"
 )
 
@@ -88,8 +90,32 @@
 	for i := range list {
 		id := list[i].ID
 		l := e.link(id)
+		e.logContradiction(&list[i], l, at)
 		if l.updateFromRegistration(&list[i], at) && e.plan.Busy(id) {
 			e.poll(id, l)
 		}
 	}
 }
+
+// logContradiction logs, once for as long as it lasts, that a registration names another start
+// or a later clock than the worker itself has told.
+func (e *Executor) logContradiction(w *yuccapaddle.Worker, l *link, at time.Time) {
+	contradicted := l.answered && (w.Incarnation != l.incarnation || w.Clock > l.maxClock(at))
+	if contradicted && !l.contradicted {
+		e.log.Warn("a registration contradicts its worker", zap.String("worker", w.ID), zap.String("address", w.Address),
+			zap.Int64("registered_start", w.Incarnation), zap.Int64("start", l.incarnation),
+			zap.Int64("registered_clock_ms", w.Clock), zap.Int64("clock_ms", l.minClock(at)))
+	}
+	l.contradicted = contradicted
+}
+
+// logFirstAnswer logs that a worker's first answer differs from what its registration had let
+// this host assume: the deadlines of earlier orders were ahead of the worker's clock by as much.
+func (e *Executor) logFirstAnswer(id string, l *link, reply *yuccapaddle.HoldReply, at time.Time) {
+	assumed := l.minClock(at)
+	if reply.Incarnation != l.incarnation && l.incarnation != 0 || assumed > reply.Clock+clockSlackMS {
+		e.log.Warn("a worker's first answer differs from its registration", zap.String("worker", id),
+			zap.Int64("registered_start", l.incarnation), zap.Int64("start", reply.Incarnation),
+			zap.Int64("assumed_clock_ms", assumed), zap.Int64("clock_ms", reply.Clock))
+	}
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -38,6 +38,7 @@
 	incarnation  int64     // start of the worker in Unix milliseconds, 0 if unknown
 	answered     bool      // the worker itself has told the incarnation and the clock
 	named        int64     // another incarnation that its registration has named last
+	contradicted bool      // its registration contradicts what the worker has told
 	restarts     uint64    // of the worker since this host became active
 	holdPending  bool
 	holdSentAt   time.Time
@@ -211,6 +212,9 @@
 		e.plan.SetResponsive(id, true)
 		e.log.Info("worker answers again", zap.String("worker", id))
 	}
+	if !l.answered {
+		e.logFirstAnswer(id, l, &reply, at)
+	}
 	if reply.Incarnation != l.incarnation {
 		restarted := l.answered
 		l.restart(reply.Incarnation, reply.Clock, at)
