executor: deadlines rest only on the clock that the worker itself tells

What callers saw: two runs of one task at once, where a takeover, an order that is carried out late and a registered clock far ahead come together; where the room of the first run counts as free, a worker over its capacity. Cause: until a worker's first answer deadlines were computed from the clock in its registration, which another writer may have put there. The first renewal after a takeover then had a deadline that never passes; carried out late, it prolonged a lease that the host counted as over. After the first answer a registered clock was still followed within a second and 2% of the last one, and from there on again; and a first answer without a clock (the worker's first millisecond) made the registered one its word for good. Change: the registration's clock serves only to tell how old a registration is. A worker that has not told its clock gets no renewal, so the first call after a takeover only asks. What is known of a clock falls behind by up to 2%, so the planner has a worker that has said nothing for a minute answer before a start (TestStartAfterLongIdleTime fails without that: the run lapses and starts twice). Why it works: a deadline is then at most the longest lease ahead of the worker's clock when the order is sent, whatever anybody registers, so a late order cannot outlive the end of the leases that the host has computed.

--- a/internal/executor/clock.go
+++ b/internal/executor/clock.go
@@ -8,13 +8,14 @@
 	"yuccapaddle"
 )
 
-// Deadlines in orders are times on the clock of their worker. That clock is known from the
-// worker's answers and its registrations.
+// Deadlines in orders are times on the clock of their worker. Only the worker itself tells that
+// clock: its registration may be that of another writer, and an order with a deadline beyond
+// the longest lease that is carried out late would keep runs that count as over.
 const (
 	// minClockRate is the lowest rate of a worker's clock against this host's clock.
 	minClockRate = 0.98
 	// maxClockRate is the highest rate of that clock that is believed, and clockSlackMS how
-	// much further, in milliseconds, it may be ahead of what its worker has told.
+	// much further, in milliseconds, a registration may be ahead of it without a log line.
 	maxClockRate = 1.02
 	clockSlackMS = 1000
 	// maxMS is the highest time in milliseconds that a worker may tell, so that sums with it
@@ -22,17 +23,22 @@
 	maxMS = 1<<53 - 1
 )
 
-// minClock returns a lower bound of the worker's clock, in milliseconds. Until the worker has
-// answered it rests on its registration.
+// minClock returns a lower bound of the worker's clock, in milliseconds, 0 if the worker has
+// not told it.
 func (l *link) minClock(now time.Time) int64 {
-	if l.clockAt.IsZero() {
+	return lowerBound(l.clock, l.clockAt, now)
+}
+
+// lowerBound returns a lower bound of a worker's clock from a reading that arrived at a time,
+// in milliseconds, 0 if there is none.
+func lowerBound(clock int64, at, now time.Time) int64 {
+	if at.IsZero() {
 		return 0
 	}
-	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*minClockRate)
+	return clock + int64(float64(now.Sub(at).Milliseconds())*minClockRate)
 }
 
-// maxClock returns an upper bound of the worker's clock, in milliseconds, after it has
-// answered.
+// maxClock returns an upper bound of the worker's clock, in milliseconds, after it has told it.
 func (l *link) maxClock(now time.Time) int64 {
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
 }
@@ -40,29 +46,26 @@
 // updateClock stores a reading of the worker's clock from an answer that had arrived by the
 // given time, unless it is below the present lower bound. The reading may be older than its
 // arrival, but is often much newer than the call: a worker that delays its reply reads its
-// clock at the end. The first answer replaces what the registration said.
+// clock at the end.
 func (l *link) updateClock(clock int64, at time.Time) {
-	if clock <= 0 || clock > maxMS || l.answered && clock < l.minClock(at) {
+	if clock <= 0 || clock > maxMS || clock < l.minClock(at) {
 		return
 	}
 	l.clock, l.clockAt = clock, at
 }
 
-// updateFromRegistration stores what the latest registration says of the worker. It may be
-// that of another writer: what the worker itself has told counts more, and without an answer
-// yet a later registration replaces the one before. It returns whether the registration is
-// the first that names a later incarnation than the worker has.
+// updateFromRegistration stores what the latest registration says of a worker that has not
+// answered yet. What the worker itself has told counts more. It returns whether the
+// registration is the first that names a later incarnation than the worker has.
 func (l *link) updateFromRegistration(w *yuccapaddle.Worker, at time.Time) (maybeRestarted bool) {
 	switch {
-	case l.answered && w.Incarnation == l.incarnation:
-		if w.Clock >= l.minClock(at) && w.Clock <= l.maxClock(at) {
-			l.clock, l.clockAt = w.Clock, at
+	case !l.answered:
+		if w.Incarnation != l.incarnation || w.Clock != l.registered {
+			l.incarnation, l.registered, l.registeredAt = w.Incarnation, w.Clock, at
 		}
-	case l.answered:
+	case w.Incarnation != l.incarnation:
 		maybeRestarted = w.Incarnation > l.incarnation && w.Incarnation != l.named
 		l.named = w.Incarnation
-	case w.Incarnation != l.incarnation || w.Clock != l.registered:
-		l.incarnation, l.clock, l.clockAt, l.registered = w.Incarnation, w.Clock, at, w.Clock
 	}
 	return maybeRestarted
 }
@@ -70,7 +73,8 @@
 // restart resets the link for a new incarnation of the worker, as which it has answered. The
 // tokens that follow are higher, so that the worker refuses orders from before its restart.
 func (l *link) restart(incarnation, clock int64, at time.Time) {
-	l.incarnation, l.clock, l.clockAt = incarnation, clock, at
+	l.incarnation, l.clock, l.clockAt = incarnation, 0, time.Time{}
+	l.updateClock(clock, at)
 	l.committedEnd, l.ackedEnd = 0, 0
 	l.restarts++
 }
@@ -84,6 +88,15 @@
 	return l.minClock(e.now) + e.bounds.MaxLeaseMS
 }
 
+// renewalDeadline returns the deadline of a renewal sent now, 0 for none: another host may be
+// active, or the worker has not told its clock yet.
+func (e *Executor) renewalDeadline(l *link) int64 {
+	if l.clockAt.IsZero() || !e.roleConfirmed() {
+		return 0
+	}
+	return e.leaseDeadline(l)
+}
+
 // updateClocks updates incarnations and clocks from registrations that had arrived by that
 // time. It asks a busy worker that may have restarted.
 func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
@@ -100,7 +113,7 @@
 // logContradiction logs, once for as long as it lasts, that a registration names another start
 // or a later clock than the worker itself has told.
 func (e *Executor) logContradiction(w *yuccapaddle.Worker, l *link, at time.Time) {
-	contradicted := l.answered && (w.Incarnation != l.incarnation || w.Clock > l.maxClock(at))
+	contradicted := l.answered && (w.Incarnation != l.incarnation || !l.clockAt.IsZero() && w.Clock > l.maxClock(at))
 	if contradicted && !l.contradicted {
 		e.log.Warn("a registration contradicts its worker", zap.String("worker", w.ID), zap.String("address", w.Address),
 			zap.Int64("registered_start", w.Incarnation), zap.Int64("start", l.incarnation),
@@ -109,13 +122,12 @@
 	l.contradicted = contradicted
 }
 
-// logFirstAnswer logs that a worker's first answer differs from what its registration had let
-// this host assume: the deadlines of earlier orders were ahead of the worker's clock by as much.
+// logFirstAnswer logs that a worker's first answer differs from its registration.
 func (e *Executor) logFirstAnswer(id string, l *link, reply *yuccapaddle.HoldReply, at time.Time) {
-	assumed := l.minClock(at)
-	if reply.Incarnation != l.incarnation && l.incarnation != 0 || assumed > reply.Clock+clockSlackMS {
+	registered := lowerBound(l.registered, l.registeredAt, at)
+	if reply.Incarnation != l.incarnation && l.incarnation != 0 || registered > reply.Clock+clockSlackMS {
 		e.log.Warn("a worker's first answer differs from its registration", zap.String("worker", id),
 			zap.Int64("registered_start", l.incarnation), zap.Int64("start", reply.Incarnation),
-			zap.Int64("assumed_clock_ms", assumed), zap.Int64("clock_ms", reply.Clock))
+			zap.Int64("registered_clock_ms", registered), zap.Int64("clock_ms", reply.Clock))
 	}
 }
--- a/internal/executor/leavetime.go
+++ b/internal/executor/leavetime.go
@@ -23,8 +23,12 @@
 func (l *link) leaveTime(w *yuccapaddle.Worker, r *registryRead) time.Time {
 	remaining := time.Duration(w.RemainingMS) * time.Millisecond
 	at := r.sentAt
-	if l != nil && l.incarnation == w.Incarnation && !l.clockAt.IsZero() {
-		age := time.Duration(l.minClock(r.arrivedAt)-w.Clock) * time.Millisecond
+	if l != nil && l.incarnation == w.Incarnation {
+		clock := l.minClock(r.arrivedAt)
+		if l.clockAt.IsZero() {
+			clock = lowerBound(l.registered, l.registeredAt, r.arrivedAt)
+		}
+		age := time.Duration(clock-w.Clock) * time.Millisecond
 		if registered := r.arrivedAt.Add(-max(age, 0)); registered.Before(at) {
 			at = registered
 		}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -32,11 +32,12 @@
 
 // link is the state of the communication with one worker.
 type link struct {
-	clock        int64     // last reading of the worker's clock, in milliseconds
+	clock        int64     // last reading of its clock that the worker has told, in milliseconds
+	clockAt      time.Time // when the reading arrived here, zero if the worker has told none
 	registered   int64     // the clock in its latest registration, before it has answered
-	clockAt      time.Time // when the reading arrived here
+	registeredAt time.Time // when that arrived here
 	incarnation  int64     // start of the worker in Unix milliseconds, 0 if unknown
-	answered     bool      // the worker itself has told the incarnation and the clock
+	answered     bool      // the worker itself has told the incarnation
 	named        int64     // another incarnation that its registration has named last
 	contradicted bool      // its registration contradicts what the worker has told
 	restarts     uint64    // of the worker since this host became active
@@ -144,9 +145,7 @@
 	if busy && !l.silent {
 		// A silent worker gets no renewal: the order may arrive even if the reply does
 		// not, so each one would postpone the time when its leases have certainly ended.
-		if e.roleConfirmed() {
-			o.Deadline = e.leaseDeadline(l)
-		}
+		o.Deadline = e.renewalDeadline(l)
 		switch {
 		case !l.reported:
 		case e.plan.HasSpareBesideTarget(id):
@@ -174,10 +173,7 @@
 	if !ok || w.Address == "" || l.silent {
 		return
 	}
-	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.committedEnd}
-	if e.roleConfirmed() && l.answered {
-		o.Deadline = e.leaseDeadline(l)
-	}
+	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.committedEnd, Deadline: e.renewalDeadline(l)}
 	e.sendHold(&w, id, l, o, false)
 }
 
--- a/internal/executor/renewal_test.go
+++ b/internal/executor/renewal_test.go
@@ -196,12 +196,13 @@
 	withRig(t, 1, func(r *rig) {
 		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
 		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 5*time.Second)
-		r.unregistered.Store("w0", true) // also if its registration is not to be had
-		time.Sleep(295 * time.Second)
-		r.unregistered.Delete("w0")
-		time.Sleep(2 * time.Second)
-		r.submit("b", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
-		r.waitForState("b", "batch", yuccapaddle.JobCompleted, 5*time.Second)
-		r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: "b"}), qt.HasLen, 1)
+		time.Sleep(292 * time.Second)
+		for _, id := range []string{"b", "c", "d"} {
+			time.Sleep(2 * time.Second)
+			r.submit(id, "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
+			time.Sleep(100 * time.Millisecond)
+			r.waitForState(id, "batch", yuccapaddle.JobCompleted, 5*time.Second)
+			r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: id}), qt.HasLen, 1)
+		}
 	})
 }
--- a/internal/planner/proof.go
+++ b/internal/planner/proof.go
@@ -9,6 +9,9 @@
 const (
 	// proofRetry is the time after which a worker that has not proved itself is asked again.
 	proofRetry = 300 * time.Millisecond
+	// proofValidity is how long a worker that has answered gets new runs without being asked
+	// again: meanwhile its clock, which deadlines rest on, is known less and less.
+	proofValidity = time.Minute
 	// refutedTime is how long a worker gets nothing after it has answered as another
 	// incarnation than its registration names.
 	refutedTime = 2 * time.Second
@@ -20,6 +23,12 @@
 	return !p.limits.ProveWorkers || w.reportedIncarnation == w.Incarnation
 }
 
+// mayStart reports whether the worker may be sent starts without being asked before: it is
+// proven and has answered lately.
+func (p *Planner) mayStart(w *worker) bool {
+	return !p.limits.ProveWorkers || p.proven(w) && p.now.Sub(w.answeredAt) < proofValidity
+}
+
 // provenIncarnation returns the latest incarnation that the worker is known to have had. What
 // its registration names counts only if the settings do not ask for a proof.
 func (p *Planner) provenIncarnation(w *worker) int64 {
@@ -53,12 +62,13 @@
 	w.proofDueAt, w.refutedUntil = time.Time{}, time.Time{}
 }
 
-// requestProofs reports whether all of the workers are proven, and has the others polled.
+// requestProofs reports whether all of the workers may be sent starts, and has the others
+// polled.
 func (p *Planner) requestProofs(ids []string) (all bool) {
 	all = true
 	for _, id := range ids {
 		w := p.workers[id]
-		if p.proven(w) {
+		if p.mayStart(w) {
 			continue
 		}
 		all = false
@@ -81,7 +91,7 @@
 }
 
 // place starts a run of a unit on the workers, one for each member, and reports whether it
-// has. If some are not proven yet, the unit claims the room on all of them.
+// has. If some have to be asked before, the unit claims the room on all of them.
 func (p *Planner) place(u *unit, workers []string) bool {
 	if p.requestProofs(workers) {
 		p.assign(u, workers)
@@ -92,10 +102,10 @@
 	return false
 }
 
-// awaitsProof reports whether a unit waits only until the workers of its claim are proven.
+// awaitsProof reports whether a unit waits only until the workers of its claim have answered.
 func (p *Planner) awaitsProof(u *unit) bool {
 	for _, id := range u.claim {
-		if w := p.workers[id]; w != nil && !p.proven(w) {
+		if w := p.workers[id]; w != nil && !p.mayStart(w) {
 			return true
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -55,7 +55,7 @@
 	}
 	p.adjustPaces(w, reply.Running)
 	p.clearAnswered(w, poll)
-	w.silentSince = time.Time{}
+	w.silentSince, w.answeredAt = time.Time{}, p.now
 	p.clearLeaving(w)
 	p.noteProof(w)
 	p.planLook(w)
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -19,6 +19,7 @@
 	orphans             map[yuccapaddle.TaskID]int64
 	appliedEnd          int64     // number of the latest end that has been applied
 	reportedIncarnation int64     // Incarnation in its latest reply to a poll
+	answeredAt          time.Time // when that arrived
 	strikes             int       // failures and stalls since a task was last done there
 	lastGoodStart       time.Time // latest start of a task that was done there
 	lastFailure         time.Time
