executor: a reply of a worker's former process tells nothing of the new one

What callers saw: nothing yet; what could be seen is two runs of one task, as with a clock that another writer has registered. Cause: replies on different connections may overtake one another. A reply to a hold, a start or a stop from before a worker's restart that arrives once the restart is known told the clock of before, which is far ahead of the new one; a hold's reply also made the worker count as restarted once more, as the process that is gone. Change: each call notes which process of the worker has answered last when it is sent; if another one has answered since, its clock is not taken, and a hold's reply as another incarnation is dropped. A clock that is known from a stop alone renews nothing before the first answer to a hold.

--- a/internal/executor/clock.go
+++ b/internal/executor/clock.go
@@ -43,6 +43,15 @@
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
 }
 
+// updateClockFrom stores a reading of the worker's clock from the answer to an order that was
+// sent to a process of the worker. If another one has answered since, the reading may be that
+// of the former process, which had a clock of its own.
+func (l *link) updateClockFrom(process uint64, clock int64, at time.Time) {
+	if process == l.process {
+		l.updateClock(clock, at)
+	}
+}
+
 // updateClock stores a reading of the worker's clock from an answer that had arrived by the
 // given time, unless it is below the present lower bound. The reading may be older than its
 // arrival, but is often much newer than the call: a worker that delays its reply reads its
@@ -70,13 +79,17 @@
 	return maybeRestarted
 }
 
-// restart resets the link for a new incarnation of the worker, as which it has answered. The
-// tokens that follow are higher, so that the worker refuses orders from before its restart.
+// restart resets the link for an incarnation of the worker as which it has answered for the
+// first time. If it had answered as another one before, the tokens that follow are higher, so
+// that the worker refuses orders from before its restart.
 func (l *link) restart(incarnation, clock int64, at time.Time) {
+	if l.answered {
+		l.restarts++
+	}
+	l.process++
 	l.incarnation, l.clock, l.clockAt = incarnation, 0, time.Time{}
 	l.updateClock(clock, at)
 	l.committedEnd, l.ackedEnd = 0, 0
-	l.restarts++
 }
 
 // leaseDeadline returns the deadline of the lease that an order sent now grants, in
@@ -91,7 +104,7 @@
 // renewalDeadline returns the deadline of a renewal sent now, 0 for none: another host may be
 // active, or the worker has not told its clock yet.
 func (e *Executor) renewalDeadline(l *link) int64 {
-	if l.clockAt.IsZero() || !e.roleConfirmed() {
+	if !l.answered || l.clockAt.IsZero() || !e.roleConfirmed() {
 		return 0
 	}
 	return e.leaseDeadline(l)
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -40,7 +40,8 @@
 	answered     bool      // the worker itself has told the incarnation
 	named        int64     // another incarnation that its registration has named last
 	contradicted bool      // its registration contradicts what the worker has told
-	restarts     uint64    // of the worker since this host became active
+	restarts     uint64    // of the worker since it first answered this host
+	process      uint64    // counts the processes of the worker that have answered this host
 	holdPending  bool
 	holdSentAt   time.Time
 	holdUntil    time.Time // when the worker replies to it at the latest
@@ -179,7 +180,7 @@
 
 // sendHold sends a hold. regular marks the kind of which a worker has at most one pending.
 func (e *Executor) sendHold(w *yuccapaddle.Worker, id string, l *link, o yuccapaddle.HoldOrder, regular bool) {
-	to, poll := *w, e.plan.NextPoll()
+	to, poll, process := *w, e.plan.NextPoll(), l.process
 	e.group.Go("hold", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, time.Duration(o.WaitMS)*time.Millisecond+holdCallSlack)
 		defer cancel()
@@ -189,12 +190,21 @@
 			if regular {
 				l.holdPending = false
 			}
+			if err == nil && l.ofFormerProcess(process, &reply) {
+				return
+			}
 			e.handleHoldReply(id, l, o, at, poll, reply, err)
 		})
 		return nil
 	})
 }
 
+// ofFormerProcess reports whether the reply to a hold that was sent to a process of the worker
+// is that of one before the latest that has answered. It tells nothing of the worker then.
+func (l *link) ofFormerProcess(process uint64, reply *yuccapaddle.HoldReply) bool {
+	return process != l.process && reply.Incarnation != l.incarnation
+}
+
 // handleHoldReply passes a worker's reply on to the planner. poll is the number that the
 // planner gave the hold when it was sent.
 func (e *Executor) handleHoldReply(id string, l *link, o yuccapaddle.HoldOrder, at time.Time, poll int64, reply yuccapaddle.HoldReply, err error) {
@@ -211,7 +221,7 @@
 	if !l.answered {
 		e.logFirstAnswer(id, l, &reply, at)
 	}
-	if reply.Incarnation != l.incarnation {
+	if !l.answered || reply.Incarnation != l.incarnation {
 		restarted := l.answered
 		l.restart(reply.Incarnation, reply.Clock, at)
 		if restarted {
--- a/internal/executor/order.go
+++ b/internal/executor/order.go
@@ -18,7 +18,7 @@
 		return
 	}
 	e.plan.NoteStartSent(&st)
-	sentAt := e.now
+	sentAt, process := e.now, l.process
 	o := yuccapaddle.StartOrder{
 		Task: st.Task, Run: st.Run, Payload: st.Payload, Checkpoint: st.Checkpoint, Ticket: st.Ticket, Once: st.Once,
 		Deadline: e.leaseDeadline(l), Token: e.token(l),
@@ -29,7 +29,7 @@
 		defer cancel()
 		clock, err := e.startBy(ctx, &w, o, sendBy)
 		at := e.clock.Now()
-		e.post(func() { e.handleStartReply(l, st, clock, sentAt, at, err) })
+		e.post(func() { e.handleStartReply(l, process, st, clock, sentAt, at, err) })
 		return nil
 	})
 }
@@ -43,12 +43,14 @@
 	return e.runner.Start(ctx, w, o)
 }
 
-func (e *Executor) handleStartReply(l *link, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
+// handleStartReply passes a worker's answer to a start that was sent to a process of the worker
+// on to the planner.
+func (e *Executor) handleStartReply(l *link, process uint64, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
 	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
-	l.updateClock(clock, at)
+	l.updateClockFrom(process, clock, at)
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) {
-		l.updateClock(refusal.Clock, at)
+		l.updateClockFrom(process, refusal.Clock, at)
 		if refusal.Reason == yuccapaddle.RefusedOutdated {
 			e.stopSuperseded(st.Worker)
 			return
@@ -66,13 +68,14 @@
 		return
 	}
 	o := yuccapaddle.StopOrder{Task: st.Task, Run: st.Run, Token: e.token(l)}
+	process := l.process
 	e.group.Go("stop", func() error {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
 		clock, err := e.runner.Stop(ctx, &w, o)
 		at := e.clock.Now()
 		e.post(func() {
-			l.updateClock(clock, at)
+			l.updateClockFrom(process, clock, at)
 			if err == nil && e.plan.HandleStopConfirmed(st.Worker, st.Task, st.Run) {
 				e.poll(st.Worker, l)
 			}
