planner: a refused repeat of a start speaks only of its own copy

What callers saw: a task ran on two workers at once, and a worker was given more than it holds, from one cause. Cause: "another worker has the address now" counted as proof that no earlier copy of the start was or would be carried out. But the copies may have gone to several addresses: another writer's entry under the worker's ID names the address of another process for a second. The first copy goes to the true worker, which leaves it unanswered and carries it out, at once or seconds later; the repeat meets the other process. The run ended in the books even if a poll had confirmed it, its task was placed elsewhere, and its room was given away. Any other refusal of a repeat stopped a run that was known to be in progress. Change: a run for which the worker has answered is ended by its lists alone. The planner notes to which addresses a start has gone; the shortcut for a replaced worker stays for one address (TestRefusalAtSameAddress): whoever answers there refuses every copy. Without it such a task waits for the end of the leases, 6 s. The addresses of a former host's copies are not known, so they count as several.

--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -84,13 +84,6 @@
 	return !m.ended && !m.confirmed && (m.unsent || m.adopted || m.resends > 0)
 }
 
-// runsWithoutResend reports whether the start of member i was to be sent again although the
-// worker has answered for the run since, so that nothing is lost if it is not.
-func (u *unit) runsWithoutResend(i int) bool {
-	m := &u.members[i]
-	return m.resends > 0 && m.confirmed && !u.stopping
-}
-
 // holds reports whether the worker has the capacity for the unit's members there beside
 // the runs that may be in progress. Other runs whose start has not been sent do not count.
 func (w *worker) holds(u *unit) bool {
@@ -108,8 +101,11 @@
 
 // NoteStartSent records that a start is sent now: from then on the run may be in progress.
 func (p *Planner) NoteStartSent(st *yuccapaddle.RunStart) {
-	if x, ok := p.worker(st.Worker).runs[st.Task]; ok && x.u.run == st.Run {
-		x.u.members[x.member].unsent = false
+	w := p.worker(st.Worker)
+	if x, ok := w.runs[st.Task]; ok && x.u.run == st.Run {
+		m := &x.u.members[x.member]
+		m.unsent = false
+		m.noteStartAddress(w.Address)
 		x.u.startedAt = p.now
 	}
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -86,11 +86,14 @@
 	firstPercent  int       // the progress that this host has seen first, at firstAt
 	firstAt       time.Time
 	resends       int                          // of its start
+	startAddress  string                       // where this host has sent its start last
 	reported      bool                         // a poll has listed it as running
 	pace          int                          // percentage of full speed at which it may work
 	adopted       bool                         // placed by a former host, and not reported to this one yet
 	unsent        bool                         // its start has not been sent, by a former host neither
 	stall         *stalldetector.StallDetector // nil if its progress is not watched
+	// startScattered means that copies of its start may have gone to several addresses.
+	startScattered bool
 }
 
 func newJob(spec *yuccapaddle.Job) *job {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -265,6 +265,7 @@
 	for _, m := range r.Members {
 		u.members = append(u.members, member{
 			worker: m.Worker, incarnation: m.Incarnation, address: m.Address, leaving: m.Leaving, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true,
+			startScattered: true,
 		})
 		if !m.Ended {
 			p.worker(m.Worker).addRun(u, len(u.members)-1)
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -42,36 +42,36 @@
 }
 
 // handleRefusal handles a start that the worker has refused, and reports whether it
-// should be polled at once.
+// should be polled at once. A refusal speaks only of the copy of the start that it answers,
+// so it does not end a run for which the worker has answered.
 func (p *Planner) handleRefusal(w *worker, x assignment, reason yuccapaddle.Refusal) (pollNow bool) {
-	u := x.u
-	if reason == yuccapaddle.RefusedUnsent && u.runsWithoutResend(x.member) {
+	u, m := x.u, &x.u.members[x.member]
+	if reason == yuccapaddle.RefusedUnsent && m.confirmed {
 		return false
 	}
 	p.addDecision(yuccapaddle.Decision{Event: "start refused", Job: u.job.spec.ID, Task: u.taskID(x.member).String(), Worker: w.ID, Run: u.run, Detail: p.refusalDetail(w, x, reason)})
-	m := &u.members[x.member]
-	switch reason {
-	case yuccapaddle.RefusedSuperseded:
+	if refusesOtherStarts(reason) {
+		w.startBackoffUntil = p.now.Add(startBackoff)
+		p.wakeBy(w.startBackoffUntil)
+	}
+	switch {
+	case reason == yuccapaddle.RefusedSuperseded:
 		// The worker has had the run; the next poll tells how it ended.
 		p.confirmRun(m)
 		m.progressAt = p.now
 		return true
-	case yuccapaddle.RefusedLate:
-		if m.resends < maxStartResends && !u.job.spec.Once {
-			p.resendStart(w, x)
-			return false
-		}
-	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedCapacity, yuccapaddle.RefusedReplaced:
-		w.startBackoffUntil = p.now.Add(startBackoff)
-		p.wakeBy(w.startBackoffUntil)
-	case yuccapaddle.RefusedTicket:
+	case m.confirmed:
+		return false
+	case reason == yuccapaddle.RefusedLate && m.resends < maxStartResends && !u.job.spec.Once:
+		p.resendStart(w, x)
+		return false
+	case reason == yuccapaddle.RefusedTicket:
 		p.dropTicket(u, w.ID)
-	case yuccapaddle.RefusedInvalid:
+	case reason == yuccapaddle.RefusedInvalid:
 		p.countFailure(w, u)
 	}
-	m.neverStarted = m.resends == 0 && !m.adopted && !m.confirmed
-	if m.resends > 0 && !coversEarlierStarts(reason) {
-		// An earlier copy of the start is unanswered and may still be carried out.
+	m.neverStarted = m.resends == 0 && !m.adopted
+	if !m.refusedForGood(reason) {
 		p.stop(u, "a start was refused after one without an answer")
 		return false
 	}
@@ -82,11 +82,29 @@
 	return false
 }
 
-// coversEarlierStarts reports whether a refusal also proves that earlier copies of the
-// start have not been carried out and will not be. Only the replacement of the worker
-// does.
-func coversEarlierStarts(reason yuccapaddle.Refusal) bool {
-	return reason == yuccapaddle.RefusedReplaced
+// refusesOtherStarts reports whether a worker that has refused a start would refuse others
+// for the same reason.
+func refusesOtherStarts(reason yuccapaddle.Refusal) bool {
+	switch reason {
+	case yuccapaddle.RefusedUnhealthy, yuccapaddle.RefusedCapacity, yuccapaddle.RefusedReplaced:
+		return true
+	}
+	return false
+}
+
+// refusedForGood reports whether the refusal of a start proves that no copy of it is being
+// carried out or will be. It does if there is no other copy, or if another worker has the
+// only address to which copies have gone.
+func (m *member) refusedForGood(reason yuccapaddle.Refusal) bool {
+	return m.resends == 0 || reason == yuccapaddle.RefusedReplaced && !m.startScattered
+}
+
+// noteStartAddress records where a copy of the member's start is sent.
+func (m *member) noteStartAddress(address string) {
+	if m.startAddress != "" && m.startAddress != address {
+		m.startScattered = true
+	}
+	m.startAddress = address
 }
 
 // resendStart sends a start again; the run number makes it idempotent.
