executor, runner: tests of entries at the address of another worker

Two entries with one address and start time, or an entry at a sound worker's address, are asked by ID: the process there refuses the second ID, which never proves itself, and no room counts twice.

--- a/internal/executor/address_test.go
+++ b/internal/executor/address_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"yuccapaddle"
 )
 
@@ -17,6 +19,7 @@
 	*gaugedRunner
 	lateStarts atomic.Int64 // delay of starts in nanoseconds, which are left unanswered; 0 for none
 	started    atomic.Value // ID of the worker of the latest start
+	refused    atomic.Int64 // starts that did not reach the worker that they name
 }
 
 // reach returns nil if the worker that is meant is the one at its registered address.
@@ -36,6 +39,7 @@
 // Start implements yuccapaddle.Runner.
 func (a *addressed) Start(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.StartOrder) (int64, error) {
 	if err := a.reach(w); err != nil {
+		a.refused.Add(1)
 		return 0, err
 	}
 	a.started.Store(w.ID)
@@ -119,3 +123,30 @@
 		})
 	}
 }
+
+// TestSecondEntryOfProcess guards against a worker whose room counts twice, since another
+// writer has registered a second ID with the worker's address and start time, or with its
+// address alone: the process there is asked by ID, so the second one never proves itself.
+func TestSecondEntryOfProcess(t *testing.T) {
+	for name, later := range map[string]int64{"same start": 0, "later start": 5000} {
+		t.Run(name, func(t *testing.T) {
+			withAddressedRig(t, 1, func(r *rig, a *addressed) {
+				odd := oddEntries(func(list []yuccapaddle.Worker) []yuccapaddle.Worker {
+					second := list[0]
+					second.ID, second.Incarnation = "second", second.Incarnation+later
+					return append(list, second)
+				})
+				r.odd.Store(&odd)
+				time.Sleep(2 * time.Second)
+				r.submit("a", "batch", yuccapaddle.Step{Count: 16, Need: oneGPU, Estimate: 2000})
+				r.submit("gang", "batch", yuccapaddle.Step{Count: 8, Need: oneGPU, Gang: true, Estimate: 2000})
+				r.waitForState("a", "batch", yuccapaddle.JobCompleted, 30*time.Second)
+				r.waitForState("gang", "batch", yuccapaddle.JobCompleted, 30*time.Second)
+				report, _, err := r.exec.Show(r.t.Context(), "gang", yuccapaddle.Caller{Queue: "batch"}, time.Time{})
+				r.c.Assert(err, qt.IsNil)
+				r.c.Check(report.Runs, qt.Equals, 1)
+				r.c.Check(a.refused.Load(), qt.Equals, int64(0), qt.Commentf("starts to the second entry"))
+			})
+		})
+	}
+}
