planner: a worker that answers keeps the address of its incarnation

What callers see: a task is stopped by its worker and runs anew, its work is lost, though nothing has failed. Cause: another writer registers the address of another process under the ID of a sound worker. Renewals go there and are refused; the worker counts as silent, and if the entry stands for 5 s its leases lapse. Change: an incarnation has one address for life. While the worker answers, a registration of the same incarnation does not move it. A silent worker, or another incarnation, takes the registered address, so that a wrong one heals by itself.

--- a/internal/executor/address_test.go
+++ b/internal/executor/address_test.go
@@ -150,3 +150,21 @@
 		})
 	}
 }
+
+// TestAddressOfAnother guards against runs whose leases lapse, since another writer has
+// registered another address under the ID of their worker: renewals go to a process that
+// refuses them.
+func TestAddressOfAnother(t *testing.T) {
+	withAddressedRig(t, 2, func(r *rig, a *addressed) {
+		r.taskTime.Store(int64(20 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(time.Second)
+		r.odd.Store(atAddressOfAnother(a.started.Load().(string)))
+		time.Sleep(10 * time.Second)
+		r.odd.Store(nil)
+		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 40*time.Second)
+		report, _, err := r.exec.Show(r.t.Context(), "a", yuccapaddle.Caller{Queue: "batch"}, time.Time{})
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(report.Runs, qt.Equals, 1)
+	})
+}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -158,7 +158,9 @@
 		if reg.Draining {
 			p.setLeaving(w, reg.Incarnation)
 		}
+		address := w.addressAfter(reg)
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
+		w.Address = address
 	}
 	p.settleBy = p.now
 	for id, w := range p.workers {
@@ -175,6 +177,17 @@
 	}
 }
 
+// addressAfter returns the worker's address once its next registration is in force. An
+// incarnation has one address for life, so while it answers there, another one in its
+// registration is another writer's.
+func (w *worker) addressAfter(reg *yuccapaddle.Worker) string {
+	sameLife := w.Incarnation == reg.Incarnation && w.reportedIncarnation == reg.Incarnation
+	if w.registered && sameLife && !w.unresponsive {
+		return w.Address
+	}
+	return reg.Address
+}
+
 // goneRetention is how long a worker that is no longer registered and runs nothing is
 // kept.
 const goneRetention = 30 * time.Second
