planner: an incomplete list does not show that an unexpected run is over

Cause: a list with a row that cannot be read, or one of 500 ends, counts as incomplete, and expected runs are not concluded to be over from it. Unexpected ones were: the worker got new runs in their room. Evidence: TestOrphanInUnreadableList failed before: 1 start, none is allowed. Change: both conclusions wait for a complete list. Result: the test and those of orphans and takeovers pass.

--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -248,3 +248,16 @@
 	sim.c.Check(report.State, qt.Equals, yuccapaddle.JobFailed)
 	sim.c.Check(report.MayHaveRun, qt.IsTrue)
 }
+
+// TestOrphanInUnreadableList guards against giving away the room of an orphan run that goes on:
+// a list that is not complete may lack it.
+func TestOrphanInUnreadableList(t *testing.T) {
+	sim := newSimulation(t, 1)
+	stray := yuccapaddle.Run{Task: yuccapaddle.TaskID{Job: "stray"}, Run: 1}
+	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1, Running: []yuccapaddle.Run{stray}}, sim.p.NextPoll())
+	sim.p.Submit(&yuccapaddle.Job{ID: "j", Queue: queueBatch, Service: "svc", Steps: []yuccapaddle.Step{{Count: 1, Need: yuccapaddle.Need{GPU: 8}}}})
+	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1, Truncated: true}, sim.p.NextPoll())
+	sim.c.Check(sim.starts(), qt.HasLen, 0)
+	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+	sim.c.Check(sim.starts(), qt.HasLen, 1)
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -49,8 +49,8 @@
 		running[reply.Running[i].Task] = true
 		p.observeRun(w, &reply.Running[i])
 	}
-	p.clearOrphans(w, running, poll)
 	if !reply.Truncated {
+		p.clearOrphans(w, running, poll)
 		p.handleMissing(w, running, poll)
 	}
 	p.adjustPaces(w, reply.Running)
