taskrunner: record starts beside an earlier run of the task

The rigs compare what different workers run, so two runs of one task on the same worker went unseen: the later one took the place of the earlier one. StartLog.Beside lists such starts. TestBeside passes, with the race detector too.

--- a/internal/standin/taskrunner/startlog.go
+++ b/internal/standin/taskrunner/startlog.go
@@ -1,6 +1,7 @@
 package taskrunner
 
 import (
+	"slices"
 	"sync"
 
 	"yuccapaddle"
@@ -12,6 +13,7 @@
 	mu     sync.Mutex
 	starts map[yuccapaddle.TaskID][]string // IDs of the workers, in order
 	runs   map[yuccapaddle.TaskID]map[int]bool
+	beside []yuccapaddle.StartOrder
 }
 
 // NewStartLog returns an empty StartLog.
@@ -19,7 +21,8 @@
 	return &StartLog{starts: map[yuccapaddle.TaskID][]string{}, runs: map[yuccapaddle.TaskID]map[int]bool{}}
 }
 
-func (l *StartLog) record(worker string, o yuccapaddle.StartOrder) {
+// record records a start. beside means that an earlier run of the task is in progress there.
+func (l *StartLog) record(worker string, o yuccapaddle.StartOrder, beside bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts[o.Task] = append(l.starts[o.Task], worker)
@@ -27,6 +30,9 @@
 		l.runs[o.Task] = map[int]bool{}
 	}
 	l.runs[o.Task][o.Run] = true
+	if beside {
+		l.beside = append(l.beside, o)
+	}
 }
 
 // Workers returns the IDs of the workers that have started the task, in order.
@@ -43,3 +49,11 @@
 	defer l.mu.Unlock()
 	return len(l.runs[t])
 }
+
+// Beside returns the orders of the starts that were carried out while an earlier run of the
+// task was in progress on the same worker.
+func (l *StartLog) Beside() []yuccapaddle.StartOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.beside)
+}
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -270,6 +270,7 @@
 		return tr.refuse(yuccapaddle.RefusedTicket)
 	}
 	tr.extendLease(o.Deadline)
+	_, beside := tr.runs[o.Task]
 	duration, fails := tr.work(o.Task, o.Payload)
 	tr.highestRun[o.Task] = o.Run
 	tr.runs[o.Task] = &run{order: o, startedAt: time.Now(), duration: duration, fails: fails, pacePercent: 100}
@@ -279,7 +280,7 @@
 	}
 	tr.recordLoad(o.Task, ordered)
 	tr.starts = append(tr.starts, o)
-	tr.startLog.record(tr.registration.ID, o)
+	tr.startLog.record(tr.registration.ID, o, beside)
 	return nil
 }
 
