planner: a capacity that grows counts once it has stood for a heartbeat

What callers saw: a worker that does not guard its capacity was started more than it has room for (LIMIT) after another writer had registered more under its ID and start time for a second. Cause: what a registration says of the capacity counted at once, whoever had written it. Change: a worker registers about every heartbeat-ms, so what stands for longer is its own. A resource that shrinks counts at once. One that grows counts when every read since has shown that much, and the last was sent a heartbeat and 0.5 s after the first had arrived. It belongs to the incarnation as which the worker has answered, so that an entry with another start time in between changes nothing. The first capacity, which has none before it, counts up to the median of the worker's kind, and the rest later; workers that register more than counts are filled last. Weighed: waiting at each takeover (nothing is placed for 2 s), placements of the former host (none on an idle worker), lease or revision of the entry (do not tell the writer). Remains: a worker that is the only one of its kind, or has shrunk below the median, for a heartbeat after a takeover; another writer who writes anew between each registration and the next read. Growth that stays is followed within a heartbeat, 0.5 s and one read.

--- a/batch.go
+++ b/batch.go
@@ -22,6 +22,9 @@
 	// ProveWorkers gives runs only to workers that have answered a poll as the incarnation that
 	// their registration names.
 	ProveWorkers bool
+	// Heartbeat is the time within which a worker registers again. A capacity that grows counts
+	// once it has been registered for longer; at 0 it counts at once.
+	Heartbeat time.Duration
 }
 
 // Batch is the result of a planning step. Records and Removed are committed
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -100,6 +100,7 @@
 			OrderByDelayCost: s.Capacity.OrderByDelay,
 			LearnStalls:      s.Capacity.LearnStalls,
 			ProveWorkers:     true,
+			Heartbeat:        time.Duration(s.HeartbeatMS) * time.Millisecond,
 		},
 	}
 	opts := append(outageOptions(&s.Outage),
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -83,6 +83,6 @@
 func (e *Executor) applyRegistry(r *registryRead) {
 	e.registryReadAt = r.sentAt
 	e.setLeaveTimes(r)
-	e.plan.SetRegistrations(r.workers)
+	e.plan.SetRegistrations(r.workers, r.sentAt)
 	e.updateClocks(r.workers, r.arrivedAt)
 }
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -250,7 +250,7 @@
 	rules := rulekeeper.New(r, 2500, clock, log)
 	r.c.Assert(rules.Refresh(r.t.Context()), qt.IsNil)
 	bounds := executor.Bounds{MaxLeaseMS: maxLeaseMS, LeaveWithinMS: r.leaveWithinMS, Planner: yuccapaddle.PlanLimits{
-		RemoteSlowdown: 3, Retention: 2 * time.Minute, MoveLeaving: r.moveLeaving, LearnStalls: r.learnStalls, ProveWorkers: true,
+		RemoteSlowdown: 3, Retention: 2 * time.Minute, MoveLeaving: r.moveLeaving, LearnStalls: r.learnStalls, ProveWorkers: true, Heartbeat: heartbeat,
 	}}
 	runner := r.runner
 	if runner == nil {
--- /dev/null
+++ b/internal/executor/room_test.go
@@ -0,0 +1,162 @@
+package executor_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+)
+
+// heartbeat is the time between a worker's own registrations in the rig.
+const heartbeat = 1500 * time.Millisecond
+
+// oddWrite is an entry that another writer puts under the ID of a worker, some time after one
+// of the worker's own registrations.
+type oddWrite struct {
+	after  time.Duration
+	change func(w *yuccapaddle.Worker)
+}
+
+// overwritten returns odd entries under the ID of a worker, which writes its own registration
+// now and after each heartbeat: an odd entry stands until then, or until the next odd one.
+func overwritten(id string, writes ...oddWrite) *oddEntries {
+	start := time.Now()
+	odd := oddEntries(func(list []yuccapaddle.Worker) []yuccapaddle.Worker {
+		now := time.Since(start)
+		var latest *oddWrite
+		for i := range writes {
+			if writes[i].after <= now && writes[i].after >= now.Truncate(heartbeat) {
+				latest = &writes[i]
+			}
+		}
+		if latest == nil {
+			return list
+		}
+		return (*change(id, latest.change))(list)
+	})
+	return &odd
+}
+
+// eighthOfWorker is what a task needs of which a worker of the rig holds eight, by each
+// resource.
+var eighthOfWorker = yuccapaddle.Need{CPU: 8000, Memory: 32768, GPU: 1}
+
+// multiplied returns a change of a registration to n times the capacity.
+func multiplied(n int) func(w *yuccapaddle.Worker) {
+	return func(w *yuccapaddle.Worker) {
+		w.Capacity = yuccapaddle.Need{CPU: n * w.Capacity.CPU, Memory: n * w.Capacity.Memory, GPU: n * w.Capacity.GPU}
+	}
+}
+
+// laterStart returns a change of a registration to a later start time and n times the capacity.
+func laterStart(n int) func(w *yuccapaddle.Worker) {
+	return func(w *yuccapaddle.Worker) {
+		multiplied(n)(w)
+		w.Incarnation += 3_600_000
+	}
+}
+
+// oddCapacities are registrations with more capacity that another writer puts under the ID of
+// a sound worker.
+var oddCapacities = []struct {
+	name   string
+	writes []oddWrite
+}{
+	{"once", []oddWrite{{100 * time.Millisecond, multiplied(2)}}},
+	{"the highest", []oddWrite{{100 * time.Millisecond, func(w *yuccapaddle.Worker) {
+		w.Capacity = yuccapaddle.Need{CPU: 1 << 30, Memory: 1 << 30, GPU: 1 << 30}
+	}}}},
+	{"two in turn", []oddWrite{
+		{100 * time.Millisecond, multiplied(2)},
+		{800 * time.Millisecond, multiplied(3)},
+		{3*heartbeat + 100*time.Millisecond, multiplied(3)},
+		{3*heartbeat + 800*time.Millisecond, multiplied(2)},
+	}},
+	{"resources in turn", []oddWrite{
+		{100 * time.Millisecond, func(w *yuccapaddle.Worker) { w.Capacity.CPU *= 2 }},
+		{500 * time.Millisecond, func(w *yuccapaddle.Worker) { w.Capacity.Memory *= 2 }},
+		{900 * time.Millisecond, func(w *yuccapaddle.Worker) { w.Capacity.GPU *= 2 }},
+		{2*heartbeat + 100*time.Millisecond, multiplied(2)},
+	}},
+	{"after another start time", []oddWrite{
+		{100 * time.Millisecond, laterStart(2)},
+		{800 * time.Millisecond, multiplied(2)},
+	}},
+	{"around another start time", []oddWrite{
+		{100 * time.Millisecond, multiplied(2)},
+		{2*heartbeat + 100*time.Millisecond, laterStart(2)},
+		{2*heartbeat + 800*time.Millisecond, multiplied(2)},
+	}},
+}
+
+// submitMany submits a job of more tasks than three workers hold.
+func (r *rig) submitMany() {
+	r.submit("many", "batch", yuccapaddle.Step{Count: 60, Need: eighthOfWorker, Estimate: 20000})
+}
+
+// TestOddCapacity guards against a worker that is brought over its capacity since another
+// writer had registered more under its ID.
+func TestOddCapacity(t *testing.T) {
+	for _, tt := range oddCapacities {
+		t.Run(tt.name, func(t *testing.T) {
+			withGaugedRig(t, 3, func(r *rig) {
+				r.taskTime.Store(int64(20 * time.Second))
+				time.Sleep(2 * time.Second)
+				r.submitMany()
+				time.Sleep(2 * time.Second)
+				r.odd.Store(overwritten("w0", tt.writes...))
+				time.Sleep(8 * time.Second)
+				r.c.Check(r.running("many"), qt.Equals, 24)
+			})
+		})
+	}
+}
+
+// TestOddCapacityAtTakeOver guards against the same at a host that has taken over while the
+// entry stands, on a worker with runs of the former host and on one without.
+func TestOddCapacityAtTakeOver(t *testing.T) {
+	for _, busy := range []bool{true, false} {
+		for _, tt := range oddCapacities {
+			name := tt.name + " on an idle worker"
+			if busy {
+				name = tt.name + " on a busy worker"
+			}
+			t.Run(name, func(t *testing.T) {
+				withGaugedRig(t, 3, func(r *rig) {
+					r.taskTime.Store(int64(20 * time.Second))
+					time.Sleep(2 * time.Second)
+					if busy {
+						r.submitMany()
+					}
+					time.Sleep(2 * time.Second)
+					r.odd.Store(overwritten("w0", tt.writes...))
+					time.Sleep(200 * time.Millisecond)
+					r.takeOver()
+					if !busy {
+						r.submitMany()
+					}
+					time.Sleep(8 * time.Second)
+					r.c.Check(r.running("many"), qt.Equals, 24)
+				})
+			})
+		}
+	}
+}
+
+// TestTakeOverPlacesAtOnce guards against a host that takes over and places nothing until the
+// workers have registered again.
+func TestTakeOverPlacesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		r.takeOver()
+		defer func() { r.close() }()
+		time.Sleep(2 * time.Second)
+		r.takeOver()
+		r.submitMany()
+		time.Sleep(300 * time.Millisecond)
+		r.c.Check(r.running("many"), qt.Equals, 24)
+	})
+}
--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -9,25 +9,11 @@
 // overCapacity reports whether the runs that may be in progress on the worker need more
 // than its capacity.
 func (w *worker) overCapacity() bool {
-	return !w.used.Fits(w.Capacity)
+	return !w.used.Fits(w.capacity())
 }
 
-// noteCapacity updates highestCapacity from the worker's next registration.
-func (w *worker) noteCapacity(reg *yuccapaddle.Worker) {
-	if w.Incarnation != reg.Incarnation {
-		w.highestCapacity = yuccapaddle.Need{}
-	}
-	w.highestCapacity = yuccapaddle.Need{
-		CPU:    max(w.highestCapacity.CPU, reg.Capacity.CPU),
-		Memory: max(w.highestCapacity.Memory, reg.Capacity.Memory),
-		GPU:    max(w.highestCapacity.GPU, reg.Capacity.GPU),
-	}
-}
-
-// present returns the capacity that the worker has registered last, and highest the most
-// that it has registered of each resource.
-func (w *worker) present() yuccapaddle.Need { return w.Capacity }
-
+// highest returns the most of each resource that has counted in the worker's present
+// incarnation.
 func (w *worker) highest() yuccapaddle.Need { return w.highestCapacity }
 
 // capacityChange says for the log how the worker's next registration changes its capacity, ""
@@ -94,7 +80,8 @@
 // holds reports whether the worker has the capacity for the unit's members there beside
 // the runs that may be in progress. Other runs whose start has not been sent do not count.
 func (w *worker) holds(u *unit) bool {
-	if !w.overCapacity() {
+	capacity := w.certainCapacity()
+	if w.used.Fits(capacity) {
 		return true
 	}
 	occupied := yuccapaddle.Need{}
@@ -103,7 +90,7 @@
 			occupied = occupied.Add(x.u.stepSpec().Room())
 		}
 	}
-	return occupied.Fits(w.Capacity)
+	return occupied.Fits(capacity)
 }
 
 // NoteStartSent records that a start is sent now: from then on the run may be in progress.
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -33,7 +33,7 @@
 		}
 		list = append(list, w)
 	}
-	sim.p.SetRegistrations(list)
+	sim.p.SetRegistrations(list, sim.now)
 }
 
 // send treats starts as the executor does right before it sends them, and returns those
@@ -213,14 +213,14 @@
 			sim.p.SetTime(sim.now, sim.now)
 			sim.p.Configure(rules)
 			if !recordsFirst {
-				sim.p.SetRegistrations(list)
+				sim.p.SetRegistrations(list, sim.now)
 			}
 			for id, part := range map[string]string{"there": `[{"r":1,"s":1,"m":[{"w":"w00"}]}]`, "unsent": `[{"r":1,"s":1,"m":[{"w":"w00"}]}]`} {
 				job := []byte(`{"id":"` + id + `","q":"batch","v":"svc","t":[{"n":1,"d":{"g":4}}]}`)
 				sim.c.Assert(sim.p.Restore(job, []byte(`{"s":"queued","o":1}`), [][]byte{[]byte(part)}), qt.IsNil)
 			}
 			if recordsFirst {
-				sim.p.SetRegistrations(list)
+				sim.p.SetRegistrations(list, sim.now)
 			}
 			sim.submit("new", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}})
 			sim.c.Check(countByWorker(sim.send(sim.plan().Starts)), qt.DeepEquals, map[string]int{"w01": 1})
--- a/internal/planner/cluster_test.go
+++ b/internal/planner/cluster_test.go
@@ -76,7 +76,7 @@
 
 func (cl *cluster) register() {
 	cl.p.SetTime(cl.now, cl.now)
-	cl.p.SetRegistrations(slices.Collect(maps.Values(cl.registered)))
+	cl.p.SetRegistrations(slices.Collect(maps.Values(cl.registered)), cl.now)
 }
 
 func (cl *cluster) after(d time.Duration, do func()) {
--- a/internal/planner/delaycost_test.go
+++ b/internal/planner/delaycost_test.go
@@ -28,7 +28,7 @@
 	})
 	sim.p.SetTime(sim.now, sim.now)
 	sim.p.Configure(rules)
-	sim.p.SetRegistrations(list)
+	sim.p.SetRegistrations(list, sim.now)
 	return sim
 }
 
--- a/internal/planner/infeasible.go
+++ b/internal/planner/infeasible.go
@@ -14,7 +14,7 @@
 	j := newJob(spec)
 	for i := range spec.Steps { // one unit for each step: all of its units need the same
 		u := &unit{job: j, stepIndex: i}
-		if most := p.capacityFor(u, (*worker).present); most < u.width() {
+		if most := p.capacityFor(u, (*worker).capacity); most < u.width() {
 			reason := p.neededRoom(u) + "; the registered workers hold " + itoa(most) + " such tasks"
 			if full := p.capacityFor(u, (*worker).highest); full >= u.width() {
 				reason += " at present, and " + itoa(full) + " with the capacity that they have had"
--- a/internal/planner/leavesim_test.go
+++ b/internal/planner/leavesim_test.go
@@ -112,7 +112,7 @@
 			list = append(list, w.Worker)
 		}
 	}
-	d.p.SetRegistrations(list)
+	d.p.SetRegistrations(list, d.now)
 	d.nextRead = d.now.Add(registryInterval)
 }
 
--- a/internal/planner/order_test.go
+++ b/internal/planner/order_test.go
@@ -76,7 +76,7 @@
 	sim.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 1.5, Retention: time.Hour})
 	sim.p.SetTime(sim.now, sim.now)
 	sim.p.Configure(rules)
-	sim.p.SetRegistrations(registered)
+	sim.p.SetRegistrations(registered, sim.now)
 	sim.submit("b-full", queueBatch, yuccapaddle.Step{Count: 64, Need: yuccapaddle.Need{GPU: 1}, Estimate: 2000, DataRack: "r0"})
 	sim.advance(time.Second)
 	sim.submit("b-data", queueBatch, yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{GPU: 1}, Estimate: 4000, DataRack: "r0"})
--- a/internal/planner/pick.go
+++ b/internal/planner/pick.go
@@ -93,7 +93,7 @@
 	count := map[string]int{}
 	for _, w := range p.workers {
 		if (rack == "" || w.Rack == rack) && p.usable(w) && p.eligible(u, w) {
-			count[w.Rack] += tasksThatFit(u, u.width(), w.Capacity, u.stepSpec().PerWorker)
+			count[w.Rack] += tasksThatFit(u, u.width(), w.capacity(), u.stepSpec().PerWorker)
 		}
 	}
 	for _, n := range count {
@@ -117,7 +117,8 @@
 }
 
 // candidates lists the workers with room for at least one of n tasks of the unit: those
-// with the least free room first, quarantined ones last. It leaves out workers that the
+// with the least free room first, then those that register more than counts, quarantined ones
+// last. It leaves out workers that the
 // unit avoids, those where it may not have the company, and the reserve for urgent jobs.
 func (p *Planner) candidates(u *unit, n int, claimed map[string]yuccapaddle.Need, c company) []candidate {
 	var list []candidate
@@ -133,6 +134,7 @@
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			compareBool(a.quarantined, b.quarantined),
+			compareBool(a.w.growing(), b.w.growing()),
 			cmp.Compare(a.free.GPU, b.free.GPU),
 			cmp.Compare(a.free.CPU, b.free.CPU),
 			cmp.Compare(a.w.ID, b.w.ID),
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -52,8 +52,9 @@
 	runTimes           *estimator.Estimator
 	evacuator          *evacuator.Evacuator
 	learnedTimes       map[runKind]learnedTime
-	looks              map[string]time.Time // see LookAt
-	proofs             []string             // see TakeProofRequests
+	looks              map[string]time.Time       // see LookAt
+	proofs             []string                   // see TakeProofRequests
+	usualCapacities    map[peers]yuccapaddle.Need // cache for usualCapacity, nil if it has to be computed
 }
 
 // Option configures a Planner in New.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -67,7 +67,7 @@
 			Capacity: yuccapaddle.Need{CPU: workerCPU, Memory: 262144, GPU: gpus}, Incarnation: 1,
 		})
 	}
-	sim.p.SetRegistrations(list)
+	sim.p.SetRegistrations(list, sim.now)
 	return sim
 }
 
--- a/internal/planner/proof.go
+++ b/internal/planner/proof.go
@@ -45,6 +45,11 @@
 	if !p.proven(w) {
 		w.refutedUntil = p.now.Add(refutedTime)
 		p.wakeBy(w.refutedUntil)
+		return
+	}
+	if w.room.incarnation != w.Incarnation {
+		p.beginRoom(w)
+		p.changed = true
 	}
 }
 
--- a/internal/planner/proof_test.go
+++ b/internal/planner/proof_test.go
@@ -26,7 +26,7 @@
 	sim.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 3, Retention: time.Hour, Restore: 600 * time.Millisecond, ProveWorkers: true})
 	sim.p.SetTime(sim.now, sim.now)
 	sim.p.Configure(rules)
-	sim.p.SetRegistrations(list)
+	sim.p.SetRegistrations(list, sim.now)
 	return sim
 }
 
@@ -97,11 +97,11 @@
 		stranger := gone
 		stranger.ID, stranger.Incarnation = "stranger", 1<<52
 		sim.p.SetResponsive(lost, false)
-		sim.p.SetRegistrations(append(slices.Clone(list), stranger))
+		sim.p.SetRegistrations(append(slices.Clone(list), stranger), sim.now)
 		sim.p.SetResponsive("stranger", false)
 		sim.p.HandleLeaseExpiry(lost)
 		sim.prove(5 * time.Second)
-		sim.p.SetRegistrations(append(list, gone))
+		sim.p.SetRegistrations(append(list, gone), sim.now)
 		sim.p.SetResponsive(lost, true)
 		sim.p.HandlePollReply(lost, &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
 		sim.prove(5 * time.Second)
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -66,7 +66,7 @@
 	total, used := yuccapaddle.Need{}, yuccapaddle.Need{}
 	for _, w := range p.workers {
 		if p.usable(w) {
-			total, used = total.Add(w.Capacity), used.Add(w.used)
+			total, used = total.Add(w.capacity()), used.Add(w.used)
 		}
 	}
 	if utilization(used, total) < minReserveUtilization {
@@ -100,16 +100,16 @@
 	empty := 0
 	for _, c := range candidates {
 		if c.w.used == (yuccapaddle.Need{}) {
-			empty += c.w.Capacity.GPU
+			empty += c.w.capacity().GPU
 		}
 	}
 	list := candidates[:0:0]
 	for _, c := range candidates {
 		if c.w.used == (yuccapaddle.Need{}) {
-			if empty-c.w.Capacity.GPU < keep {
+			if empty-c.w.capacity().GPU < keep {
 				continue
 			}
-			empty -= c.w.Capacity.GPU
+			empty -= c.w.capacity().GPU
 		}
 		list = append(list, c)
 	}
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -135,7 +135,7 @@
 	total := yuccapaddle.Need{}
 	for _, w := range p.workers {
 		if p.usable(w) {
-			total = total.Add(w.Capacity)
+			total = total.Add(w.capacity())
 		}
 	}
 	return total
--- a/internal/planner/shrink_test.go
+++ b/internal/planner/shrink_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -54,6 +55,15 @@
 	answers   []func()
 	sentGangs map[string]bool // jobs of gangs of which the last batch has sent a start
 	delayed   []delayedStart
+	heartbeat time.Duration          // see yuccapaddle.PlanLimits
+	odd       map[string]oddCapacity // of another writer, by the worker whose ID it is under
+}
+
+// oddCapacity is the capacity in an entry of another writer, which stands until the worker
+// registers again.
+type oddCapacity struct {
+	capacity yuccapaddle.Need
+	until    time.Time
 }
 
 // delayedStart is a start that has had no answer and is carried out later.
@@ -64,9 +74,9 @@
 	incarnation int64
 }
 
-func newHistory(t testing.TB, seed uint64) *history {
+func newHistory(t testing.TB, seed uint64, heartbeat time.Duration) *history {
 	h := &history{
-		c: qt.New(t), seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), records: map[string]*yuccapaddle.JobRecord{},
+		c: qt.New(t), seed: seed, heartbeat: heartbeat, odd: map[string]oddCapacity{}, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), records: map[string]*yuccapaddle.JobRecord{},
 		steps: map[string]*yuccapaddle.Step{},
 	}
 	for i := range shrinkWorkers {
@@ -87,11 +97,13 @@
 }
 
 // takeOver drops what the active host has not committed, and restores its records on the
-// next one, before or after it has the registrations.
+// next one, before or after it has the registrations. That has no earlier ones to compare with,
+// so the workers have registered again by then.
 func (h *history) takeOver() {
+	clear(h.odd)
 	h.epoch++
 	h.pending, h.answers = nil, nil
-	h.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 3, Retention: time.Hour, Restore: 600 * time.Millisecond})
+	h.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 3, Retention: time.Hour, Restore: 600 * time.Millisecond, Heartbeat: h.heartbeat})
 	h.p.SetTime(h.now, h.now)
 	rules := &yuccapaddle.Rules{Version: 1, Digest: 1, Queues: []yuccapaddle.Queue{
 		{Name: queueQuick, Service: "svc", Priority: 0, Attempts: 50, Stretch: 1.5, ObjectiveMS: 400},
@@ -126,8 +138,11 @@
 	list := make([]yuccapaddle.Worker, len(h.workers))
 	for i, w := range h.workers {
 		list[i] = w.Worker
+		if odd, ok := h.odd[w.ID]; ok {
+			list[i].Capacity = odd.capacity
+		}
 	}
-	h.p.SetRegistrations(list)
+	h.p.SetRegistrations(list, h.now)
 }
 
 // play plays the whole history and checks it.
@@ -138,6 +153,7 @@
 		h.step()
 	}
 	h.calm = true
+	clear(h.odd)
 	for _, w := range h.workers {
 		w.Capacity = fullCapacity
 	}
@@ -164,7 +180,12 @@
 // change makes what happens from outside in one step.
 func (h *history) change() {
 	w := h.workers[h.rng.IntN(len(h.workers))]
+	if h.heartbeat != 0 {
+		h.changeOdd(w)
+	}
+	_, odd := h.odd[w.ID]
 	switch {
+	case odd: // a change would be registered, which replaces the entry
 	case h.chance(12):
 		w.Capacity = yuccapaddle.Need{CPU: h.rng.IntN(workerCPU + 1), Memory: h.rng.IntN(262144 + 1), GPU: h.rng.IntN(gpus + 1)}
 	case h.chance(12):
@@ -181,6 +202,19 @@
 	}
 }
 
+// changeOdd ends the odd entries that the workers have replaced by now, and may put one under
+// the ID of w. Between two of them a read shows the worker's own.
+func (h *history) changeOdd(w *historyWorker) {
+	_, stood := h.odd[w.ID]
+	maps.DeleteFunc(h.odd, func(_ string, odd oddCapacity) bool { return !h.now.Before(odd.until) })
+	if stood || !h.chance(10) {
+		return
+	}
+	most := 3 * (gpus + 1)
+	capacity := yuccapaddle.Need{CPU: h.rng.IntN(3 * workerCPU), Memory: h.rng.IntN(3 * 262144), GPU: h.rng.IntN(most)}
+	h.odd[w.ID] = oddCapacity{capacity, h.now.Add(time.Duration(h.rng.Int64N(int64(h.heartbeat))))}
+}
+
 func (h *history) submit() {
 	id := fmt.Sprintf("j%03d", len(h.jobs))
 	step := yuccapaddle.Step{
@@ -405,9 +439,19 @@
 // capacity that it registered last, what is being stopped included, that gangs are started
 // whole or not at all, and that all jobs end once capacities are back. For more: -shrink-seeds 5000 -shrink-first 1000.
 func TestCapacityHistories(t *testing.T) {
+	playHistories(t, 0)
+}
+
+// TestOddCapacityHistories checks the same while another writer registers other capacities under
+// the IDs of the workers, each until the worker registers again.
+func TestOddCapacityHistories(t *testing.T) {
+	playHistories(t, heartbeat)
+}
+
+func playHistories(t *testing.T, heartbeat time.Duration) {
 	over, unsent := 0, 0
 	for i := range *shrinkSeeds {
-		h := newHistory(t, *firstShrinkSeed+uint64(i))
+		h := newHistory(t, *firstShrinkSeed+uint64(i), heartbeat)
 		h.play()
 		over, unsent = over+h.over, unsent+h.unsent
 	}
--- a/internal/planner/stallsim_test.go
+++ b/internal/planner/stallsim_test.go
@@ -112,7 +112,7 @@
 	for id, r := range sim.records {
 		sim.c.Assert(sim.p.Restore(r.Job, r.State, slices.Collect(maps.Values(sim.parts[id]))), qt.IsNil)
 	}
-	sim.p.SetRegistrations(sim.workers)
+	sim.p.SetRegistrations(sim.workers, sim.now)
 	for _, id := range sim.p.BusyWorkers() {
 		sim.report(id) // the first hold does not wait
 	}
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		st.Workers = append(st.Workers, yuccapaddle.WorkerStatus{
-			ID: id, Rack: w.Rack, Domain: w.Domain, Accelerators: w.Capacity.GPU, Used: w.used.GPU, State: p.workerState(w),
+			ID: id, Rack: w.Rack, Domain: w.Domain, Accelerators: w.capacity().GPU, Used: w.used.GPU, State: p.workerState(w),
 		})
 		if !p.usable(w) {
 			st.Unusable = append(st.Unusable, id)
@@ -118,7 +118,7 @@
 	}
 	suited, usable := 0, 0
 	for _, w := range p.workers {
-		if !p.compatible(u, w) || !u.stepSpec().Room().Fits(w.Capacity) {
+		if !p.compatible(u, w) || !u.stepSpec().Room().Fits(w.capacity()) {
 			continue
 		}
 		suited++
--- a/internal/planner/suspect.go
+++ b/internal/planner/suspect.go
@@ -208,7 +208,7 @@
 	total, used := yuccapaddle.Need{}, yuccapaddle.Need{}
 	for _, w := range p.workers {
 		if p.usable(w) {
-			total, used = total.Add(w.Capacity), used.Add(w.used)
+			total, used = total.Add(w.capacity()), used.Add(w.used)
 		}
 	}
 	return utilization(used, total) < idleUtilization
@@ -244,7 +244,7 @@
 	tasks := 0
 	for _, w := range p.workers {
 		if p.usable(w) && p.eligible(u, w) && !p.crashedUnder(u, w) {
-			tasks += tasksThatFit(u, u.width(), w.Capacity, u.stepSpec().PerWorker)
+			tasks += tasksThatFit(u, u.width(), w.capacity(), u.stepSpec().PerWorker)
 		}
 	}
 	return tasks >= u.width()
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -34,7 +34,8 @@
 	refutedUntil        time.Time // see refuted
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
-	// highestCapacity holds the most of each resource that it has registered in its present
+	room                room      // see capacity
+	// highestCapacity holds the most of each resource that has counted in its present
 	// incarnation.
 	highestCapacity yuccapaddle.Need
 }
@@ -77,7 +78,7 @@
 
 // free returns the capacity that no run holds.
 func (w *worker) free() yuccapaddle.Need {
-	return w.Capacity.Sub(w.used)
+	return w.capacity().Sub(w.used)
 }
 
 // Busy reports whether runs may be in progress on the worker, or have ended there and not
@@ -133,8 +134,8 @@
 }
 
 // SetRegistrations replaces the registrations with those of all workers that are
-// registered now.
-func (p *Planner) SetRegistrations(list []yuccapaddle.Worker) {
+// registered now. readAt is the time before they were read: they are at least as new.
+func (p *Planner) SetRegistrations(list []yuccapaddle.Worker, readAt time.Time) {
 	present := make(map[string]bool, len(list))
 	first := !p.workersKnown
 	p.workersKnown = true
@@ -151,7 +152,6 @@
 				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg) + w.capacityChange(reg)})
 			}
 		}
-		w.noteCapacity(reg)
 		if w.Incarnation != reg.Incarnation {
 			w.forgetProof()
 		}
@@ -160,11 +160,16 @@
 		}
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
 	}
+	p.usualCapacities = nil
+	for i := range list {
+		p.updateRoom(p.workers[list[i].ID], readAt)
+	}
 	p.settleBy = p.now
 	for id, w := range p.workers {
 		if present[id] {
 			continue
 		}
+		w.room.dropPending()
 		if w.registered {
 			w.registered, w.goneSince = false, p.now
 			p.addDecision(yuccapaddle.Decision{Event: "worker gone", Worker: id})
