planner: other fields of a sound worker's entry count once they have stood

What callers saw: after another writer had registered another service or label under the ID and start time of a sound worker for a second, a task was started there that belongs on other workers (ROUTE); another failure domain, and one was started in a closed domain (EVAC); ready, and one was started on a worker that drains (DRAIN). Cause: the latest registration counted whole, whoever had written it, although these fields do not change within an incarnation. Change: within one incarnation the former values count until others have been read for a heartbeat and 0.5 s, the same in every read, and nothing new goes to the worker meanwhile. That a worker drains counts at once. After a restart the registration as which the worker has answered counts at once. Remains: the first registration that a new active host reads is believed. A worker whose entry was odd gets nothing new until its own is read again, and after an odd draining entry for a heartbeat more.

--- a/internal/executor/room_test.go
+++ b/internal/executor/room_test.go
@@ -160,3 +160,43 @@
 		r.c.Check(r.running("many"), qt.Equals, 24)
 	})
 }
+
+// TestOddPlace guards against a task on a worker of another service, without the label that it
+// requires or in another rack than its data, since another writer had registered that under the
+// ID of the worker.
+func TestOddPlace(t *testing.T) {
+	service := func(w *yuccapaddle.Worker) { w.Service = "other" }
+	label := func(w *yuccapaddle.Worker) { w.Labels = []string{"b", "r0"} }
+	later := func(w *yuccapaddle.Worker) { w.Incarnation += 3_600_000 }
+	tests := []struct {
+		name   string
+		queue  string
+		label  string
+		writes []oddWrite
+	}{
+		{"service", "elsewhere", "", []oddWrite{{100 * time.Millisecond, service}}},
+		{"label", "batch", "b", []oddWrite{{100 * time.Millisecond, label}}},
+		{"service after another start time", "elsewhere", "", []oddWrite{{100 * time.Millisecond, later}, {800 * time.Millisecond, service}}},
+		{"label after another start time", "batch", "b", []oddWrite{{100 * time.Millisecond, later}, {800 * time.Millisecond, label}}},
+		{"service and label in turn", "elsewhere", "", []oddWrite{
+			{100 * time.Millisecond, service},
+			{800 * time.Millisecond, label},
+			{2*heartbeat + 100*time.Millisecond, label},
+			{2*heartbeat + 800*time.Millisecond, service},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withGaugedRig(t, 1, func(r *rig) {
+				r.setQueues(yuccapaddle.Queue{Name: "batch", Service: "svc", Attempts: 3}, yuccapaddle.Queue{Name: "elsewhere", Service: "other", Attempts: 3})
+				time.Sleep(2 * time.Second)
+				r.submit("odd", tt.queue, yuccapaddle.Step{Count: 1, Need: oneGPU, Label: tt.label, Estimate: 2000})
+				r.odd.Store(overwritten("w0", tt.writes...))
+				time.Sleep(8 * time.Second)
+				r.c.Check(r.workers["w0"].Starts(), qt.HasLen, 0)
+				r.submit("sound", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
+				r.waitForState("sound", "batch", yuccapaddle.JobCompleted, 3*time.Second)
+			})
+		})
+	}
+}
--- a/internal/planner/proof.go
+++ b/internal/planner/proof.go
@@ -17,7 +17,13 @@
 // proven reports whether the worker has answered as the incarnation that its registration
 // names, if the settings ask for that.
 func (p *Planner) proven(w *worker) bool {
-	return !p.limits.ProveWorkers || w.reportedIncarnation == w.Incarnation
+	return p.answeredAs(w, w.Incarnation)
+}
+
+// answeredAs reports whether the worker has answered as an incarnation, if the settings ask for
+// that.
+func (p *Planner) answeredAs(w *worker, incarnation int64) bool {
+	return !p.limits.ProveWorkers || w.reportedIncarnation == incarnation
 }
 
 // provenIncarnation returns the latest incarnation that the worker is known to have had. What
@@ -48,6 +54,7 @@
 		return
 	}
 	if w.room.incarnation != w.Incarnation {
+		w.fixed = fixedFields{begun: true, counted: w.Worker}
 		p.beginRoom(w)
 		p.changed = true
 	}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -7,7 +7,8 @@
 	"yuccapaddle/internal/quotakeeper"
 )
 
-// worker is the state of one worker. The embedded Worker is its latest registration.
+// worker is the state of one worker. The embedded Worker is its latest registration, as far as
+// that counts.
 type worker struct {
 	yuccapaddle.Worker
 	registered bool // in the latest list of registrations
@@ -34,7 +35,8 @@
 	refutedUntil        time.Time // see refuted
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
-	room                room      // see capacity
+	fixed               fixedFields
+	room                room // see capacity
 	// highestCapacity holds the most of each resource that has counted in its present
 	// incarnation.
 	highestCapacity yuccapaddle.Need
@@ -143,9 +145,10 @@
 		p.addDecision(yuccapaddle.Decision{Event: "workers listed", Detail: itoa(len(list)) + " for the first time"})
 	}
 	for i := range list {
-		reg := &list[i]
-		present[reg.ID] = true
-		w := p.worker(reg.ID)
+		present[list[i].ID] = true
+		w := p.worker(list[i].ID)
+		settled := p.settle(w, &list[i], readAt)
+		reg := &settled
 		if !w.registered || w.Draining != reg.Draining || w.Incarnation != reg.Incarnation || w.Capacity != reg.Capacity {
 			p.changed = true
 			if !first || reg.Draining {
@@ -170,6 +173,7 @@
 			continue
 		}
 		w.room.dropPending()
+		w.fixed.dropPending()
 		if w.registered {
 			w.registered, w.goneSince = false, p.now
 			p.addDecision(yuccapaddle.Decision{Event: "worker gone", Worker: id})
@@ -214,6 +218,8 @@
 		return "refuses starts"
 	case len(w.orphans) > 0:
 		return "runs what nobody wants"
+	case w.fixed.isPending():
+		return "registered otherwise than before"
 	case p.refuted(w):
 		return "answers as another than is registered"
 	}
