--- a/internal/planner/proof.go
+++ b/internal/planner/proof.go
@@ -20,7 +20,13 @@
 // proven reports whether the worker has answered as the incarnation that its registration
 // names, if the settings ask for that.
 func (p *Planner) proven(w *worker) bool {
-	return !p.limits.ProveWorkers || w.reportedIncarnation == w.Incarnation
+	return p.answeredAs(w, w.Incarnation)
+}
+
+// answeredAs reports whether the worker has answered as an incarnation, if the settings ask for
+// that.
+func (p *Planner) answeredAs(w *worker, incarnation int64) bool {
+	return !p.limits.ProveWorkers || w.reportedIncarnation == incarnation
 }
 
 // mayStart reports whether the worker may be sent starts without being asked before: it is
@@ -54,6 +60,12 @@
 	if !p.proven(w) {
 		w.refutedUntil = p.now.Add(refutedTime)
 		p.wakeBy(w.refutedUntil)
+		return
+	}
+	if w.room.incarnation != w.Incarnation {
+		w.fixed = fixedFields{begun: true, counted: w.Worker}
+		p.beginRoom(w)
+		p.changed = true
 	}
 }
 
--- a/internal/planner/refusal_test.go
+++ b/internal/planner/refusal_test.go
@@ -21,7 +21,7 @@
 		}
 		list = append(list, w)
 	}
-	sim.p.SetRegistrations(list)
+	sim.p.SetRegistrations(list, sim.now)
 }
 
 // sendUnanswered has a job of one task started on one of two workers, which leaves the start
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -7,7 +7,8 @@
 	"yuccapaddle/internal/quotakeeper"
 )
 
-// worker is the state of one worker. The embedded Worker is its latest registration.
+// worker is the state of one worker. The embedded Worker is its latest registration, as far as
+// that counts.
 type worker struct {
 	yuccapaddle.Worker
 	registered bool // in the latest list of registrations
@@ -35,7 +36,9 @@
 	refutedUntil        time.Time // see refuted
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
-	// highestCapacity holds the most of each resource that it has registered in its present
+	fixed               fixedFields
+	room                room // see capacity
+	// highestCapacity holds the most of each resource that has counted in its present
 	// incarnation.
 	highestCapacity yuccapaddle.Need
 }
@@ -78,7 +81,7 @@
 
 // free returns the capacity that no run holds.
 func (w *worker) free() yuccapaddle.Need {
-	return w.Capacity.Sub(w.used)
+	return w.capacity().Sub(w.used)
 }
 
 // Busy reports whether runs may be in progress on the worker, or have ended there and not
@@ -134,8 +137,8 @@
 }
 
 // SetRegistrations replaces the registrations with those of all workers that are
-// registered now.
-func (p *Planner) SetRegistrations(list []yuccapaddle.Worker) {
+// registered now. readAt is the time before they were read: they are at least as new.
+func (p *Planner) SetRegistrations(list []yuccapaddle.Worker, readAt time.Time) {
 	present := make(map[string]bool, len(list))
 	first := !p.workersKnown
 	p.workersKnown = true
@@ -143,16 +146,16 @@
 		p.addDecision(yuccapaddle.Decision{Event: "workers listed", Detail: itoa(len(list)) + " for the first time"})
 	}
 	for i := range list {
-		reg := &list[i]
-		present[reg.ID] = true
-		w := p.worker(reg.ID)
+		present[list[i].ID] = true
+		w := p.worker(list[i].ID)
+		settled := p.settle(w, &list[i], readAt)
+		reg := &settled
 		if !w.registered || w.Draining != reg.Draining || w.Incarnation != reg.Incarnation || w.Capacity != reg.Capacity {
 			p.changed = true
 			if !first || reg.Draining {
 				p.addDecision(yuccapaddle.Decision{Event: "worker listed", Worker: reg.ID, Detail: describeWorker(reg) + w.capacityChange(reg)})
 			}
 		}
-		w.noteCapacity(reg)
 		if w.Incarnation != reg.Incarnation {
 			w.forgetProof()
 		}
@@ -163,11 +166,17 @@
 		w.Worker, w.registered, w.goneSince = *reg, true, time.Time{}
 		w.Address = address
 	}
+	p.usualCapacities = nil
+	for i := range list {
+		p.updateRoom(p.workers[list[i].ID], readAt)
+	}
 	p.settleBy = p.now
 	for id, w := range p.workers {
 		if present[id] {
 			continue
 		}
+		w.room.dropPending()
+		w.fixed.dropPending()
 		if w.registered {
 			w.registered, w.goneSince = false, p.now
 			p.addDecision(yuccapaddle.Decision{Event: "worker gone", Worker: id})
@@ -223,6 +232,8 @@
 		return "refuses starts"
 	case len(w.orphans) > 0:
 		return "runs what nobody wants"
+	case w.fixed.isPending():
+		return "registered otherwise than before"
 	case p.refuted(w):
 		return "answers as another than is registered"
 	}
