executor: the clock in a refusal by another process is not the worker's

What callers see: two runs of one task at once, where another writer has registered another worker's address under the ID of a sound worker. Cause: an order that reaches another worker is refused as "replaced", and the answer tells the clock of the one that refuses. It was taken for the clock of the worker that was meant, and readings never go back: deadlines were about 25 s ahead, 6 s is the longest lease. A late renewal then kept runs that counted as over. Change: a clock is taken from a success or from a refusal by the worker itself.

--- a/internal/executor/clock.go
+++ b/internal/executor/clock.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,6 +44,19 @@
 	return l.clock + int64(float64(now.Sub(l.clockAt).Milliseconds())*maxClockRate) + clockSlackMS
 }
 
+// toldClock returns the clock that the answer to an order tells, in milliseconds, 0 for none.
+// An order that is refused since another worker has the address tells the clock of that one.
+func toldClock(clock int64, err error) int64 {
+	var refusal *yuccapaddle.RefusalError
+	switch {
+	case err == nil:
+		return clock
+	case errors.As(err, &refusal) && refusal.Reason != yuccapaddle.RefusedReplaced:
+		return refusal.Clock
+	}
+	return 0
+}
+
 // updateClockFrom stores a reading of the worker's clock from the answer to an order that was
 // sent to a process of the worker. If another one has answered since, the reading may be that
 // of the former process, which had a clock of its own.
--- a/internal/executor/order.go
+++ b/internal/executor/order.go
@@ -47,14 +47,11 @@
 // on to the planner.
 func (e *Executor) handleStartReply(l *link, process uint64, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
 	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
-	l.updateClockFrom(process, clock, at)
+	l.updateClockFrom(process, toldClock(clock, err), at)
 	var refusal *yuccapaddle.RefusalError
-	if errors.As(err, &refusal) {
-		l.updateClockFrom(process, refusal.Clock, at)
-		if refusal.Reason == yuccapaddle.RefusedOutdated {
-			e.stopSuperseded(st.Worker)
-			return
-		}
+	if errors.As(err, &refusal) && refusal.Reason == yuccapaddle.RefusedOutdated {
+		e.stopSuperseded(st.Worker)
+		return
 	}
 	if e.plan.HandleStartReply(st.Worker, st.Task, st.Run, err) {
 		e.poll(st.Worker, l)
@@ -75,7 +72,7 @@
 		clock, err := e.runner.Stop(ctx, &w, o)
 		at := e.clock.Now()
 		e.post(func() {
-			l.updateClockFrom(process, clock, at)
+			l.updateClockFrom(process, toldClock(clock, err), at)
 			if err == nil && e.plan.HandleStopConfirmed(st.Worker, st.Task, st.Run) {
 				e.poll(st.Worker, l)
 			}
