executor: nothing is acknowledged twice, nor to a worker that does not answer

What callers see: a task that is done runs again. Cause: each hold acknowledged the ends up to the last committed number. A worker that has restarted under its ID, unnoticed so far, numbers its ends anew; the next hold had it forget an end that no host had seen, so its task was not listed any more and was placed again. Change: a hold acknowledges only what the worker has not yet answered for, and nothing while the worker is silent, as it is after a restart that breaks a call. A worker that lists an end again gets its acknowledgement again.

--- /dev/null
+++ b/internal/executor/late_test.go
@@ -0,0 +1,69 @@
+package executor_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"yuccapaddle"
+)
+
+// lateOrder is how long after it was sent an order may be carried out.
+const lateOrder = 12 * time.Second
+
+// lateStarter is a Runner that leaves the first start of job "a" unanswered and carries it out
+// lateOrder later. Calls whose worker restarts meanwhile have no answer.
+type lateStarter struct {
+	*rig
+	worker atomic.Value // ID of the worker of that start
+}
+
+// Start implements yuccapaddle.Runner.
+func (l *lateStarter) Start(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.StartOrder) (int64, error) {
+	if o.Task.Job != "a" || !l.worker.CompareAndSwap(nil, w.ID) {
+		return l.rig.Start(ctx, w, o)
+	}
+	to := *w
+	time.AfterFunc(lateOrder, func() { _, _ = l.workers[to.ID].Start(context.Background(), o) })
+	<-ctx.Done()
+	return 0, yuccapaddle.ErrNoAnswer
+}
+
+// Hold implements yuccapaddle.Runner.
+func (l *lateStarter) Hold(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
+	before := l.workers[w.ID].Worker().Incarnation
+	reply, err := l.rig.Hold(ctx, w, o)
+	if err == nil && l.workers[w.ID].Worker().Incarnation != before {
+		return yuccapaddle.HoldReply{}, yuccapaddle.ErrNoAnswer
+	}
+	return reply, err
+}
+
+// TestAckOfFormerLife guards against a second run of a task that is done: a worker that has
+// restarted carries out a start before the restart is noticed, and the next hold acknowledges
+// the end of that run with the number of an end from before.
+func TestAckOfFormerLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		l := &lateStarter{rig: r}
+		r.runner = l
+		l.worker.Store("none")
+		r.takeOver()
+		defer func() { r.close() }()
+		r.taskTime.Store(int64(500 * time.Millisecond))
+		r.submit("before", "batch", yuccapaddle.Step{Count: 4, Need: oneGPU, Estimate: 500})
+		r.waitForState("before", "batch", yuccapaddle.JobCompleted, 5*time.Second)
+		r.taskTime.Store(int64(20 * time.Second))
+		r.submit("long", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(3 * time.Second)
+		r.workers["w0"].Restart()
+		r.taskTime.Store(int64(50 * time.Millisecond))
+		r.submit("b", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 50})
+		r.waitForState("b", "batch", yuccapaddle.JobCompleted, 10*time.Second)
+		r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: "b"}), qt.HasLen, 1)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -142,7 +142,7 @@
 		e.handleHoldError(id, l, errUnregistered)
 		return
 	}
-	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.committedEnd}
+	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.endToAck()}
 	if busy && !l.silent {
 		// A silent worker gets no renewal: the order may arrive even if the reply does
 		// not, so each one would postpone the time when its leases have certainly ended.
@@ -167,6 +167,25 @@
 	e.sendHold(&w, id, l, o, true)
 }
 
+// endToAck returns the number up to which the next hold acknowledges ends, 0 for none. The
+// worker may have restarted unnoticed, and its ends have other numbers then. So nothing is
+// acknowledged twice, nor while it does not answer.
+func (l *link) endToAck() int64 {
+	if l.silent || l.ackedEnd >= l.committedEnd {
+		return 0
+	}
+	return l.committedEnd
+}
+
+// noteAck records that a worker has answered a hold that acknowledged ends, and which ends it
+// lists. What it lists it has not forgotten.
+func (l *link) noteAck(acked int64, listed []yuccapaddle.End) {
+	l.ackedEnd = max(l.ackedEnd, acked)
+	if len(listed) > 0 {
+		l.ackedEnd = min(l.ackedEnd, listed[0].Number-1)
+	}
+}
+
 // poll sends a hold that does not wait, even if a regular one is pending, to learn at once
 // what the worker runs.
 func (e *Executor) poll(id string, l *link) {
@@ -174,7 +193,7 @@
 	if !ok || w.Address == "" || l.silent {
 		return
 	}
-	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.committedEnd, Deadline: e.renewalDeadline(l)}
+	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.endToAck(), Deadline: e.renewalDeadline(l)}
 	e.sendHold(&w, id, l, o, false)
 }
 
@@ -234,7 +253,8 @@
 	}
 	l.updateClock(reply.Clock, at)
 	l.answered = true
-	l.ackedEnd, l.reported = max(l.ackedEnd, o.AckedEnd), true
+	l.noteAck(o.AckedEnd, reply.Ended)
+	l.reported = true
 	e.trackEnds(id, &reply)
 	e.plan.HandlePollReply(id, &reply, poll)
 }
