executor: a list from before the raised token ends no run

What callers see: two runs of one task at once. Cause: a worker restarts quickly under its ID while two holds are under way. The reply to the first tells of the restart, and the token of later orders is raised, so that the worker refuses orders from before. The reply to the second, sent with the former token, was taken as a list all the same and ended the run; a late copy of its start, which the worker had not been told to refuse yet, was carried out beside the next run. Evidence: TestListBeforeFence failed in 5 of 5 runs before, "task a.0.0.0 runs on w0 and w1". Change: a reply to a hold with a lower token than the present one tells the clock and no more.

--- a/internal/executor/late_test.go
+++ b/internal/executor/late_test.go
@@ -67,3 +67,35 @@
 		r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: "b"}), qt.HasLen, 1)
 	})
 }
+
+// TestListBeforeFence guards against two runs of a task at once: of two holds under way when a
+// worker restarts, the reply to the first one tells of the restart, and the other one's list,
+// which the new life has given before it has seen the raised token, ends the run; a late copy
+// of its start is then carried out.
+func TestListBeforeFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		l := &lateStarter{rig: r}
+		r.runner = &rawHolds{l}
+		r.takeOver()
+		defer func() { r.close() }()
+		time.Sleep(20 * time.Second)
+		r.taskTime.Store(int64(20 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(2 * time.Second)
+		restarted := r.workers[l.worker.Load().(string)]
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+		restarted.Restart()
+		restarted.Drain() // the task goes elsewhere
+		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 60*time.Second)
+	})
+}
+
+// rawHolds is a lateStarter whose pending holds are answered by the next life of a worker that
+// restarts quickly.
+type rawHolds struct{ *lateStarter }
+
+// Hold implements yuccapaddle.Runner.
+func (r *rawHolds) Hold(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
+	return r.rig.Hold(ctx, w, o)
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -253,6 +253,9 @@
 	}
 	l.updateClock(reply.Clock, at)
 	l.answered = true
+	if o.Token < e.token(l) {
+		return // a list from before the worker has seen the raised token
+	}
 	l.noteAck(o.AckedEnd, reply.Ended)
 	l.reported = true
 	e.trackEnds(id, &reply)
