planner: an unanswered start outlives the leases of a silent worker

What callers see: two runs of one task at once. Cause: a start has no answer and its worker crashes; its leases end, and the task is placed elsewhere. The worker comes back under its ID, and a late copy of the start reaches it before the host does: its deadline is a time on the former clock, far ahead of the new one, and the worker has seen no token. Evidence: TestLateStartInNextLife, "task a.0.0.0 runs on w0 and w1", 5 of 5 runs before. Change: a run of which a copy of the start may be carried out late keeps its place until 12 s after the copy was sent, or until another worker has answered at the address. A run whose only copy was answered or listed is not delayed. Weighed: the same for starts of a former host (tried: TestGoneAtTakeOver, TestFormerHostMayRenew, TestFormerRecords and others fail, since what is known today is placed again in time); nothing. Result: the tests of planner and executor pass.

--- a/internal/executor/late_test.go
+++ b/internal/executor/late_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/standin/taskrunner"
 )
 
 // lateOrder is how long after it was sent an order may be carried out.
@@ -99,3 +100,27 @@
 func (r *rawHolds) Hold(ctx context.Context, w *yuccapaddle.Worker, o yuccapaddle.HoldOrder) (yuccapaddle.HoldReply, error) {
 	return r.rig.Hold(ctx, w, o)
 }
+
+// TestLateStartInNextLife guards against two runs of a task at once: a worker crashes right
+// after a start was sent, its leases end, the task runs elsewhere, and the worker, back under
+// its ID and not reached yet, carries the start out: its deadline is a time of the former
+// clock, and the worker has seen no token.
+func TestLateStartInNextLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		l := &lateStarter{rig: r}
+		r.runner = l
+		r.takeOver()
+		defer func() { r.close() }()
+		time.Sleep(20 * time.Second)
+		r.taskTime.Store(int64(20 * time.Second))
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(200 * time.Millisecond)
+		crashed := r.workers[l.worker.Load().(string)]
+		crashed.SetFault(taskrunner.FaultUnreachable)
+		time.Sleep(lateOrder - 300*time.Millisecond)
+		crashed.Restart()
+		time.AfterFunc(50*time.Millisecond, func() { crashed.SetFault(taskrunner.FaultNone) })
+		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 60*time.Second)
+	})
+}
--- a/internal/planner/capacity.go
+++ b/internal/planner/capacity.go
@@ -91,7 +91,7 @@
 	w := p.worker(st.Worker)
 	if x, ok := w.runs[st.Task]; ok && x.u.run == st.Run {
 		m := &x.u.members[x.member]
-		m.unsent = false
+		m.noteSent(p.now)
 		m.noteStartAddress(w.Address)
 		x.u.startedAt = p.now
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -89,6 +89,7 @@
 	startAddress  string                       // where this host has sent its start last
 	reported      bool                         // a poll has listed it as running
 	pace          int                          // percentage of full speed at which it may work
+	lateUntil     time.Time                    // a copy of its start may be carried out until then
 	adopted       bool                         // placed by a former host, and not reported to this one yet
 	unsent        bool                         // its start has not been sent, by a former host neither
 	stall         *stalldetector.StallDetector // nil if its progress is not watched
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -95,6 +95,7 @@
 	}
 	m := &x.u.members[x.member]
 	p.noteReport(x.u, m, r)
+	m.noteCarriedOut()
 	m.reported, m.adopted, m.incarnation = true, false, w.reportedIncarnation
 	p.confirmRun(m)
 	if m.firstAt.IsZero() {
@@ -330,14 +331,15 @@
 	}
 }
 
-// HandleLeaseExpiry handles the expiry of every lease that a worker can hold: none of its
-// runs can be in progress any more.
+// HandleLeaseExpiry handles the expiry of every lease that a silent worker can hold: none of its
+// runs can be in progress any more, unless a start is carried out late.
 func (p *Planner) HandleLeaseExpiry(id string) {
 	w := p.worker(id)
-	if len(w.runs) > 0 {
+	late := func(x assignment) bool { return p.mayStartLate(w, x) }
+	runs := slices.DeleteFunc(w.assignments(), late)
+	if len(runs) > 0 {
 		p.addDecision(yuccapaddle.Decision{Event: "leases over", Worker: id})
 	}
-	runs := w.assignments()
 	p.noteLosses(w, runs)
 	for _, x := range runs {
 		p.endMember(w, x.u, x.member, "the lease is over")
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -30,6 +30,7 @@
 	switch {
 	case err == nil:
 		p.confirmRun(m)
+		m.noteCarriedOut()
 		m.progressAt = p.now
 		p.markJobRunning(x.u)
 		p.watchRun(x.u)
