planner: a failed read of the registrations begins the wait anew

Evidence: TestOddEntryThroughOutage failed before: 16 tasks on a worker with room for 8. Change: what is pending in the registrations is forgotten when a read of them has failed, so it has to stand for a heartbeat and 0.5 s after the first read that succeeds. Remains: a worker that alone is cut off from the store, until its entry goes.

--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -31,6 +31,8 @@
 		read, err := e.readRegistry(attempts)
 		if err == nil {
 			e.post(func() { e.applyRegistry(&read) })
+		} else {
+			e.post(e.plan.NoteFailedRead)
 		}
 		if first != nil {
 			close(first)
--- a/internal/executor/room_test.go
+++ b/internal/executor/room_test.go
@@ -200,3 +200,29 @@
 		})
 	}
 }
+
+// TestOddEntryThroughOutage guards against a task on a worker without room or of another service,
+// since an entry of another writer stood while neither its worker nor this host reached the store.
+func TestOddEntryThroughOutage(t *testing.T) {
+	odd := func(w *yuccapaddle.Worker) {
+		multiplied(2)(w)
+		w.Labels = []string{"b", "r0"}
+	}
+	withGaugedRig(t, 3, func(r *rig) {
+		r.taskTime.Store(int64(20 * time.Second))
+		time.Sleep(2 * time.Second)
+		r.submitMany()
+		r.submit("odd", "batch", yuccapaddle.Step{Count: 1, Need: yuccapaddle.Need{CPU: 1}, Label: "b", Estimate: 2000})
+		time.Sleep(2 * time.Second)
+		r.odd.Store(change("w0", odd))
+		time.Sleep(800 * time.Millisecond)
+		r.platformHangs.Store(true)
+		time.Sleep(3 * time.Second)
+		r.platformHangs.Store(false)
+		time.Sleep(heartbeat)
+		r.odd.Store(nil)
+		time.Sleep(3 * time.Second)
+		r.c.Check(r.running("many"), qt.Equals, 24)
+		r.c.Check(r.running("odd"), qt.Equals, 0)
+	})
+}
--- a/internal/planner/fixed_test.go
+++ b/internal/planner/fixed_test.go
@@ -160,3 +160,17 @@
 		}
 	}
 }
+
+// TestSettledAfterFailedRead checks that a worker gets work again as soon as a read after a
+// failed one shows it as before.
+func TestSettledAfterFailedRead(t *testing.T) {
+	sim := newLimitedSimulation(t, limitsWithProof, registrations(eighths(8)))
+	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+	sim.submit("b", queueBatch, yuccapaddle.Step{Count: 1, Need: eighth, Estimate: 60000})
+	sim.p.SetRegistrations(changed(inAnotherDomain), sim.now)
+	sim.advance(readInterval)
+	sim.c.Check(sim.runsOn("w00"), qt.Equals, 0)
+	sim.p.NoteFailedRead()
+	sim.read(registrations(eighths(8)))
+	sim.c.Check(sim.runsOn("w00"), qt.Equals, 1)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -37,6 +37,7 @@
 	suspectHosts       map[string][]*unit          // cache of suspectsOn, by worker
 	noReserve          bool                        // no workers are kept free for urgent work
 	noProvenPreference bool                        // gangs are placed without preference for proven workers
+	readFailed         bool                        // see NoteFailedRead
 	workersKnown       bool                        // the registrations have been read at least once
 	lastPoll           int64                       // number of the latest poll of any worker
 	recentFailures     [failureBurstSize]time.Time // times of the latest task failures, oldest first
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -135,10 +135,28 @@
 	return w.Worker, true
 }
 
+// NoteFailedRead records that the registrations could not be read. The workers may not have
+// reached the store either, so what differed in a read before has to stand anew.
+func (p *Planner) NoteFailedRead() {
+	p.readFailed = true
+}
+
+// dropPending forgets what was pending in the registrations read so far.
+func (p *Planner) dropPending() {
+	for _, w := range p.workers {
+		w.room.dropPending()
+		w.fixed.dropPending()
+	}
+}
+
 // SetRegistrations replaces the registrations with those of all workers that are
 // registered now. readAt is the time before they were read: they are at least as new.
 func (p *Planner) SetRegistrations(list []yuccapaddle.Worker, readAt time.Time) {
 	present := make(map[string]bool, len(list))
+	if p.readFailed {
+		p.dropPending()
+		p.readFailed, p.changed = false, true
+	}
 	first := !p.workersKnown
 	p.workersKnown = true
 	if first {
