planner: judge a crash by what it says about the task

Cause: each crash within 3 s of a start spoke against the task. For the third one it did not matter that many others were lost with the worker, nor that the worker had never answered for the start, and a crash 1.5 s after the start of a task that ran alone was taken for proof. A task that crashes its workers does so within some 10 ms.

Each crash now has the evidence that it gives, committed with the loss. The limits of two and three hold for crashes that speak against the task: within 0.5 s of the start, or within 3 s alone and in no crowd, or unseen since a former host placed the run. Others count towards the six. A crash in a crowd without an answer says nothing; ten of these end the job, since it may be one that crashes its workers before they answer.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -12,50 +12,87 @@
 // counted for each task, and a unit is given up when several workers have crashed under
 // one of its tasks. Others that ran there are as likely to blame after one crash, and are
 // hit by chance only seldom again; so a task is given up sooner if nothing ran beside it.
-// The crashes of a gang are those of its tasks: a wide one is hit by chance often, but
-// seldom the same task.
+// Where many workers crash time and again, a sound task is hit more than once; so the limits
+// depend on what the crashes say about the task. The crashes of a gang are those of its
+// tasks: a wide one is hit by chance often, but seldom the same task.
 
 const (
-	// maxCrashes is the number of crashes shortly after its start after which a task is given
-	// up, and maxLateCrashes that of all crashes under it.
-	maxCrashes     = 3
-	maxLateCrashes = 6
-	// maxCrashesAlone is the same if the latest crash proves its fault.
+	// maxCrashes is the number of crashes that speak against a task after which it is given
+	// up, and maxAllCrashes that of all crashes under it.
+	maxCrashes    = 3
+	maxAllCrashes = 6
+	// maxCrashesAlone is the same as maxCrashes if the latest crash proves the task's fault.
 	maxCrashesAlone = 2
+	// maxUnproven is the number of crashes that say nothing about a task after which it is
+	// given up all the same: it may crash its workers before they answer.
+	maxUnproven = 10
 )
 
 // Events of decisions on lost workers.
 const (
 	// EventCrash is a crash that is counted for a task.
 	EventCrash = "crash"
-	// EventNoCrash is the loss of a worker that is not counted.
+	// EventNoCrash is the loss of a worker that is no crash, or a crash that says nothing
+	// about the task.
 	EventNoCrash = "no crash"
 )
 
 // crashCount counts the runs of a task under which its worker has crashed.
 type crashCount struct {
-	runs   int
-	recent int // of these the runs that had been started shortly before
-	// alone means that the latest crash proves the task's fault: nothing ran beside it, it
-	// was shortly after the start, not in a crowd, and on another machine than the one before.
+	runs     int
+	strong   int // of these the runs whose crashes speak against the task
+	unproven int // further runs, whose crashes say nothing about it
+	// alone means that the latest crash proves the task's fault, and was on another machine
+	// than the one before.
 	alone   bool
 	address string // of the latest worker that has crashed
 }
 
 // add counts a crash. One after a long run speaks against the machine.
-func (c *crashCount) add(l *loss) {
+func (c *crashCount) add(l *loss, e evidence) {
 	if l.long {
-		c.runs, c.recent = 0, 0
+		c.runs, c.strong, c.unproven = 0, 0, 0
+	}
+	if e == evidenceNone {
+		c.unproven++
+		return
 	}
 	c.runs++
-	if l.recent {
-		c.recent++
+	if e.incriminates() {
+		c.strong++
+	}
+}
+
+// remove takes back a crash that was counted with that evidence.
+func (c *crashCount) remove(e evidence) {
+	c.alone = false
+	if e == evidenceNone {
+		c.unproven = max(c.unproven-1, 0)
+		return
+	}
+	c.runs = max(c.runs-1, 0)
+	if e.incriminates() {
+		c.strong = max(c.strong-1, 0)
 	}
 }
 
 // tooMany reports whether the task is given up, whatever ran beside it.
 func (c *crashCount) tooMany() bool {
-	return c.recent >= maxCrashes || c.runs >= maxLateCrashes
+	return c.strong >= maxCrashes || c.runs >= maxAllCrashes || c.unproven >= maxUnproven
+}
+
+// provesFault reports whether the latest crash proves the task's fault and an earlier one
+// speaks against it, too.
+func (c *crashCount) provesFault() bool {
+	return c.alone && c.strong >= maxCrashesAlone
+}
+
+// describe says which crashes are counted.
+func (c *crashCount) describe() string {
+	if c.unproven >= maxUnproven {
+		return itoa(c.unproven) + " workers that had not answered have crashed"
+	}
+	return itoa(c.runs) + " workers have crashed"
 }
 
 // countsCrashes reports whether crashes under the unit are counted: it may run again. Jobs
@@ -78,35 +115,41 @@
 	if u.crashes == nil {
 		u.crashes = map[int]crashCount{}
 	}
-	chance := f.crowd && !l.soon
+	l.counted = l.evidence(f.crowd)
 	c := u.crashes[l.member]
-	c.add(l)
-	c.alone = l.alone() && !chance && l.recent && !l.away && (c.address == "" || c.address != l.address)
+	c.add(l, l.counted)
+	c.alone = l.counted == evidenceProof && c.address != l.address
 	c.address = l.address
 	u.crashes[l.member] = c
-	detail := "number " + itoa(c.runs) + ", " + l.describeCompany() + ": " + f.evidence
-	if f.crowd {
-		detail += ", and many others were lost with it"
-	}
-	p.addLossDecision(EventCrash, u, l, detail)
+	p.addCrashDecision(u, l, c, f)
 	p.avoidCrashed(u, l)
 	switch {
 	case c.runs > 1:
 		p.setSuspect(u, true)
-	case chance && u.mostCrashes() == 1:
+	case f.crowd && !l.counted.incriminates() && u.mostCrashes() <= 1:
 		p.setSuspect(u, false)
 	}
 }
 
+// addCrashDecision adds a decision on a crash that was counted to the batch.
+func (p *Planner) addCrashDecision(u *unit, l *loss, c crashCount, f finding) {
+	event, n := EventCrash, c.runs
+	if l.counted == evidenceNone {
+		event, n = EventNoCrash, c.unproven
+	}
+	detail := "number " + itoa(n) + ", " + l.describeCompany() + ": " + f.evidence
+	if f.crowd {
+		detail += ", and many others were lost with it"
+	}
+	p.addLossDecision(event, u, l, detail)
+}
+
 // uncountCrash takes back a crash that was counted since the worker stayed away: it answers
 // with the incarnation that it had.
 func (p *Planner) uncountCrash(u *unit, l *loss) {
 	l.away, l.outcome = false, verdictNoCrash
 	c := u.crashes[l.member]
-	c.runs, c.alone = max(c.runs-1, 0), false
-	if l.recent {
-		c.recent = max(c.recent-1, 0)
-	}
+	c.remove(l.counted)
 	u.crashes[l.member] = c
 	p.addLossDecision(EventNoCrash, u, l, "it answers again with the incarnation it had")
 }
@@ -124,7 +167,7 @@
 			continue
 		}
 		c := counts[l.member]
-		c.add(l)
+		c.add(l, l.evidence(false))
 		counts[l.member] = c
 		if c.tooMany() {
 			p.wakeBy(p.now.Add(settleInterval))
@@ -158,10 +201,10 @@
 	}
 	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[member]
-		if !c.tooMany() && (c.runs < maxCrashesAlone || !c.alone) {
+		if !c.tooMany() && !c.provesFault() {
 			continue
 		}
-		u.job.reason = itoa(c.runs) + " workers have crashed under task " + u.taskID(member).String()
+		u.job.reason = c.describe() + " under task " + u.taskID(member).String()
 		if c.alone {
 			u.job.reason += ", the last while nothing else ran there"
 		}
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -41,10 +41,12 @@
 	unanswered  bool  // the worker had not answered for the run
 	soon        bool  // the worker was lost right after the start
 	recent      bool  // it was lost shortly after the start
+	unseen      bool  // a former host placed the run, so that it is not known when it was lost
 	long        bool  // the task had run for long
 	away        bool  // it counts as a crash since the worker has stayed away
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
 	outcome     verdict
+	counted     evidence // with which it counts as a crash
 	// These are not committed: each host sees them anew.
 	since    time.Time // when this host learned of the loss
 	judgeAt  time.Time // when it is judged, once the worker is known to be back
@@ -87,7 +89,7 @@
 	l := loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
 		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted,
-		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), long: ran > longRun,
+		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), unseen: m.adopted, long: ran > longRun,
 		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), since: p.now, poll: p.lastPoll,
 	}
 	u.losses = append(u.losses, l)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -49,30 +49,33 @@
 
 // crashRecord is the committed form of the crashes under a member.
 type crashRecord struct {
-	Member  int    `json:"i,omitempty"`
-	Runs    int    `json:"r"`
-	Recent  int    `json:"c,omitempty"`
-	Alone   bool   `json:"a,omitempty"`
-	Address string `json:"w,omitempty"`
+	Member   int    `json:"i,omitempty"`
+	Runs     int    `json:"r"`
+	Strong   int    `json:"c,omitempty"`
+	Unproven int    `json:"u,omitempty"`
+	Alone    bool   `json:"a,omitempty"`
+	Address  string `json:"w,omitempty"`
 }
 
 // lossRecord is the committed form of a pending loss.
 type lossRecord struct {
-	Run         int     `json:"r"`
-	Member      int     `json:"i,omitempty"`
-	Worker      string  `json:"w"`
-	Address     string  `json:"a,omitempty"`
-	Rack        string  `json:"k,omitempty"`
-	Domain      string  `json:"z,omitempty"`
-	Incarnation int64   `json:"b"`
-	Others      int     `json:"n,omitempty"`
-	Unanswered  bool    `json:"u,omitempty"`
-	Soon        bool    `json:"s,omitempty"`
-	Recent      bool    `json:"c,omitempty"`
-	Long        bool    `json:"g,omitempty"`
-	Away        bool    `json:"y,omitempty"`
-	LostAt      int64   `json:"at,omitempty"`
-	Outcome     verdict `json:"v,omitempty"`
+	Run         int      `json:"r"`
+	Member      int      `json:"i,omitempty"`
+	Worker      string   `json:"w"`
+	Address     string   `json:"a,omitempty"`
+	Rack        string   `json:"k,omitempty"`
+	Domain      string   `json:"z,omitempty"`
+	Incarnation int64    `json:"b"`
+	Others      int      `json:"n,omitempty"`
+	Unanswered  bool     `json:"u,omitempty"`
+	Soon        bool     `json:"s,omitempty"`
+	Recent      bool     `json:"c,omitempty"`
+	Unseen      bool     `json:"h,omitempty"`
+	Long        bool     `json:"g,omitempty"`
+	Away        bool     `json:"y,omitempty"`
+	LostAt      int64    `json:"at,omitempty"`
+	Outcome     verdict  `json:"v,omitempty"`
+	Counted     evidence `json:"e,omitempty"`
 }
 
 // unitsPerPart is the number of units in one part, so that the end of a run rewrites one
@@ -142,13 +145,13 @@
 	}
 	for _, member := range slices.Sorted(maps.Keys(u.crashes)) {
 		c := u.crashes[member]
-		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: c.runs, Recent: c.recent, Alone: c.alone, Address: c.address})
+		r.Crashes = append(r.Crashes, crashRecord{Member: member, Runs: c.runs, Strong: c.strong, Unproven: c.unproven, Alone: c.alone, Address: c.address})
 	}
 	for i := range u.losses {
 		l := &u.losses[i]
 		r.Losses = append(r.Losses, lossRecord{
 			Run: l.run, Member: l.member, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
-			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, Recent: l.recent, Long: l.long, Away: l.away, LostAt: l.lostAt, Outcome: l.outcome,
+			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, Recent: l.recent, Unseen: l.unseen, Long: l.long, Away: l.away, LostAt: l.lostAt, Outcome: l.outcome, Counted: l.counted,
 		})
 	}
 	if !u.live() {
@@ -287,7 +290,7 @@
 		if u.crashes == nil {
 			u.crashes = map[int]crashCount{}
 		}
-		u.crashes[c.Member] = crashCount{runs: c.Runs, recent: c.Recent, alone: c.Alone, address: c.Address}
+		u.crashes[c.Member] = crashCount{runs: c.Runs, strong: c.Strong, unproven: c.Unproven, alone: c.Alone, address: c.Address}
 	}
 	for i := range record.Losses {
 		r := &record.Losses[i]
@@ -296,7 +299,7 @@
 		}
 		u.losses = append(u.losses, loss{
 			run: r.Run, member: r.Member, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
-			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, recent: r.Recent, long: r.Long, away: r.Away, lostAt: r.LostAt, outcome: r.Outcome, since: p.now,
+			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, recent: r.Recent, unseen: r.Unseen, long: r.Long, away: r.Away, lostAt: r.LostAt, outcome: r.Outcome, counted: r.Counted, since: p.now,
 		})
 	}
 	if len(u.losses) > 0 {
