--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -332,7 +332,8 @@
 }
 
 // HandleLeaseExpiry handles the expiry of every lease that a silent worker can hold: none of its
-// runs can be in progress any more, unless a start is carried out late.
+// runs can be in progress any more, unless a start is carried out late. It is called again for
+// as long as the worker is silent and busy.
 func (p *Planner) HandleLeaseExpiry(id string) {
 	w := p.worker(id)
 	late := func(x assignment) bool { return p.mayStartLate(w, x) }
