executor: random histories with entries of other writers

TestWriterHistories plays workers that do not guard their capacity, hosts that take over and writers of foreign registrations, with orders that are late, lost or overtaken. Orders are delivered by address, and a process under another ID refuses them. It checks each start for a second run, for a run that had been done, and for the worker's capacity.

--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -60,6 +60,10 @@
 	gauge        float64
 	ticket       string
 	leavesAt     time.Time // told in the registration while it drains; zero if unknown
+	clockRate    float64
+	ackedEnds    []AckedEnd
+	endedAt      map[int64]time.Time // of each end, by its number
+	lapsedAt     time.Time           // when an order last found the lease expired
 
 	crashes    func(t yuccapaddle.TaskID, payload string) bool // nil if no task crashes the worker
 	crashed    func()                                          // called after such a crash; nil for none
@@ -89,7 +93,7 @@
 // New returns a worker with the given registration. maxLeaseMS is how far ahead the
 // lease may be extended, in milliseconds. Starts are also recorded in startLog.
 func New(registration yuccapaddle.Worker, maxLeaseMS int64, work Work, startLog *StartLog, opts ...Option) *TaskRunner {
-	tr := &TaskRunner{registration: registration, maxLeaseMS: maxLeaseMS, work: work, startLog: startLog, firstID: registration.ID}
+	tr := &TaskRunner{registration: registration, maxLeaseMS: maxLeaseMS, work: work, startLog: startLog, firstID: registration.ID, clockRate: 1}
 	for _, opt := range opts {
 		opt(tr)
 	}
@@ -104,6 +108,7 @@
 	tr.startedAt = time.Now()
 	tr.registration.Incarnation = tr.startedAt.UnixMilli()
 	tr.token, tr.leaseExpiry, tr.endCount, tr.ends = 0, 0, 0, nil
+	tr.endedAt, tr.lapsedAt = map[int64]time.Time{}, time.Time{}
 	tr.runs, tr.highestRun = map[yuccapaddle.TaskID]*run{}, map[yuccapaddle.TaskID]int{}
 }
 
@@ -167,9 +172,9 @@
 	return slices.Clone(tr.starts)
 }
 
-// clock returns the milliseconds since the last restart.
+// clock returns the milliseconds since the last restart, by the worker's clock.
 func (tr *TaskRunner) clock() int64 {
-	return time.Since(tr.startedAt).Milliseconds()
+	return int64(float64(time.Since(tr.startedAt).Milliseconds()) * tr.clockRate)
 }
 
 // endDueRuns ends the runs whose lease has expired, whose stop is due, or that have
@@ -197,6 +202,7 @@
 func (tr *TaskRunner) recordEnd(t yuccapaddle.TaskID, r *run, cause yuccapaddle.EndCause) {
 	delete(tr.runs, t)
 	tr.endCount++
+	tr.endedAt[tr.endCount] = time.Now()
 	tr.ends = append(tr.ends, yuccapaddle.End{Number: tr.endCount, Task: t, Run: r.order.Run, Cause: cause})
 }
 
@@ -238,6 +244,9 @@
 }
 
 func (tr *TaskRunner) extendLease(deadline int64) {
+	if tr.clock() > tr.leaseExpiry {
+		tr.lapsedAt = time.Now()
+	}
 	tr.leaseExpiry = max(tr.leaseExpiry, min(deadline, tr.clock()+tr.maxLeaseMS))
 }
 
@@ -351,11 +360,11 @@
 			return tr.refuse(yuccapaddle.RefusedOutdated)
 		}
 		tr.token = o.Token
+		tr.acknowledge(o.AckedEnd)
 		if o.Deadline != 0 {
 			tr.extendLease(o.Deadline)
 		}
 		crashCount = tr.crashCount
-		tr.ends = slices.DeleteFunc(tr.ends, func(e yuccapaddle.End) bool { return e.Number <= o.AckedEnd })
 		return nil
 	})
 	for err == nil && tr.noEnds(crashCount) && time.Now().Before(waitUntil) && ctx.Err() == nil {
