executor: a host does not step down over an order of its own

What callers see: the active host gives its role up although no other has it, and calls wait for the next one. Cause: after a worker's restart the host raises the low bits of its token there. An order of its own with the former token that is still under way arrives after one with the raised token and is refused as outdated, which counted as the sign of a later writer. Change: only the refusal of an order with the present token ends the role. A start with the former one has not been carried out, and is handled as refused.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -139,7 +139,7 @@
 func (e *Executor) hold(id string, l *link, busy bool) {
 	w, ok := e.plan.Worker(id)
 	if !ok || w.Address == "" {
-		e.handleHoldError(id, l, errUnregistered)
+		e.handleHoldError(id, l, e.token(l), errUnregistered)
 		return
 	}
 	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.endToAck()}
@@ -229,7 +229,7 @@
 func (e *Executor) handleHoldReply(id string, l *link, o yuccapaddle.HoldOrder, at time.Time, poll int64, reply yuccapaddle.HoldReply, err error) {
 	e.meter.Count("looks", outcomeLabel(err), 1)
 	if err != nil {
-		e.handleHoldError(id, l, err)
+		e.handleHoldError(id, l, o.Token, err)
 		return
 	}
 	if l.silent {
@@ -263,15 +263,15 @@
 }
 
 // handleHoldError marks a worker as silent, or stops the executor if the worker has seen
-// a higher fencing token.
-func (e *Executor) handleHoldError(id string, l *link, err error) {
+// a higher fencing token from another host.
+func (e *Executor) handleHoldError(id string, l *link, token uint64, err error) {
 	l.retryAt = e.now.Add(holdRetryDelay)
 	if !e.plan.Busy(id) {
 		l.retryAt = e.now.Add(probeInterval)
 	}
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) && refusal.Reason == yuccapaddle.RefusedOutdated {
-		e.stopSuperseded(id)
+		e.handleOutdated(id, l, token)
 		return
 	}
 	if !l.silent {
@@ -282,9 +282,11 @@
 	}
 }
 
-// stopSuperseded ends the loop because a worker has seen orders of a later writer.
-func (e *Executor) stopSuperseded(id string) {
-	if e.stopErr == nil {
+// handleOutdated handles the refusal of an order with that token by a worker that has seen a
+// higher one. A later writer has sent that one, which ends the loop, unless this host has raised
+// the token itself after a restart of the worker.
+func (e *Executor) handleOutdated(id string, l *link, token uint64) {
+	if token == e.token(l) && e.stopErr == nil {
 		e.log.Warn("stopping, a worker has seen orders of a newer active host", zap.String("worker", id))
 		e.stopErr = ErrNotActive
 	}
--- a/internal/executor/order.go
+++ b/internal/executor/order.go
@@ -29,7 +29,7 @@
 		defer cancel()
 		clock, err := e.startBy(ctx, &w, o, sendBy)
 		at := e.clock.Now()
-		e.post(func() { e.handleStartReply(l, process, st, clock, sentAt, at, err) })
+		e.post(func() { e.handleStartReply(l, process, o.Token, st, clock, sentAt, at, err) })
 		return nil
 	})
 }
@@ -43,15 +43,17 @@
 	return e.runner.Start(ctx, w, o)
 }
 
-// handleStartReply passes a worker's answer to a start that was sent to a process of the worker
-// on to the planner.
-func (e *Executor) handleStartReply(l *link, process uint64, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
+// handleStartReply passes a worker's answer to a start that was sent with a token to a process
+// of the worker on to the planner.
+func (e *Executor) handleStartReply(l *link, process, token uint64, st yuccapaddle.RunStart, clock int64, sentAt, at time.Time, err error) {
 	e.meter.Observe("start", outcomeLabel(err), at.Sub(sentAt))
 	l.updateClockFrom(process, toldClock(clock, err), at)
 	var refusal *yuccapaddle.RefusalError
 	if errors.As(err, &refusal) && refusal.Reason == yuccapaddle.RefusedOutdated {
-		e.stopSuperseded(st.Worker)
-		return
+		e.handleOutdated(st.Worker, l, token)
+		if e.stopErr != nil {
+			return
+		}
 	}
 	if e.plan.HandleStartReply(st.Worker, st.Task, st.Run, err) {
 		e.poll(st.Worker, l)
