executor: a poll acknowledges nothing

What callers see: a task that is done runs again, after its worker has restarted. Change: only the regular holds acknowledge, of which one is under way at a time, and which fail when their worker ends.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -187,13 +187,14 @@
 }
 
 // poll sends a hold that does not wait, even if a regular one is pending, to learn at once
-// what the worker runs.
+// what the worker runs. It acknowledges nothing, since it may be sent to find out whether the
+// worker has restarted.
 func (e *Executor) poll(id string, l *link) {
 	w, ok := e.plan.Worker(id)
 	if !ok || w.Address == "" || l.silent {
 		return
 	}
-	o := yuccapaddle.HoldOrder{Token: e.token(l), AckedEnd: l.endToAck(), Deadline: e.renewalDeadline(l)}
+	o := yuccapaddle.HoldOrder{Token: e.token(l), Deadline: e.renewalDeadline(l)}
 	e.sendHold(&w, id, l, o, false)
 }
 
