executor: a restarted worker is told at once to refuse orders from before

What callers see: two runs of one task at once, or a run of a task that is done, where late orders and workers that start again under their ID come together. Cause: such a worker's clock begins anew, so the deadline of an earlier order is far ahead, and it has seen no token. It was asked, and so got the raised token, only when the host next used it: an idle one not before its next task; a busy one once a hold from before had ended, up to 2.6 s later, and once the throttle for uncommitted ends, which compared those of the former process, let one through. A host that had just taken over did not notice the restart of an idle worker. Change: a registration that names a later start has the worker polled, busy or not; one of a worker that was started within 15 s and has not answered this host, too. After a first answer as another process the poll does not wait for a hold from before. A first answer without a clock gives 0 as its lower bound. Why it works: the poll carries the token of this epoch, raised after a restart, and the worker refuses lower ones from then on. What arrives before the poll is still carried out (docs/design/run-ends.md). Weighed: to poll busy workers always; TestCrashingTask then fails, since a crash is judged after its task was placed again.

--- a/internal/executor/clock.go
+++ b/internal/executor/clock.go
@@ -19,6 +19,9 @@
 	// much further, in milliseconds, a registration may be ahead of it without a log line.
 	maxClockRate = 1.02
 	clockSlackMS = 1000
+	// maxOrderDelayMS is the age in milliseconds, by the clock in its registration, from which on
+	// a worker gets no late orders that were sent before its start.
+	maxOrderDelayMS = 15_000
 	// maxMS is the highest time in milliseconds that a worker may tell, so that sums with it
 	// stay far from overflow.
 	maxMS = 1<<53 - 1
@@ -79,10 +82,12 @@
 
 // updateFromRegistration stores what the latest registration says of a worker that has not
 // answered yet. What the worker itself has told counts more. It returns whether the
-// registration is the first that names a later incarnation than the worker has.
+// registration is the first that names a later incarnation than the worker has, or a worker
+// that was started lately and has not answered: it may not have seen a token since.
 func (l *link) updateFromRegistration(w *yuccapaddle.Worker, at time.Time) (maybeRestarted bool) {
 	switch {
 	case !l.answered:
+		maybeRestarted = w.Incarnation > l.incarnation && w.Clock < maxOrderDelayMS
 		if w.Incarnation != l.incarnation || w.Clock != l.registered {
 			l.incarnation, l.registered, l.registeredAt = w.Incarnation, w.Clock, at
 		}
@@ -101,7 +106,7 @@
 		l.restarts++
 	}
 	l.process++
-	l.incarnation, l.clock, l.clockAt = incarnation, 0, time.Time{}
+	l.incarnation, l.clock, l.clockAt = incarnation, 0, at
 	l.updateClock(clock, at)
 	l.committedEnd, l.ackedEnd = 0, 0
 }
@@ -125,13 +130,14 @@
 }
 
 // updateClocks updates incarnations and clocks from registrations that had arrived by that
-// time. It asks a busy worker that may have restarted.
+// time. It asks the workers that may have restarted, also idle ones: until one has seen a token
+// of this host it carries out late orders from before.
 func (e *Executor) updateClocks(list []yuccapaddle.Worker, at time.Time) {
 	for i := range list {
 		id := list[i].ID
 		l := e.link(id)
 		e.logContradiction(&list[i], l, at)
-		if l.updateFromRegistration(&list[i], at) && e.plan.Busy(id) {
+		if l.updateFromRegistration(&list[i], at) {
 			e.poll(id, l)
 		}
 	}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -155,7 +155,7 @@
 			o.WaitMS = e.holdWait(id)
 		}
 	}
-	if e.plan.AppliedEnd(id) > l.committedEnd {
+	if e.plan.AppliedEnd(id) > l.committedEnd && e.plan.ReportedIncarnation(id) == l.incarnation {
 		// The worker would not wait but return the uncommitted ends again at once.
 		if e.now.Sub(l.holdSentAt) < holdWaitMS*time.Millisecond/2 {
 			return
@@ -246,7 +246,7 @@
 		l.restart(reply.Incarnation, reply.Clock, at)
 		if restarted {
 			// The next hold has a token that fences off orders from before the restart.
-			if !e.plan.Busy(id) {
+			if !e.plan.Busy(id) || l.holdPending {
 				e.poll(id, l)
 			}
 			return
