planner: a worker keeps its address through an entry that says otherwise in between

What callers see: work is lost, leases of a sound worker lapse. Cause: the address of a worker that answers was kept only against the entry of the read before. If that was missing, or named another start, the next read's address of another writer counted. Evidence: TestAddressOfLifeAfterGap failed in both cases (found in review). Change: the address at which the worker has answered is remembered with its incarnation.

--- a/internal/planner/address_test.go
+++ b/internal/planner/address_test.go
@@ -30,3 +30,24 @@
 	sim.move("w00", "third")
 	sim.c.Check(address(), qt.Equals, "third", qt.Commentf("the registration is that of another incarnation"))
 }
+
+// TestAddressOfLifeAfterGap guards against a worker that answers and is asked at the address of
+// another writer's entry, since its own one was missing, or named another start, in the read before.
+func TestAddressOfLifeAfterGap(t *testing.T) {
+	for name, gap := range map[string]func(list []yuccapaddle.Worker) []yuccapaddle.Worker{
+		"missing":     func(list []yuccapaddle.Worker) []yuccapaddle.Worker { return list[1:] },
+		"later start": func(list []yuccapaddle.Worker) []yuccapaddle.Worker { list[0].Incarnation = 99; return list },
+	} {
+		t.Run(name, func(t *testing.T) {
+			entries := func() []yuccapaddle.Worker { return registrations(eighths(8), eighths(8)) }
+			sim := newLimitedSimulation(t, limitsWithProof, entries())
+			sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+			sim.p.SetRegistrations(gap(entries()), sim.now)
+			odd := entries()
+			odd[0].Address = "other"
+			sim.p.SetRegistrations(odd, sim.now)
+			w, _ := sim.p.Worker("w00")
+			sim.c.Check(w.Address, qt.Equals, "a")
+		})
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -56,6 +56,7 @@
 	p.adjustPaces(w, reply.Running)
 	p.clearAnswered(w, poll)
 	w.silentSince, w.answeredAt = time.Time{}, p.now
+	w.noteAddress()
 	p.clearLeaving(w)
 	p.noteProof(w)
 	p.planLook(w)
@@ -68,7 +69,7 @@
 	if w.reportedIncarnation != 0 {
 		p.addDecision(yuccapaddle.Decision{Event: "worker restarted", Worker: w.ID})
 	}
-	w.reportedIncarnation, w.appliedEnd = incarnation, 0
+	w.reportedIncarnation, w.appliedEnd, w.answeredAddress = incarnation, 0, ""
 }
 
 // assignments returns a copy of the worker's runs, which may be changed while it is
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -21,6 +21,7 @@
 	appliedEnd          int64     // number of the latest end that has been applied
 	reportedIncarnation int64     // Incarnation in its latest reply to a poll
 	answeredAt          time.Time // when that arrived
+	answeredAddress     string    // where the worker has answered so
 	strikes             int       // failures and stalls since a task was last done there
 	lastGoodStart       time.Time // latest start of a task that was done there
 	lastFailure         time.Time
@@ -209,13 +210,20 @@
 // incarnation has one address for life, so while it answers there, another one in its
 // registration is another writer's.
 func (w *worker) addressAfter(reg *yuccapaddle.Worker) string {
-	sameLife := w.Incarnation == reg.Incarnation && w.reportedIncarnation == reg.Incarnation
-	if w.registered && sameLife && !w.unresponsive {
-		return w.Address
+	if w.answeredAddress != "" && !w.unresponsive && w.reportedIncarnation == reg.Incarnation {
+		return w.answeredAddress
 	}
 	return reg.Address
 }
 
+// noteAddress records the address at which the worker has answered as the incarnation that its
+// registration names.
+func (w *worker) noteAddress() {
+	if w.registered && w.reportedIncarnation == w.Incarnation {
+		w.answeredAddress = w.Address
+	}
+}
+
 // goneRetention is how long a worker that is no longer registered and runs nothing is
 // kept.
 const goneRetention = 30 * time.Second
