elector: test that a former host is not confirmed past a takeover, failing

What callers saw: nothing yet; what could be seen is two runs of one task, on a worker that only the former active host reaches and elsewhere. Cause: a successor that doesn't know that the former host has ended counts on 3 s of further renewals (predecessorRenewPeriod). The former host goes on renewing while half of the others confirm it, and a follower whose read of the lock fails confirms it like one that has found it in order (lockWatch.checkLock). If the former host and half of the others are cut off from the store, and the successor from them, nothing ends these confirmations. Not mended: without the store a former host can't tell this partition from an outage for all, in which work must go on. The three hosts of the tests are now a cluster that can be partitioned (cluster_test.go), which withHosts uses too.

--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -95,6 +95,8 @@
 	rules   *rulekeeper.RuleKeeper
 	stop    context.CancelFunc
 	peers   *grpc.Server
+	// predecessorRenewsUntil is what the host was told when it last became active.
+	predecessorRenewsUntil atomic.Pointer[time.Time]
 }
 
 // fixedRules is a RuleSource whose rules never change, and a Registry without workers.
@@ -111,13 +113,7 @@
 // Workers implements yuccapaddle.Registry.
 func (fixedRules) Workers(context.Context) ([]yuccapaddle.Worker, error) { return nil, nil }
 
-func newHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration, opts ...elector.Option) *host {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	return newHostOn(t, c, g, store, i, lease, l, fixedRules{}, opts...)
-}
-
-// newHostOn is newHost for a host that serves its peers on a listener.
+// newHostOn starts host number i, which serves its peers on a listener.
 func newHostOn(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration,
 	l net.Listener, source yuccapaddle.RuleSource, opts ...elector.Option,
 ) *host {
@@ -126,7 +122,8 @@
 	rules := rulekeeper.New(source, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
 	h := &host{number: i, address: address, ledger: &refusingLedger{Bookkeeper: store}, rules: rules, peers: grpc.NewServer()}
-	build := func(rec *recorder.Recorder, _ time.Time) (*executor.Executor, func(context.Context) error) {
+	build := func(rec *recorder.Recorder, predecessorRenewsUntil time.Time) (*executor.Executor, func(context.Context) error) {
+		h.predecessorRenewsUntil.Store(&predecessorRenewsUntil)
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
@@ -169,21 +166,7 @@
 // withHosts runs f on three hosts, of which one is active and the others follow it.
 func withHosts(t *testing.T, lease time.Duration, f func(c *qt.C, hosts []*host)) {
 	t.Helper()
-	c, store := qt.New(t), bookkeeper.New()
-	var g errgroup.Group
-	var hosts []*host
-	for i := range 3 {
-		hosts = append(hosts, newHost(t, c, &g, store, i, lease))
-	}
-	defer func() {
-		for _, h := range hosts {
-			h.stop()
-			h.peers.Stop()
-		}
-		c.Check(g.Wait(), qt.IsNil)
-	}()
-	waitForFollowers(c, hosts)
-	f(c, hosts)
+	withCluster(t, lease, func(cl *cluster) { f(cl.c, cl.hosts) })
 }
 
 // waitForFollowers waits until one host is active and the others follow it.
