planner: a task that a worker lists is not placed elsewhere

What callers see: two runs of one task at once. Cause: a run that a worker lists and no unit expects there, such as a late start of a run that counts as over, kept only its own worker from new runs. Its unit was placed on another one although the host knew that the task runs. Evidence: TestPlacedBesideOrphan failed before ("start of j.0.0.1"). Change: such a unit waits until a complete list lacks the run or the leases of the worker are over.

--- a/internal/planner/once_test.go
+++ b/internal/planner/once_test.go
@@ -261,3 +261,24 @@
 	sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
 	sim.c.Check(sim.starts(), qt.HasLen, 1)
 }
+
+// TestPlacedBesideOrphan guards against a second run of a task that a worker lists already,
+// though no unit expects it there: a late start that was carried out all the same.
+func TestPlacedBesideOrphan(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		sim := newSimulation(t, 2)
+		task := yuccapaddle.TaskID{Job: "j", Index: 1}
+		late := yuccapaddle.HoldReply{Incarnation: 1, Running: []yuccapaddle.Run{{Task: task, Run: 1}}}
+		sim.p.HandlePollReply("w00", &late, sim.p.NextPoll())
+		sim.p.Submit(&yuccapaddle.Job{ID: "j", Queue: queueBatch, Service: "svc", Steps: []yuccapaddle.Step{{Count: 2, Gang: gang, Need: oneGPUTask}}})
+		for _, st := range sim.starts() {
+			sim.c.Check(!gang && st.Task != task, qt.IsTrue, qt.Commentf("gang %t: start of %s", gang, st.Task))
+		}
+		sim.p.HandlePollReply("w00", &yuccapaddle.HoldReply{Incarnation: 1}, sim.p.NextPoll())
+		started := map[yuccapaddle.TaskID]bool{}
+		for _, st := range sim.starts() {
+			started[st.Task] = true
+		}
+		sim.c.Check(started[task], qt.IsTrue)
+	}
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -188,18 +188,19 @@
 	step       int
 }
 
-// waitingUnits lists the units that are ready to be placed, by priority with urgent jobs
-// first, then by the cost of a delay if the settings ask for that, then by the time when the
+// waitingUnits lists the units that are ready to be placed and of which no worker lists a run,
+// by priority with urgent jobs first, then by the cost of a delay if the settings ask for that, then by the time when the
 // job was accepted. It updates the jobs' priority.
 func (p *Planner) waitingUnits() []*unit {
 	var list []*unit
+	listed := p.orphanTasks()
 	for _, j := range p.jobs {
 		if j.state.Final() {
 			continue
 		}
 		j.priority = p.priority(j)
 		for _, u := range j.units {
-			if u.state == unitWaiting && u.ready() {
+			if u.state == unitWaiting && u.ready() && !u.runsAmong(listed) {
 				p.forgetAvoided(u)
 				list = append(list, u)
 			}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -111,6 +111,30 @@
 	p.markJobRunning(x.u)
 }
 
+// orphanTasks returns the tasks of which a worker lists a run that no unit expects there.
+func (p *Planner) orphanTasks() map[yuccapaddle.TaskID]bool {
+	tasks := map[yuccapaddle.TaskID]bool{}
+	for _, w := range p.workers {
+		for t := range w.orphans {
+			tasks[t] = true
+		}
+	}
+	return tasks
+}
+
+// runsAmong reports whether one of the unit's tasks is among the tasks.
+func (u *unit) runsAmong(tasks map[yuccapaddle.TaskID]bool) bool {
+	if len(tasks) == 0 {
+		return false
+	}
+	for i := range u.width() {
+		if tasks[u.taskID(i)] {
+			return true
+		}
+	}
+	return false
+}
+
 // clearOrphans removes the orphans that a poll sent after they were seen no longer lists.
 func (p *Planner) clearOrphans(w *worker, running map[yuccapaddle.TaskID]bool, poll int64) {
 	for t, seenAtPoll := range w.orphans {
@@ -346,5 +370,6 @@
 	for _, x := range runs {
 		p.endMember(w, x.u, x.member, "the lease is over")
 	}
+	p.changed = p.changed || len(w.orphans) > 0
 	clear(w.orphans)
 }
