elector: log what confirms the active host

Without it the logs of an incident do not tell whether a host went on renewing leases on its own lease or on the word of others, nor whether a follower that confirmed it could read the lock, nor on what a successor takes its predecessor for stopped. No logic changes.

--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -32,7 +32,7 @@
 		e.releaseLease(ctx, leaseID)
 		return
 	}
-	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()))
+	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Bool("predecessor_stopped", predecessorStopped))
 	var predecessorRenewsUntil time.Time
 	if !predecessorStopped {
 		predecessorRenewsUntil = e.clock.Now().Add(predecessorRenewPeriod)
@@ -94,12 +94,37 @@
 	}
 }
 
-// Confirmed reports whether this host, if it is active, recently had confirmation of it:
-// its lease was renewed, or at least half of the other hosts knew of no later active
-// host. A host that is partitioned off together with some workers gets neither, and must
-// let their leases expire.
+// ground is what confirms this host as the active one.
+type ground int
+
+const (
+	byLease ground = iota
+	byPeers
+	byNothing
+)
+
+// String implements fmt.Stringer.
+func (g ground) String() string {
+	return [...]string{"lease", "peers", "nothing"}[g]
+}
+
+// confirmedBy returns what recently confirmed this host, if it is active: its lease was
+// renewed, or at least half of the other hosts knew of no later active host.
+func (e *Elector) confirmedBy() ground {
+	switch {
+	case e.isRecent(&e.renewedAt, renewalValidity):
+		return byLease
+	case e.isRecent(&e.peersConfirmedAt, peerConfirmValidity):
+		return byPeers
+	}
+	return byNothing
+}
+
+// Confirmed reports whether this host, if it is active, recently had confirmation of it. A
+// host that is partitioned off together with some workers has none, and must let their
+// leases expire.
 func (e *Elector) Confirmed() bool {
-	return e.isRecent(&e.renewedAt, renewalValidity) || e.isRecent(&e.peersConfirmedAt, peerConfirmValidity)
+	return e.confirmedBy() != byNothing
 }
 
 // isRecent reports whether a time, given as UnixNano of the clock, is less than d ago.
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -49,6 +49,7 @@
 	askAt            time.Time // when other hosts may be asked again
 	refusals         int       // of renewals since the last success
 	othersAnsweredAt time.Time // since when the ledger is known to answer another host, zero if it is not
+	ground           ground    // as last logged
 	results          chan func() error
 }
 
@@ -116,6 +117,7 @@
 			l.e.peersConfirmedAt.Store(at.UnixNano())
 		}
 	}
+	l.logGround()
 	if l.mayBeIsolated() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
 		l.ask(ctx, g)
 	}
@@ -125,6 +127,17 @@
 	return nil
 }
 
+// logGround logs on which ground this host is confirmed as the active one, if that has changed.
+func (l *roleLease) logGround() {
+	g := l.e.confirmedBy()
+	if g == l.ground {
+		return
+	}
+	l.log.Info("the active role is confirmed", zap.Stringer("by", g), zap.Stringer("before", l.ground),
+		zap.Int64("renewed_ms_ago", l.age().Milliseconds()))
+	l.ground = g
+}
+
 // call runs f in the group, and then handle on the loop with its error.
 func (l *roleLease) call(ctx context.Context, g *supervisor.Supervisor, name string, f func(ctx context.Context) error, handle func(error) error) {
 	g.Go(name, func() error {
--- a/internal/elector/watch.go
+++ b/internal/elector/watch.go
@@ -33,6 +33,8 @@
 	leader        string
 	absentAt      time.Time // since when each read found no lock, zero if the last one found it
 	nextConfirmAt time.Time
+	confirmed     bool // this host has confirmed the active one at least once
+	lockUnknown   bool // the last read of the lock has failed
 }
 
 // observe handles a heartbeat, and reports whether this host should look for another active
@@ -63,6 +65,11 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	_, err := l.client.Vouch(ctx, &peer.VouchRequest{Address: l.e.address, Epoch: beat.GetEpoch(), SentNs: beat.GetSentNs()})
+	if !l.confirmed {
+		l.confirmed = true
+		l.e.log.Info("confirms the active host, whose lease is not renewed", zap.String("address", l.leader), zap.Uint64("epoch", beat.GetEpoch()),
+			zap.Bool("lock_unknown", l.lockUnknown))
+	}
 	if err != nil && status.Code(err) != codes.Unimplemented { // hosts of an earlier version ask for it
 		l.e.log.Info("cannot confirm the active host", zap.String("address", l.leader), zap.Error(err))
 	}
@@ -73,6 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, lockReadTimeout)
 	defer cancel()
 	lock, err := l.e.ledger.Get(ctx, lockKey)
+	l.lockUnknown = err != nil
 	switch {
 	case err != nil:
 		return false // the state of the lock is unknown, so absentAt is kept
