--- /dev/null
+++ b/internal/maintainer/word_test.go
@@ -0,0 +1,83 @@
+package maintainer_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"yuccapaddle"
+	"yuccapaddle/internal/maintainer"
+)
+
+// oddFleet is a fleet whose answers can be changed for a test.
+type oddFleet struct {
+	*fleet
+	absentUntil time.Time // until then the list of machines leaves out m1
+	notOfWave   bool      // the next order for m1 is refused since it is not of the wave
+}
+
+// Machines implements yuccapaddle.Fleet.
+func (f *oddFleet) Machines(ctx context.Context) ([]yuccapaddle.Machine, error) {
+	list, err := f.fleet.Machines(ctx)
+	if time.Now().Before(f.absentUntil) {
+		list = slices.DeleteFunc(list, func(m yuccapaddle.Machine) bool { return m.Name == "m1" })
+	}
+	return list, err
+}
+
+// Maintain implements yuccapaddle.Fleet.
+func (f *oddFleet) Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error {
+	if machine == "m1" && f.notOfWave {
+		f.notOfWave = false
+		return yuccapaddle.ErrNotOfWave
+	}
+	return f.fleet.Maintain(ctx, machine, wave, holder, token)
+}
+
+// runOddWave runs a Maintainer for 20 s of virtual time on a wave over the machines in that
+// order, at most so many at once.
+func runOddWave(t *testing.T, machines []string, maxDown int, setUp func(fl *oddFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := &oddFleet{fleet: newFleet(qt.New(t), maxDown)}
+		setUp(fl)
+		rules := &yuccapaddle.Rules{Waves: []yuccapaddle.Wave{{Number: 1, Machines: machines, DurationS: 20, MaxDown: maxDown}}}
+		m := maintainer.New(fl, fl, func() *yuccapaddle.Rules { return rules }, yuccapaddle.SystemClock{}, "h", 7, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return m.Run(ctx) })
+		time.Sleep(20 * time.Second)
+		cancel()
+		fl.c.Check(g.Wait(), qt.IsNil)
+		fl.c.Check(fl.completed, qt.IsTrue)
+	})
+}
+
+// TestMachineBackInWave guards against a wave that is reported as completed without a machine
+// that the operators took out of it and put back, between two reads of the rules: the refusal
+// of its order was of the wave as it was then.
+func TestMachineBackInWave(t *testing.T) {
+	runOddWave(t, machineNames, 2, func(fl *oddFleet) { fl.notOfWave = true })
+}
+
+// TestMachineMissingFromList guards against a wave that is reported as completed without a
+// machine that one list left out.
+func TestMachineMissingFromList(t *testing.T) {
+	runOddWave(t, machineNames, 2, func(fl *oddFleet) { fl.absentUntil = time.Now().Add(100 * time.Millisecond) })
+}
+
+// TestDownForFormerHost guards against more machines down at once than the wave allows, after a
+// takeover: a machine that the former host has ordered down counts, wherever the wave names it.
+func TestDownForFormerHost(t *testing.T) {
+	reversed := slices.Clone(machineNames)
+	slices.Reverse(reversed)
+	runOddWave(t, reversed, 1, func(fl *oddFleet) {
+		fl.maintained["m0"], fl.backAt["m0"] = 1, time.Now().Add(downTime)
+	})
+}
