connector: open connections with an injectable function

Tests of the elector run hosts over loopback in real time, so each case takes seconds. With connector.WithDial they can run over pipes in memory and in virtual time. The probe of the elector opens its connection through the connector too, with the same timeout and the same classification of errors. The default is TCP, as before.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -28,16 +28,33 @@
 	windowBytes = 64 << 10
 )
 
+// DialFunc opens a connection to the host at an address.
+type DialFunc = func(ctx context.Context, address string) (net.Conn, error)
+
 // Connector opens connections on first use. It is safe for concurrent use.
 type Connector struct {
+	dial DialFunc
+
 	mu       sync.Mutex
 	conns    map[string]*grpc.ClientConn
 	received atomic.Int64 // bytes, on all connections
 }
 
+// Option changes a Connector under construction.
+type Option func(*Connector)
+
+// WithDial sets how connections are opened. The default is over TCP.
+func WithDial(dial DialFunc) Option {
+	return func(c *Connector) { c.dial = dial }
+}
+
 // New returns a Connector without connections.
-func New() *Connector {
-	return &Connector{conns: map[string]*grpc.ClientConn{}}
+func New(opts ...Option) *Connector {
+	c := &Connector{dial: dialTCP, conns: map[string]*grpc.ClientConn{}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Client returns a client for the host at an address. It does not wait for the
@@ -51,7 +68,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithStatsHandler(sendTracker{}),
-		grpc.WithContextDialer(c.dial),
+		grpc.WithContextDialer(c.Dial),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -74,10 +91,15 @@
 	return c.received.Load()
 }
 
-// dial opens a connection whose received bytes are counted.
-func (c *Connector) dial(ctx context.Context, address string) (net.Conn, error) {
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Dial opens a connection of the caller's own to the host at an address. Its received bytes
+// are counted.
+func (c *Connector) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -230,7 +229,7 @@
 			return writer
 		}
 	case holder != e.address:
-		switch e.probe(holder) {
+		switch e.probe(ctx, holder) {
 		case reachable:
 			return holder
 		case unreachable:
@@ -305,8 +304,10 @@
 	notListening
 )
 
-func (e *Elector) probe(address string) probeResult {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+func (e *Elector) probe(ctx context.Context, address string) probeResult {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := e.conns.Dial(ctx, address)
 	switch {
 	case err == nil:
 		_ = conn.Close() // only opening it matters
