--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -116,6 +116,13 @@
 // newHostOn starts host number i, which serves its peers on a listener.
 func newHostOn(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration,
 	l net.Listener, source yuccapaddle.RuleSource, opts ...elector.Option,
+) *host {
+	return newConnectedHost(t, c, g, store, i, lease, l, connector.New(), source, opts...)
+}
+
+// newConnectedHost is newHostOn with the connections to other hosts.
+func newConnectedHost(t *testing.T, c *qt.C, g *errgroup.Group, store *bookkeeper.Bookkeeper, i int, lease time.Duration,
+	l net.Listener, conns *connector.Connector, source yuccapaddle.RuleSource, opts ...elector.Option,
 ) *host {
 	name, address := fmt.Sprintf("h%d", i), l.Addr().String()
 	clock := yuccapaddle.SystemClock{}
@@ -130,7 +137,7 @@
 			return nil
 		}
 	}
-	h.Elector = elector.New(h.ledger, rules, connector.New(), name, address, name, lease, build, clock, zap.NewNop(), opts...)
+	h.Elector = elector.New(h.ledger, rules, conns, name, address, name, lease, build, clock, zap.NewNop(), opts...)
 	peer.RegisterJobsServer(h.peers, jobserver.New(h.Elector, nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
