elector: a host never confirms an epoch below the highest it has known

What callers saw: TWICE is possible. A former active host goes on renewing leases on the word of a host that has followed its successor. Cause: no host remembered the highest epoch that it had known. One that had followed the successor, was cut off from it and from the store, and reached only the former host answered Who with epoch 0, or followed the former host again; either counted as a confirmation. A process that had just started confirmed whoever sent it heartbeats, whatever its predecessor at the address had known. Change: package voter keeps the highest epoch, and whether this process has learned from the ledger which one is the latest; Vouch and Who confirm only by it, a host of a lower epoch is not followed, and Who names the highest epoch also while no host is active. The message between hosts has a new field; replies of earlier versions are no confirmations, their calls of Vouch still are. It works because epochs only rise and the reads of the ledger are linearizable: what an earlier process at the address has known was in the ledger before this process read it.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -22,6 +22,7 @@
 	"yuccapaddle/internal/rulekeeper"
 	"yuccapaddle/internal/rulesender"
 	"yuccapaddle/internal/sleeper"
+	"yuccapaddle/internal/voter"
 )
 
 // lockKey is the ledger key whose value is the address of the active host.
@@ -98,6 +99,7 @@
 	peersConfirmedAt atomic.Int64
 
 	hosts *hostTable
+	voter *voter.Voter
 	// lastLeader is the address of the host that this one followed last. Only Run uses it.
 	lastLeader string
 
@@ -130,6 +132,7 @@
 	e := &Elector{
 		ledger: ledger, rules: rules, sender: rulesender.New(rules, clock), fetcher: rulefetcher.New(rules, address), conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
 		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), hosts: newHostTable(address, clock), cpuShare: 1,
+		voter: voter.New(),
 	}
 	for _, o := range opts {
 		o(e)
@@ -196,9 +199,9 @@
 // returns nil.
 func (e *Elector) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		address := e.findOrClaim(ctx)
-		if address != "" && e.follow(ctx, address) && sleeper.Sleep(ctx, e.claimDelay()) == nil {
-			e.claimHandedOver(ctx, address)
+		found := e.findOrClaim(ctx)
+		if found.address != "" && e.follow(ctx, found) && sleeper.Sleep(ctx, e.claimDelay()) == nil {
+			e.claimHandedOver(ctx, found.address)
 		}
 		_ = sleeper.SleepJittered(ctx, e.searchInterval()) // the loop ends with the context
 	}
@@ -212,28 +215,34 @@
 	return searchInterval
 }
 
-// findOrClaim returns the address of the active host if there is another one. If there
-// is none it claims the role, and returns "" once this host has lost it again. It also
-// returns "" if it cannot tell which host is active, or if the claim fails.
-func (e *Elector) findOrClaim(ctx context.Context) string {
+// candidate is a host that is probably active.
+type candidate struct {
+	address  string // empty if there is none
+	inLedger bool   // the ledger names it, and not another host
+}
+
+// findOrClaim returns the active host if there is another one. If there is none it claims the
+// role, and returns no candidate once this host has lost it again. It also returns none if it
+// cannot tell which host is active, or if the claim fails.
+func (e *Elector) findOrClaim(ctx context.Context) candidate {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lock, err := e.ledger.Get(callCtx, lockKey)
 	if err != nil {
-		return e.askOthers(ctx)
+		return candidate{address: e.askOthers(ctx)}
 	}
 	holder := string(lock.Value)
 	switch {
 	case lock.Revision == 0:
 		if writer := e.liveWriter(ctx); writer != "" {
-			return writer
+			return candidate{address: writer, inLedger: true}
 		}
 	case holder != e.address:
 		switch e.probe(ctx, holder) {
 		case reachable:
-			return holder
+			return candidate{address: holder, inLedger: true}
 		case unreachable:
-			return "" // it may still be running: wait until its lease expires
+			return candidate{} // it may still be running: wait until its lease expires
 		}
 		e.log.Info("the active host refuses connections, so its process has exited", zap.String("address", holder))
 	}
@@ -243,7 +252,7 @@
 	if !e.resigned.Load() && e.waitForTurn(ctx, lock.Revision) {
 		e.claim(ctx, lock.Revision, predecessorStopped)
 	}
-	return ""
+	return candidate{}
 }
 
 // waitForTurn waits until the hosts that come before this one have had the time to claim,
@@ -273,6 +282,7 @@
 		e.log.Info("cannot read who writes the records", zap.Error(err))
 		return ""
 	}
+	e.voter.NoteLatest(epoch)
 	if address == "" || address == e.address || address == e.lastLeader {
 		return ""
 	}
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -156,9 +156,10 @@
 	e.hosts.confirm(req.GetAddress(), at)
 }
 
-// follow receives heartbeats from the active host until they stop or its role is free, and
-// reports whether it has handed its role over.
-func (e *Elector) follow(ctx context.Context, address string) (handedOver bool) {
+// follow receives heartbeats from the active host until they stop, its role is free or it turns
+// out to be a former one, and reports whether it has handed its role over.
+func (e *Elector) follow(ctx context.Context, found candidate) (handedOver bool) {
+	address := found.address
 	g, ctx := supervisor.New(ctx, e.log)
 	defer func() { _ = g.Wait() }() // its functions return no errors
 	ctx, cancel := context.WithCancel(ctx)
@@ -199,9 +200,14 @@
 		watchdog.Reset(heartbeatTimeout(beat))
 		longestGap = max(longestGap, e.clock.Now().Sub(beatAt))
 		beatAt, bytesAtBeat = e.clock.Now(), e.conns.Received()
+		if beat.GetEpoch() < e.voter.Highest() {
+			e.log.Info("the host was replaced", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()), zap.Uint64("later", e.voter.Highest()))
+			return false
+		}
 		if !received {
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
+			e.noteEpoch(beat.GetEpoch(), found.inLedger)
 		}
 		sentAt := delays.sentAt(e.clock.Now(), beat.GetSentNs())
 		e.applyHeartbeat(address, beat, sentAt)
@@ -213,6 +219,16 @@
 	}
 }
 
+// noteEpoch records the epoch of a host that this one follows, and whether the ledger has named
+// that host.
+func (e *Elector) noteEpoch(epoch uint64, inLedger bool) {
+	if inLedger {
+		e.voter.NoteLatest(epoch)
+		return
+	}
+	e.voter.Note(epoch)
+}
+
 // heartbeatTimeout returns how long to wait for the heartbeat after this one.
 func heartbeatTimeout(beat *peer.Beat) time.Duration {
 	return max(minHeartbeatTimeout, heartbeatTimeoutIntervals*time.Duration(beat.GetNextMs())*time.Millisecond)
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -32,6 +32,9 @@
 		e.releaseLease(ctx, leaseID)
 		return
 	}
+	// What this host answers from here on is no confirmation of its predecessor, so the time
+	// that is read next is not before the last one that was.
+	e.voter.NoteLatest(rec.Epoch())
 	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Bool("predecessor_stopped", predecessorStopped))
 	var predecessorRenewsUntil time.Time
 	if !predecessorStopped {
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -278,17 +278,19 @@
 }
 
 // laterActive asks the hosts that have not confirmed this one recently, and reports whether
-// one of them knows of a later active host. The answer of a host that knows of none counts
-// as its confirmation.
+// one of them knows of a later active host. The answer of a host that certainly knows of none
+// counts as its confirmation.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
 	unconfirmed := e.hosts.notConfirmedSince(now.Add(-peerConfirmValidity / 2))
 	later := false
 	e.askHosts(ctx, unconfirmed, dialTimeout, func(address string, reply *peer.WhoReply) {
-		if reply.GetEpoch() > epoch {
+		e.voter.Note(reply.GetEpoch())
+		switch {
+		case reply.GetEpoch() > epoch:
 			later = true
-			return
+		case reply.GetConfirms():
+			e.hosts.confirm(address, now)
 		}
-		e.hosts.confirm(address, now)
 	})
 	return later
 }
--- a/internal/elector/watch.go
+++ b/internal/elector/watch.go
@@ -16,8 +16,7 @@
 	// ledger answers followers, before they claim the role. The active host sets the lock
 	// again, or hands the role over, well within it.
 	maxLockAbsence = 1500 * time.Millisecond
-	// confirmInterval is the minimum time between two calls of Vouch. With lockReadTimeout it
-	// is part of the time that predecessorRenewPeriod allows for.
+	// confirmInterval is the minimum time between two calls of Vouch.
 	confirmInterval = 600 * time.Millisecond
 	// lockReadTimeout and confirmTimeout together are shorter than minHeartbeatTimeout, since no
 	// heartbeat is received meanwhile.
@@ -25,8 +24,8 @@
 	confirmTimeout  = 200 * time.Millisecond
 )
 
-// lockWatch watches the lock while the heartbeats of the active host say that its lease
-// has not been renewed.
+// lockWatch confirms the active host: once as soon as it is followed, and for as long as its
+// heartbeats say that its lease has not been renewed. Meanwhile it watches the lock.
 type lockWatch struct {
 	e             *Elector
 	client        peer.JobsClient
@@ -35,48 +34,74 @@
 	nextConfirmAt time.Time
 	confirmed     bool // this host has confirmed the active one at least once
 	lockUnknown   bool // the last read of the lock has failed
+	logged        bool // a confirmation without a renewed lease has been logged
 }
 
 // observe handles a heartbeat, and reports whether this host should look for another active
 // host: the lock is held by another one, or has been absent for so long that the active
 // host will not set it again. Until then this host confirms the active one.
 func (l *lockWatch) observe(ctx context.Context, beat *peer.Beat) bool {
+	now := l.e.clock.Now()
+	confirm := !now.Before(l.nextConfirmAt)
 	if beat.GetLeased() {
 		l.absentAt = time.Time{}
-		return false
+		return confirm && !l.confirmed && l.confirmFirst(ctx, beat, now)
 	}
-	now := l.e.clock.Now()
-	confirm := !now.Before(l.nextConfirmAt)
 	if beat.GetRank() > firstRanks && !confirm {
 		return false
 	}
-	if l.checkLock(ctx, now) {
+	if l.checkLock(ctx, beat, now) {
 		return true
 	}
 	if confirm {
-		l.nextConfirmAt = now.Add(confirmInterval)
-		l.confirm(ctx, beat)
+		l.logConfirmation(beat)
+		l.confirm(ctx, beat, now)
+	}
+	return false
+}
+
+// confirmFirst confirms a host that this one has begun to follow, after a read of the lock if
+// this process has not learned from the ledger yet which host is active. It reports whether
+// another host is.
+func (l *lockWatch) confirmFirst(ctx context.Context, beat *peer.Beat, now time.Time) bool {
+	if !l.e.voter.MayConfirm(beat.GetEpoch()) && l.checkLock(ctx, beat, now) {
+		return true
 	}
+	l.confirm(ctx, beat, now)
 	return false
 }
 
-// confirm tells the active host that this one knows of no later one.
-func (l *lockWatch) confirm(ctx context.Context, beat *peer.Beat) {
+// confirm tells the active host that this one knows of no later one, if that is so.
+func (l *lockWatch) confirm(ctx context.Context, beat *peer.Beat, now time.Time) {
+	l.nextConfirmAt = now.Add(confirmInterval)
+	if !l.e.voter.MayConfirm(beat.GetEpoch()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	_, err := l.client.Vouch(ctx, &peer.VouchRequest{Address: l.e.address, Epoch: beat.GetEpoch(), SentNs: beat.GetSentNs()})
-	if !l.confirmed {
+	switch {
+	case err == nil:
 		l.confirmed = true
-		l.e.log.Info("confirms the active host, whose lease is not renewed", zap.String("address", l.leader), zap.Uint64("epoch", beat.GetEpoch()),
-			zap.Bool("lock_unknown", l.lockUnknown))
-	}
-	if err != nil && status.Code(err) != codes.Unimplemented { // hosts of an earlier version ask for it
+	case status.Code(err) == codes.Unimplemented: // hosts of an earlier version ask for it
+		l.confirmed = true
+	default:
 		l.e.log.Info("cannot confirm the active host", zap.String("address", l.leader), zap.Error(err))
 	}
 }
 
-// checkLock reads the lock once, and reports whether the role is free.
-func (l *lockWatch) checkLock(ctx context.Context, now time.Time) bool {
+// logConfirmation logs, once, that this host confirms one whose lease is not renewed.
+func (l *lockWatch) logConfirmation(beat *peer.Beat) {
+	if l.logged {
+		return
+	}
+	l.logged = true
+	l.e.log.Info("confirms the active host, whose lease is not renewed", zap.String("address", l.leader), zap.Uint64("epoch", beat.GetEpoch()),
+		zap.Bool("lock_unknown", l.lockUnknown), zap.Bool("permitted", l.e.voter.MayConfirm(beat.GetEpoch())))
+}
+
+// checkLock reads the lock once, and reports whether the role is free or another host's.
+func (l *lockWatch) checkLock(ctx context.Context, beat *peer.Beat, now time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, lockReadTimeout)
 	defer cancel()
 	lock, err := l.e.ledger.Get(ctx, lockKey)
@@ -86,7 +111,11 @@
 		return false // the state of the lock is unknown, so absentAt is kept
 	case lock.Revision != 0:
 		l.absentAt = time.Time{}
-		return string(lock.Value) != l.leader
+		if string(lock.Value) != l.leader {
+			return true
+		}
+		l.e.voter.NoteLatest(beat.GetEpoch())
+		return false
 	case l.absentAt.IsZero():
 		l.absentAt = now
 	}
--- a/internal/elector/who.go
+++ b/internal/elector/who.go
@@ -13,8 +13,8 @@
 
 // askOthers returns the address of the active host according to some of the other hosts,
 // for when the ledger does not answer. The answer with the highest epoch counts. It is ""
-// if none of them knows, or if that is this host; this host then has the latest rules of
-// those that it asked, which otherwise come from the active host.
+// if none of them knows, if that is this host, or if a later host has been active; this host
+// then has the latest rules of those that it asked, which otherwise come from the active host.
 func (e *Elector) askOthers(ctx context.Context) string {
 	var latest *peer.WhoReply
 	var source rulesOffer
@@ -26,12 +26,13 @@
 		if reply.GetRulesRevision() > source.revision {
 			source = rulesOffer{address: address, revision: reply.GetRulesRevision(), digest: reply.GetRulesDigest()}
 		}
+		e.voter.Note(reply.GetEpoch())
 		if reply.GetAddress() != "" && (latest == nil || reply.GetEpoch() > latest.GetEpoch()) {
 			latest = reply
 		}
 	})
 	address := latest.GetAddress()
-	if address != "" && address != e.address {
+	if address != "" && address != e.address && latest.GetEpoch() >= e.voter.Highest() {
 		return address
 	}
 	e.fetchOffered(ctx, source)
@@ -72,8 +73,8 @@
 	return client.Who(ctx, &peer.WhoRequest{RulesRevision: revision, WithoutRules: true})
 }
 
-// Who returns which host is active as far as this one knows, and its rules if the caller
-// has others and does not fetch them.
+// Who returns which host is active as far as this one knows, whether that counts as its
+// confirmation, and its rules if the caller has others and does not fetch them.
 func (e *Elector) Who(req *peer.WhoRequest) *peer.WhoReply {
 	reply := &peer.WhoReply{}
 	reply.RulesRevision, reply.RulesDigest = e.rules.LatestRead()
@@ -85,8 +86,10 @@
 		reply.Address, reply.Epoch = e.address, exec.Epoch()
 		return reply
 	}
-	if l := e.leader.Load(); l != nil && e.clock.Now().Before(l.validUntil) {
+	reply.Epoch = e.voter.Highest()
+	if l := e.leader.Load(); l != nil && e.clock.Now().Before(l.validUntil) && l.epoch >= reply.GetEpoch() {
 		reply.Address, reply.Epoch = l.address, l.epoch
 	}
+	reply.Confirms = e.voter.MayConfirm(reply.GetEpoch())
 	return reply
 }
