elector: two majorities of the hosts always share one

A former active host that is cut off from the store goes on renewing the leases of workers that only it reaches, while its successor counts them as over and starts their tasks elsewhere. Cause: the former host was confirmed by half of the hosts that it knew, the successor counted on 3 s whoever followed it, and nothing made the two halves parts of one whole: a host that had not been seen for 30 s did not count, a process that had just started knew none, a host to which nobody had ever got through was confirmed for ever. That the holder of the lock had stopped also counted for its own predecessor, and so did a claim of this host's own that had been carried out without an answer, and a handover of an earlier epoch. Change: the active host records the list of the hosts that count in the store (yp/hosts), by its chain of commits, and its successor reads that list with its claim. The former host needs a majority of that list, of a list that is being recorded and of the hosts that it knows now; while the store does not answer no host is left out. The successor takes it for stopped 2.6 s after no majority of the list is left for it, and until then counts on outage.longestMs, 30 s. The former host renews on the word of a majority for no longer than that after the last proof that nobody has claimed: a renewal of its lease, or the word of all hosts, which is none if it knows no other. The list carries the epoch of the last host that found all former ones to be stopped; only after that one does the stop of the last host alone count. A handover names its epoch, and a claim after it fails if another came between. Why it works: any majority and any half of one list share a host, and that host confirms no lower epoch once it has confirmed the later one. A worker that has answered the successor refuses the former host's renewals, so the wait is only for workers that have not. The setting has a bound, and config check reads the settings of a host of the job path. The checks of the former host read the successor's time as often as it may change.

--- a/cmd/yuccapaddle/main.go
+++ b/cmd/yuccapaddle/main.go
@@ -5,9 +5,10 @@
 	"os"
 
 	"yuccapaddle/internal/commander"
+	"yuccapaddle/platform/configurer"
 	"yuccapaddle/platform/documentchecker"
 )
 
 func main() {
-	os.Exit(commander.Run(os.Args[1:], commander.WithDocumentCheck(documentchecker.Check)))
+	os.Exit(commander.Run(os.Args[1:], commander.WithDocumentCheck(documentchecker.Check), commander.WithHostCheck(configurer.Check)))
 }
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -125,7 +125,7 @@
 
 // outageOptions returns the options for what the host does while the store is unavailable.
 func outageOptions(o *configurer.Outage) []assembler.Option {
-	opts := []assembler.Option{assembler.WithHeldCalls(o.HoldCalls)}
+	opts := []assembler.Option{assembler.WithHeldCalls(o.HoldCalls), assembler.WithLongestOutage(o.LongestMS)}
 	if o.ShowEnds {
 		opts = append(opts, assembler.WithCompletionsShown())
 	}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -74,6 +74,7 @@
 	minLease     time.Duration
 	cpuShare     float64
 	executorOpts []executor.Option
+	electorOpts  []elector.Option
 	routerOpts   []router.Option
 	nonce        string
 	log          *zap.Logger
@@ -126,6 +127,12 @@
 	}
 }
 
+// WithLongestOutage sets the longest outage of the ledger, in milliseconds, through which running
+// work goes on if hosts are lost as well, see elector.WithLongestOutage.
+func WithLongestOutage(ms int64) Option {
+	return func(a *Assembler) { a.electorOpts = append(a.electorOpts, elector.WithLongestOutage(ms)) }
+}
+
 // New returns an Assembler. nonce must be unique for each process.
 func New(cfg HostConfig, deps Dependencies, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
 	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log}
@@ -139,7 +146,8 @@
 	settings := loader.DefaultHost()
 	settings.Region = cfg.Region
 	a.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
-	a.elector = elector.New(deps.Ledger, a.rules, a.conns, cfg.Host, cfg.Peers, nonce, a.minLease, a.newExecutor, clock, log, elector.WithCPUShare(a.cpuShare))
+	a.elector = elector.New(deps.Ledger, a.rules, a.conns, cfg.Host, cfg.Peers, nonce, a.minLease, a.newExecutor, clock, log,
+		append(a.electorOpts, elector.WithCPUShare(a.cpuShare))...)
 	a.jobs = router.New(a.rules, a.elector, a.conns, a.routerOpts...)
 	a.requestAPI = responder.New(keyauthenticator.New(a.rules.Confirmed), jobmaker.New(a.jobs), a.callerLimits, &settings, log, a.monitor.ObserveAnswer)
 	a.inspection = inspector.New(a.status, a.elector, a.conns, a.monitor.Handle)
@@ -148,8 +156,8 @@
 
 // newExecutor returns the executor that runs while this host is active, and the
 // function that runs the maintenance of machines beside it. A former host may go on
-// renewing the workers' leases until predecessorRenewsUntil.
-func (a *Assembler) newExecutor(rec *recorder.Recorder, predecessorRenewsUntil time.Time) (*executor.Executor, func(context.Context) error) {
+// renewing the workers' leases until the time that predecessorRenewsUntil returns.
+func (a *Assembler) newExecutor(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (*executor.Executor, func(context.Context) error) {
 	clock := timekeeper.Timekeeper{}
 	opts := append([]executor.Option{
 		executor.WithAdviser(a.deps.Adviser), executor.WithMeter(a.monitor),
--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -20,6 +20,7 @@
 const (
 	kindSettings = "settings"
 	kindDocument = "document"
+	kindHost     = "host"
 )
 
 // checkAttempts is how often config check asks each server. It goes on without an answer,
@@ -98,7 +99,7 @@
 	return nil, exitErrorf(codeUsage, "a file is needed: give one, or use --base and --overlay")
 }
 
-// checkFile checks a file of either kind.
+// checkFile checks a file of any kind.
 func (c *Commander) checkFile(name string) (*checkReport, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
@@ -110,12 +111,25 @@
 	}
 	_, hasHost := keys["host"]
 	_, hasSite := keys["site"]
-	if hasHost || hasSite {
+	_, hasBounds := keys["bounds"]
+	switch {
+	case hasBounds && c.checkHost != nil:
+		return c.checkHostSettings(name, data), nil
+	case hasHost || hasSite:
 		return c.checkSettings(name)
 	}
 	return c.checkOperatorsDocument(name, data)
 }
 
+// checkHostSettings checks the settings file of a host of the job path.
+func (c *Commander) checkHostSettings(name string, data []byte) *checkReport {
+	r := &checkReport{Kind: kindHost, Findings: c.checkHost(data), Note: notCompared + "hosts do not show their own settings", summary: name}
+	for i := range r.Findings {
+		r.Findings[i].File = name
+	}
+	return r
+}
+
 // position returns the line and column of a syntax error, empty for other errors.
 func position(data []byte, err error) string {
 	var syntaxErr *json.SyntaxError
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -55,8 +55,13 @@
 	// checkDocument checks operators' documents. It is nil if the program knows no
 	// platform that has them.
 	checkDocument DocumentCheck
+	// checkHost checks the settings of hosts of the job path. It is nil as above.
+	checkHost HostCheck
 }
 
+// HostCheck returns the findings on the settings file of a host of the job path.
+type HostCheck func(data []byte) []finding.Finding
+
 // DocumentCheck returns the findings on an operators' document of the job path. The
 // error reports data that is no such document.
 type DocumentCheck func(data []byte, opts ...rulechecker.Option) ([]finding.Finding, error)
@@ -69,6 +74,11 @@
 	return func(c *Commander) { c.checkDocument = check }
 }
 
+// WithHostCheck sets the check of settings files of hosts of the job path.
+func WithHostCheck(check HostCheck) Option {
+	return func(c *Commander) { c.checkHost = check }
+}
+
 // exitError is an error with the exit code of the program.
 type exitError struct {
 	code int
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -18,6 +18,7 @@
 	"yuccapaddle/internal/connector"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/recorder"
+	"yuccapaddle/internal/registrar"
 	"yuccapaddle/internal/rulefetcher"
 	"yuccapaddle/internal/rulekeeper"
 	"yuccapaddle/internal/rulesender"
@@ -58,16 +59,14 @@
 	// hosts answered that they know of no later active host.
 	renewalValidity     = 2400 * time.Millisecond
 	peerConfirmValidity = 2 * time.Second
-	// predecessorRenewPeriod is how long after a claim the previous active host may
-	// still renew workers' leases: the time until the other hosts know of the claim, and
-	// peerConfirmValidity on top.
-	predecessorRenewPeriod = time.Second + peerConfirmValidity
+	// defaultLongestOutageMS is in milliseconds, see WithLongestOutage.
+	defaultLongestOutageMS = 30_000
 )
 
 // buildFunc creates the executor when this host becomes active, and a function that runs
-// in the background while it is. Until predecessorRenewsUntil the previous active host
-// may still renew workers' leases.
-type buildFunc = func(rec *recorder.Recorder, predecessorRenewsUntil time.Time) (exec *executor.Executor, background func(ctx context.Context) error)
+// in the background while it is. Until the time that predecessorRenewsUntil returns the
+// previous active host may still renew workers' leases; it may become earlier.
+type buildFunc = func(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (exec *executor.Executor, background func(ctx context.Context) error)
 
 // Elector follows the active host or is the active host itself. All methods but Run
 // are safe for concurrent use.
@@ -93,13 +92,18 @@
 	heldLease     atomic.Uint64 // the ledger's lease on the lock key, while this host is active
 	fetchingRules atomic.Bool   // rules are being fetched from another host
 	rank          atomic.Int64  // place in the order of claims, from the latest heartbeat, 0 if unknown
-	// renewedAt is when the lease was last renewed, and peersConfirmedAt when half of the
-	// other hosts last knew of no later active host, both as UnixNano of clock.
+	// renewedAt is when the lease was last renewed, peersConfirmedAt when a majority of the
+	// hosts last knew of no later active host, and provenAt when certainly no host had claimed
+	// the role, all as UnixNano of clock.
 	renewedAt        atomic.Int64
 	peersConfirmedAt atomic.Int64
+	provenAt         atomic.Int64
+	longestOutageMS  int64
 
-	hosts *hostTable
-	voter *voter.Voter
+	hosts       *hostTable
+	voter       *voter.Voter
+	registrar   *registrar.Registrar
+	predecessor predecessor
 	// lastLeader is the address of the host that this one followed last. Only Run uses it.
 	lastLeader string
 
@@ -124,6 +128,14 @@
 	return func(e *Elector) { e.cpuShare = cpuShare }
 }
 
+// WithLongestOutage sets the longest outage of the ledger, in milliseconds, through which the
+// active host stays confirmed by a majority of the hosts if others are lost. A host that takes
+// over from one that it cannot reach, and whom less than half of the hosts follow, waits as
+// long before it gives up the runs of workers that it cannot reach.
+func WithLongestOutage(ms int64) Option {
+	return func(e *Elector) { e.longestOutageMS = ms }
+}
+
 // New returns an Elector for a host that others reach at address. nonce differs
 // for every process; minLeaseTTL is the shortest lease that the ledger grants.
 func New(ledger yuccapaddle.Ledger, rules *rulekeeper.RuleKeeper, conns *connector.Connector, host, address, nonce string,
@@ -132,7 +144,7 @@
 	e := &Elector{
 		ledger: ledger, rules: rules, sender: rulesender.New(rules, clock), fetcher: rulefetcher.New(rules, address), conns: conns, build: build, clock: clock, log: log, host: host, address: address, nonce: nonce,
 		leaseTTL: max(defaultLeaseTTL, minLeaseTTL), hosts: newHostTable(address, clock), cpuShare: 1,
-		voter: voter.New(),
+		voter: voter.New(), registrar: registrar.New(address), longestOutageMS: defaultLongestOutageMS,
 	}
 	for _, o := range opts {
 		o(e)
@@ -200,8 +212,10 @@
 func (e *Elector) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		found := e.findOrClaim(ctx)
-		if found.address != "" && e.follow(ctx, found) && sleeper.Sleep(ctx, e.claimDelay()) == nil {
-			e.claimHandedOver(ctx, found.address)
+		if found.address != "" {
+			if epoch := e.follow(ctx, found); epoch != 0 && sleeper.Sleep(ctx, e.claimDelay()) == nil {
+				e.claimHandedOver(ctx, found.address, epoch)
+			}
 		}
 		_ = sleeper.SleepJittered(ctx, e.searchInterval()) // the loop ends with the context
 	}
@@ -246,11 +260,8 @@
 		}
 		e.log.Info("the active host refuses connections, so its process has exited", zap.String("address", holder))
 	}
-	// If the lock exists here, its holder is an earlier process of this host, or the probe
-	// has shown that it has exited.
-	predecessorStopped := lock.Revision != 0
 	if !e.resigned.Load() && e.waitForTurn(ctx, lock.Revision) {
-		e.claim(ctx, lock.Revision, predecessorStopped)
+		e.claim(ctx, lock.Revision, 0)
 	}
 	return candidate{}
 }
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -153,12 +153,14 @@
 	if at.After(e.clock.Now()) {
 		return
 	}
-	e.hosts.confirm(req.GetAddress(), at)
+	e.hosts.note(req.GetAddress(), true)
+	e.registrar.Confirm(req.GetAddress(), at)
 }
 
 // follow receives heartbeats from the active host until they stop, its role is free or it turns
-// out to be a former one, and reports whether it has handed its role over.
-func (e *Elector) follow(ctx context.Context, found candidate) (handedOver bool) {
+// out to be a former one. It returns the epoch in which it has handed its role over, 0 if it has
+// not.
+func (e *Elector) follow(ctx context.Context, found candidate) (handedOver uint64) {
 	address := found.address
 	g, ctx := supervisor.New(ctx, e.log)
 	defer func() { _ = g.Wait() }() // its functions return no errors
@@ -170,7 +172,7 @@
 	client, err := e.conns.Client(address)
 	if err != nil {
 		e.log.Warn("cannot connect to the active host", zap.String("address", address), zap.Error(err))
-		return false
+		return 0
 	}
 	_, revision, _ := e.rules.Data()
 	openedAt := e.clock.Now()
@@ -180,9 +182,9 @@
 		Host: e.host, Address: e.address, RulesRevision: revision, CpuMillis: int64(e.cpuShare * 1000), FetchesRules: true,
 	})
 	if err != nil {
-		return false
+		return 0
 	}
-	received := false
+	received, epoch := false, uint64(0)
 	beatAt, bytesAtBeat, longestGap := openedAt, e.conns.Received(), time.Duration(0)
 	watch := &lockWatch{e: e, client: client, leader: address}
 	rules := &ruleFollower{e: e, client: client, leader: address, group: g}
@@ -195,15 +197,19 @@
 					zap.Int64("heartbeat_ms_ago", e.clock.Now().Sub(beatAt).Milliseconds()), zap.Int64("bytes_since", e.conns.Received()-bytesAtBeat),
 					zap.Int64("longest_gap_ms", longestGap.Milliseconds()))
 			}
-			return status.Code(err) == codes.Aborted
+			if status.Code(err) == codes.Aborted {
+				return epoch
+			}
+			return 0
 		}
 		watchdog.Reset(heartbeatTimeout(beat))
 		longestGap = max(longestGap, e.clock.Now().Sub(beatAt))
 		beatAt, bytesAtBeat = e.clock.Now(), e.conns.Received()
 		if beat.GetEpoch() < e.voter.Highest() {
 			e.log.Info("the host was replaced", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()), zap.Uint64("later", e.voter.Highest()))
-			return false
+			return 0
 		}
+		epoch = beat.GetEpoch()
 		if !received {
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
@@ -214,7 +220,7 @@
 		rules.observe(ctx, beat, sentAt)
 		if watch.observe(ctx, beat) {
 			e.log.Info("the active host has lost its lease", zap.String("address", address))
-			return false
+			return 0
 		}
 	}
 }
--- a/internal/elector/handover.go
+++ b/internal/elector/handover.go
@@ -81,8 +81,8 @@
 	return errors.Is(err, yuccapaddle.ErrNotAccepted) || errors.Is(err, yuccapaddle.ErrNotApplied)
 }
 
-// claimHandedOver claims the role that the host at an address has handed over.
-func (e *Elector) claimHandedOver(ctx context.Context, address string) {
+// claimHandedOver claims the role that the host at an address has handed over in an epoch.
+func (e *Elector) claimHandedOver(ctx context.Context, address string, epoch uint64) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lock, err := e.ledger.Get(callCtx, lockKey)
@@ -92,5 +92,5 @@
 	if lock.Revision != 0 && string(lock.Value) != address {
 		return // another host has claimed it already
 	}
-	e.claim(ctx, lock.Revision, true)
+	e.claim(ctx, lock.Revision, epoch)
 }
--- a/internal/elector/hosts.go
+++ b/internal/elector/hosts.go
@@ -26,7 +26,6 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostEntry
-	alone bool           // no other host was ever in the table
 	ranks map[string]int // of the followers, from 1
 }
 
@@ -36,13 +35,10 @@
 	direct     bool  // it has communicated with this host itself
 	streams    int   // on which it receives heartbeats from this host
 	cpuMillis  int64 // its share of a CPU core in thousandths, 0 if unknown
-	// confirmedAt is the latest time at which it certainly knew of no active host later than
-	// this one.
-	confirmedAt time.Time
 }
 
 func newHostTable(self string, clock yuccapaddle.Clock) *hostTable {
-	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, alone: true, ranks: map[string]int{}}
+	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, ranks: map[string]int{}}
 }
 
 // note records contact with a host just now if direct, or that another host has listed it.
@@ -64,7 +60,6 @@
 	if h == nil {
 		h = &hostEntry{lastSeenAt: t.clock.Now()}
 		t.hosts[address] = h
-		t.alone = false
 	}
 	if direct {
 		h.direct, h.lastSeenAt = true, t.clock.Now()
@@ -160,57 +155,28 @@
 	return len(t.ranks)
 }
 
-// confirm records that at the given time a host knew of no active host later than this one.
-func (t *hostTable) confirm(address string, at time.Time) {
+// expect keeps the hosts at the addresses in the table for at least hostExpiry, so that they
+// have the time to communicate with this one.
+func (t *hostTable) expect(addresses []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.noteLocked(address, true)
-	if at.After(h.confirmedAt) {
-		h.confirmedAt = at
+	for _, a := range addresses {
+		t.noteLocked(a, false).lastSeenAt = t.clock.Now()
 	}
 }
 
-// clearConfirmations removes all confirmations, which were for an earlier epoch.
-func (t *hostTable) clearConfirmations() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, h := range t.hosts {
-		h.confirmedAt = time.Time{}
-	}
-}
-
-// notConfirmedSince returns the addresses of the hosts without a confirmation since a time.
-func (t *hostTable) notConfirmedSince(since time.Time) []string {
+// members returns, in order, the addresses of the hosts that are to count for majorities: this
+// one, those that have communicated with it, and those of the present list, until they expire.
+func (t *hostTable) members(present []string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
-	var list []string
+	list := []string{t.self}
 	for a, h := range t.hosts {
-		if h.confirmedAt.Before(since) {
+		if h.direct || slices.Contains(present, a) {
 			list = append(list, a)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
-
-// halfConfirmedAt returns the latest time for which at least half of the known hosts have
-// confirmed this one: now if no other host was ever known, and the zero time if all known
-// hosts have expired, since unknown hosts may have replaced them. A host counts until it
-// expires, even if its process has ended.
-func (t *hostTable) halfConfirmedAt() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire()
-	times := make([]time.Time, 0, len(t.hosts))
-	for _, h := range t.hosts {
-		times = append(times, h.confirmedAt)
-	}
-	switch {
-	case t.alone:
-		return t.clock.Now()
-	case len(times) == 0:
-		return time.Time{}
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[(len(times)+1)/2-1]
-}
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -14,9 +14,10 @@
 )
 
 // claim tries to make this host active. It returns if that fails, or once the active role
-// has ended. lockRevision is the revision of the lock key that was read. predecessorStopped
-// means that the previous active host certainly sends no further orders.
-func (e *Elector) claim(ctx context.Context, lockRevision uint64, predecessorStopped bool) {
+// has ended. lockRevision is the revision of the lock key that was read. handedOver is the epoch
+// of the host that has handed its role over, 0 if none has; the claim fails if another host, or
+// the same in another epoch, has been active since.
+func (e *Elector) claim(ctx context.Context, lockRevision, handedOver uint64) {
 	callCtx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	leaseID, err := e.ledger.Grant(callCtx, e.leaseTTL)
@@ -26,7 +27,7 @@
 	}
 	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, e.nonce, yuccapaddle.Lock{
 		Key: lockKey, Revision: lockRevision, Lease: leaseID, Address: e.address,
-	})
+	}, claimOptions(handedOver)...)
 	if err != nil {
 		e.log.Info("cannot claim the active role", zap.Error(err))
 		e.releaseLease(ctx, leaseID)
@@ -35,12 +36,34 @@
 	// What this host answers from here on is no confirmation of its predecessor, so the time
 	// that is read next is not before the last one that was.
 	e.voter.NoteLatest(rec.Epoch())
-	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Bool("predecessor_stopped", predecessorStopped))
-	var predecessorRenewsUntil time.Time
-	if !predecessorStopped {
-		predecessorRenewsUntil = e.clock.Now().Add(predecessorRenewPeriod)
+	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), e.longestOutageMS)
+	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Int64("predecessor_renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
+	e.lead(ctx, rec, leaseID)
+}
+
+func claimOptions(handedOver uint64) []recorder.ClaimOption {
+	if handedOver == 0 {
+		return nil
 	}
-	e.lead(ctx, rec, leaseID, predecessorRenewsUntil)
+	return []recorder.ClaimOption{recorder.AfterEpoch(handedOver)}
+}
+
+// formerStopped reports whether all hosts that were active before have certainly stopped: there
+// was none, or the last one was this host itself or has handed its role over, and had found
+// those before it to be stopped.
+func (e *Elector) formerStopped(rec *recorder.Recorder, handedOver uint64) bool {
+	address, epoch := rec.Former()
+	if epoch == 0 {
+		return true
+	}
+	_, settledEpoch := rec.Hosts()
+	return (address == e.address || epoch == handedOver) && epoch == settledEpoch
+}
+
+// PredecessorRenewsUntil returns until when the previous active host may still renew workers'
+// leases, if this host is active. It may become earlier when other hosts follow this one.
+func (e *Elector) PredecessorRenewsUntil() time.Time {
+	return e.predecessor.renewsUntil()
 }
 
 func (e *Elector) releaseLease(ctx context.Context, leaseID uint64) {
@@ -53,18 +76,21 @@
 
 // lead runs the executor until the role is lost or given up. It releases the lease as
 // soon as that is known, without waiting for calls in progress, which may take seconds.
-// Until predecessorRenewsUntil the previous active host may still renew workers' leases.
-func (e *Elector) lead(ctx context.Context, rec *recorder.Recorder, leaseID uint64, predecessorRenewsUntil time.Time) {
+func (e *Elector) lead(ctx context.Context, rec *recorder.Recorder, leaseID uint64) {
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.mu.Lock()
 	e.stopLeading = cancel
 	e.mu.Unlock()
-	exec, background := e.build(rec, predecessorRenewsUntil)
-	e.renewedAt.Store(e.clock.Now().UnixNano())
+	exec, background := e.build(rec, e.PredecessorRenewsUntil)
+	claimedAt := e.clock.Now().UnixNano()
+	e.renewedAt.Store(claimedAt)
+	e.provenAt.Store(claimedAt)
 	e.peersConfirmedAt.Store(0)
 	e.heldLease.Store(leaseID)
-	e.hosts.clearConfirmations()
+	hosts, _ := rec.Hosts()
+	e.registrar.Begin(hosts)
+	e.hosts.expect(hosts)
 	e.handedOver.Store(false)
 	e.leader.Store(nil)
 	e.localExecutor.Store(exec)
@@ -112,12 +138,14 @@
 }
 
 // confirmedBy returns what recently confirmed this host, if it is active: its lease was
-// renewed, or at least half of the other hosts knew of no later active host.
+// renewed, or a majority of the hosts knew of no later active host. The others may be followed
+// by a host that has claimed the role, so a majority alone counts for a limited time after the
+// last proof that none has: a renewal, or the confirmation of all hosts.
 func (e *Elector) confirmedBy() ground {
 	switch {
 	case e.isRecent(&e.renewedAt, renewalValidity):
 		return byLease
-	case e.isRecent(&e.peersConfirmedAt, peerConfirmValidity):
+	case e.isRecent(&e.peersConfirmedAt, peerConfirmValidity) && e.isRecent(&e.provenAt, time.Duration(e.longestOutageMS)*time.Millisecond):
 		return byPeers
 	}
 	return byNothing
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +32,8 @@
 	handoverDelay = 350 * time.Millisecond
 	// pendingResults is the capacity of the queue of replies to the loop.
 	pendingResults = 16
+	// recordInterval is the minimum time between two records of the hosts that count.
+	recordInterval = time.Second
 )
 
 // roleLease keeps the lease of the lock key while this host is active. If the lease ends
@@ -50,6 +54,10 @@
 	refusals         int       // of renewals since the last success
 	othersAnsweredAt time.Time // since when the ledger is known to answer another host, zero if it is not
 	ground           ground    // as last logged
+	counted          []string  // the hosts that are to count for majorities
+	recording        bool      // they are being recorded
+	recorded         bool      // some have been in this epoch
+	recordAt         time.Time // when they may be recorded again
 	results          chan func() error
 }
 
@@ -59,9 +67,10 @@
 //
 // Its calls run in the group, so that one that hangs does not delay the end of the role.
 func (e *Elector) keepLease(ctx context.Context, g *supervisor.Supervisor, rec *recorder.Recorder, leaseID uint64) error {
+	_, settledEpoch := rec.Hosts()
 	l := &roleLease{
 		e: e, rec: rec, id: leaseID, log: e.log.With(zap.Uint64("epoch", rec.Epoch())), renewedAt: e.clock.Now(),
-		results: make(chan func() error, pendingResults),
+		results: make(chan func() error, pendingResults), recorded: settledEpoch == rec.Epoch(),
 	}
 	return l.run(ctx, g)
 }
@@ -112,11 +121,8 @@
 	case !l.ended && l.renewals < maxRenewals:
 		l.renew(ctx, g)
 	}
-	if l.age() > l.e.leaseTTL {
-		if at := l.e.hosts.halfConfirmedAt(); !at.IsZero() {
-			l.e.peersConfirmedAt.Store(at.UnixNano())
-		}
-	}
+	l.countConfirmations()
+	l.recordHosts(ctx, g)
 	l.logGround()
 	if l.mayBeIsolated() && !l.asking && !l.e.clock.Now().Before(l.askAt) {
 		l.ask(ctx, g)
@@ -138,6 +144,76 @@
 	l.ground = g
 }
 
+// countConfirmations takes note of what the other hosts have confirmed.
+func (l *roleLease) countConfirmations() {
+	e := l.e
+	now := e.clock.Now()
+	l.countHosts()
+	if e.registrar.PredecessorOutvoted(now) && e.predecessor.outvote(now) {
+		l.log.Info("the former host has no majority any more", zap.Int64("renews_ms", e.PredecessorRenewsUntil().Sub(now).Milliseconds()))
+	}
+	if l.age() <= e.leaseTTL {
+		return
+	}
+	storeLater(&e.peersConfirmedAt, e.registrar.MajorityConfirmedAt(now))
+	storeLater(&e.provenAt, e.registrar.AllConfirmedAt(now))
+}
+
+// storeLater stores a time as UnixNano if it is later than the stored one.
+func storeLater(stored *atomic.Int64, at time.Time) {
+	if !at.IsZero() && at.UnixNano() > stored.Load() {
+		stored.Store(at.UnixNano())
+	}
+}
+
+// countHosts updates which hosts count for majorities. While the ledger does not answer none is
+// left out: a host that cannot be reached may have claimed the role.
+func (l *roleLease) countHosts() {
+	hosts := l.e.hosts.members(l.e.registrar.Members())
+	if l.age() > l.e.leaseTTL {
+		hosts = append(hosts, l.counted...)
+		slices.Sort(hosts)
+		hosts = slices.Compact(hosts)
+	}
+	l.counted = hosts
+	l.e.registrar.Know(hosts)
+}
+
+// recordHosts records the hosts that count if they have changed, and once in each epoch, which
+// tells the next host that the former ones have stopped. While one of them may still be
+// confirmed it does neither: that host counts by the list of before.
+func (l *roleLease) recordHosts(ctx context.Context, g *supervisor.Supervisor) {
+	e, now := l.e, l.e.clock.Now()
+	if l.recording || now.Before(l.recordAt) || l.age() > e.leaseTTL || now.Before(e.PredecessorRenewsUntil()) {
+		return
+	}
+	list := e.registrar.Propose()
+	switch {
+	case list == nil && l.recorded:
+		return
+	case list == nil:
+		list = e.registrar.Members()
+	}
+	l.recording, l.recordAt = true, now.Add(recordInterval)
+	l.call(ctx, g, "hosts", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, relockTimeout)
+		defer cancel()
+		return l.rec.SaveHosts(ctx, list)
+	}, func(err error) error {
+		l.recording = false
+		switch {
+		case err == nil:
+			l.recorded = true
+			e.registrar.Adopt()
+		case errors.Is(err, recorder.ErrReplaced):
+			return err
+		default:
+			l.log.Info("cannot record the hosts that count", zap.Error(err))
+		}
+		return nil
+	})
+}
+
 // call runs f in the group, and then handle on the loop with its error.
 func (l *roleLease) call(ctx context.Context, g *supervisor.Supervisor, name string, f func(ctx context.Context) error, handle func(error) error) {
 	g.Go(name, func() error {
@@ -185,6 +261,7 @@
 		if sentAt.After(l.renewedAt) {
 			l.renewedAt = sentAt
 			l.e.renewedAt.Store(sentAt.UnixNano())
+			storeLater(&l.e.provenAt, sentAt)
 		}
 		l.refusals, l.othersAnsweredAt = 0, time.Time{}
 	case isRefusal(err):
@@ -281,16 +358,25 @@
 // one of them knows of a later active host. The answer of a host that certainly knows of none
 // counts as its confirmation.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
-	unconfirmed := e.hosts.notConfirmedSince(now.Add(-peerConfirmValidity / 2))
 	later := false
-	e.askHosts(ctx, unconfirmed, dialTimeout, func(address string, reply *peer.WhoReply) {
+	e.askHosts(ctx, e.unconfirmedSince(now.Add(-peerConfirmValidity/2)), dialTimeout, func(address string, reply *peer.WhoReply) {
 		e.voter.Note(reply.GetEpoch())
 		switch {
 		case reply.GetEpoch() > epoch:
 			later = true
 		case reply.GetConfirms():
-			e.hosts.confirm(address, now)
+			e.registrar.Confirm(address, now)
 		}
 	})
 	return later
 }
+
+// unconfirmedSince returns the addresses of the other hosts that are known, or that count for
+// majorities, and have not confirmed this one since a time.
+func (e *Elector) unconfirmedSince(since time.Time) []string {
+	list := append(e.hosts.addresses(), e.registrar.Members()...)
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(address string) bool {
+		return address == e.address || e.registrar.ConfirmedSince(address, since)
+	})
+}
--- /dev/null
+++ b/internal/elector/predecessor.go
@@ -0,0 +1,62 @@
+package elector
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// predecessorRenewPeriod is how long after a claim the previous active host may renew
+	// workers' leases because it had renewed its own.
+	predecessorRenewPeriod = renewalValidity + clockSlack
+	// clockSlack allows for the rates of the clocks of two hosts.
+	clockSlack = 600 * time.Millisecond
+)
+
+// predecessor is until when the previous active host may renew workers' leases. It is safe for
+// concurrent use.
+type predecessor struct {
+	mu sync.Mutex
+	// leasedUntil is until when it may be confirmed by its own lease, and confirmedUntil by the
+	// other hosts.
+	leasedUntil    time.Time
+	confirmedUntil time.Time
+	outvoted       bool // no majority of the hosts is left to confirm it
+}
+
+// begin records that this host has taken over at a time. stopped means that no former host
+// sends further orders.
+func (p *predecessor) begin(at time.Time, stopped bool, longestOutageMS int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leasedUntil, p.confirmedUntil, p.outvoted = time.Time{}, time.Time{}, stopped
+	if !stopped {
+		p.leasedUntil = at.Add(predecessorRenewPeriod)
+		p.confirmedUntil = at.Add(time.Duration(longestOutageMS)*time.Millisecond + clockSlack)
+	}
+}
+
+// outvote records that since the given time no majority of the hosts is left to confirm the
+// previous host. It returns whether that is news.
+func (p *predecessor) outvote(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.outvoted {
+		return false
+	}
+	p.outvoted = true
+	if until := at.Add(peerConfirmValidity + clockSlack); until.Before(p.confirmedUntil) {
+		p.confirmedUntil = until
+	}
+	return true
+}
+
+// renewsUntil returns the time from which on the previous host renews no leases.
+func (p *predecessor) renewsUntil() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.confirmedUntil.After(p.leasedUntil) {
+		return p.confirmedUntil
+	}
+	return p.leasedUntil
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -75,7 +75,7 @@
 	clock    yuccapaddle.Clock
 	// roleConfirmed and predecessorRenewsUntil are set by WithRole.
 	roleConfirmed          func() bool
-	predecessorRenewsUntil time.Time
+	predecessorRenewsUntil func() time.Time
 
 	events         chan func() // for the loop to call
 	submissions    chan submission
@@ -128,9 +128,9 @@
 }
 
 // WithRole sets how to check that this host is still confirmed as the active one, and
-// until when the previous active host may go on renewing leases. While unconfirmed,
-// the executor renews no leases and places no tasks.
-func WithRole(confirmed func() bool, predecessorRenewsUntil time.Time) Option {
+// until when the previous active host may go on renewing leases, which may become earlier.
+// While unconfirmed, the executor renews no leases and places no tasks.
+func WithRole(confirmed func() bool, predecessorRenewsUntil func() time.Time) Option {
 	return func(e *Executor) { e.roleConfirmed, e.predecessorRenewsUntil = confirmed, predecessorRenewsUntil }
 }
 
@@ -143,7 +143,7 @@
 		events: make(chan func(), eventQueueSize), submissions: make(chan submission, eventQueueSize), done: make(chan struct{}), plan: planner.New(bounds.Planner),
 		links: map[string]*link{}, committedJobs: map[string]committedJob{}, watchers: map[string][]chan struct{}{}, adviceRequests: make(chan yuccapaddle.AdviceRequest, maxQueuedAdvice),
 		uncommitted: tracker.New(), shownJobs: map[string]committedJob{},
-		meter: yuccapaddle.NoMeter{}, roleConfirmed: func() bool { return true },
+		meter: yuccapaddle.NoMeter{}, roleConfirmed: func() bool { return true }, predecessorRenewsUntil: func() time.Time { return time.Time{} },
 	}
 	for _, o := range opts {
 		o(e)
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -48,26 +48,31 @@
 	retryAt      time.Time // no hold is sent before
 	committedEnd int64     // number of the last run end whose effects are committed
 	ackedEnd     int64     // number of the last run end that the worker may forget
-	leasesEndBy  time.Time // when all leases granted to the worker have certainly ended
+	leasesEndBy  time.Time // when all leases that this host has granted to the worker have certainly ended
 	silent       bool      // the last hold failed
 	reported     bool      // the worker has listed its runs since this host became active
 }
 
 // link returns the link to a worker and creates it if needed. A new link assumes that a
-// former host renewed the worker's leases as late as it could.
+// former host renewed the worker's leases until this one took over.
 func (e *Executor) link(id string) *link {
 	l := e.links[id]
 	if l == nil {
-		from := e.startedAt
-		if e.predecessorRenewsUntil.After(from) {
-			from = e.predecessorRenewsUntil
-		}
-		l = &link{leasesEndBy: e.leaseEnd(from)}
+		l = &link{leasesEndBy: e.leaseEnd(e.startedAt)}
 		e.links[id] = l
 	}
 	return l
 }
 
+// allLeasesEndBy returns when all leases of a worker have certainly ended. A worker that has
+// answered this host refuses renewals by a former one.
+func (e *Executor) allLeasesEndBy(l *link) time.Time {
+	if end := e.leaseEnd(e.predecessorRenewsUntil()); !l.answered && end.After(l.leasesEndBy) {
+		return end
+	}
+	return l.leasesEndBy
+}
+
 // leaseEnd returns when a lease granted at the given time has certainly ended.
 func (e *Executor) leaseEnd(at time.Time) time.Time {
 	ms := float64(e.bounds.MaxLeaseMS) / minClockRate
@@ -122,7 +127,7 @@
 		if !busy && !probe && l.ackedEnd >= e.plan.AppliedEnd(id) {
 			continue
 		}
-		if l.silent && e.now.After(l.leasesEndBy) {
+		if l.silent && e.now.After(e.allLeasesEndBy(l)) {
 			e.plan.HandleLeaseExpiry(id)
 			l.ackedEnd = e.plan.AppliedEnd(id)
 			if !probe {
@@ -279,7 +284,7 @@
 		l.silent = true
 		e.plan.SetResponsive(id, false)
 		e.log.Info("worker does not answer", zap.String("worker", id), zap.Error(err),
-			zap.Int64("leases_end_ms", l.leasesEndBy.Sub(e.now).Milliseconds()))
+			zap.Int64("leases_end_ms", e.allLeasesEndBy(l).Sub(e.now).Milliseconds()))
 	}
 }
 
