elector: a lock is claimed only once its lease has ended

What callers saw: TWICE is possible. Two hosts are active and both renew the leases of workers, for as long as the former one makes no commit. Cause: a refused connection was taken for the end of the active host's process. A cut may refuse connections as well. The other host then claimed the lock while the lease of the former one was alive; renewing that lease goes on succeeding, which the former host takes for a proof that nobody has claimed, and its followers see it as leased and do not read the lock. Evidence: TestConfirmedBehindRefusingCut failed in 3 of 3 runs, the former host was confirmed for as long as the test looked; 13 cases of TestPartitions failed, all with cuts that refuse. Change: a host that finds the holder of the lock refusing connections ends the lease of the lock, which the ledger now tells, and claims the role as if the lease had run out, without taking the former host for stopped. If the lease cannot be ended it waits until it expires. It works because every renewal that succeeds was then carried out before the claim, and the former host learns that its lease is over with its next renewal.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -258,14 +258,32 @@
 		case unreachable:
 			return candidate{} // it may still be running: wait until its lease expires
 		}
-		e.log.Info("the active host refuses connections, so its process has exited", zap.String("address", holder))
+		e.log.Info("the active host refuses connections, so its process has probably exited", zap.String("address", holder))
 	}
-	if !e.resigned.Load() && e.waitForTurn(ctx, lock.Revision) {
-		e.claim(ctx, lock.Revision, 0)
+	if e.resigned.Load() || !e.waitForTurn(ctx, lock.Revision) {
+		return candidate{}
+	}
+	if holder == e.address {
+		e.claim(ctx, lock.Revision, 0) // its holder is an earlier process of this host
+		return candidate{}
+	}
+	if lock.Revision == 0 || e.endLease(ctx, lock.Lease) {
+		e.claim(ctx, 0, 0)
 	}
 	return candidate{}
 }
 
+// endLease ends the lease of a lock whose holder refuses connections, and reports whether it
+// has certainly ended. The holder may be running all the same, if it is the network that
+// refuses them. It takes each renewal of its lease for a proof that no other host has claimed
+// the role, so its lease has to end before that.
+func (e *Elector) endLease(ctx context.Context, lease uint64) bool {
+	if lease == 0 {
+		return false // the ledger does not tell it: wait until it expires
+	}
+	return e.releaseLease(ctx, lease)
+}
+
 // waitForTurn waits until the hosts that come before this one have had the time to claim,
 // and reports whether none has: the lock still has the revision.
 func (e *Elector) waitForTurn(ctx context.Context, lockRevision uint64) bool {
@@ -321,7 +339,8 @@
 	reachable probeResult = iota
 	// unreachable hosts may still be running behind a network failure.
 	unreachable
-	// notListening hosts refuse connections, so their process has certainly exited.
+	// notListening hosts refuse connections. Their process has exited, or the network between
+	// the two hosts refuses the connections.
 	notListening
 )
 
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -66,12 +66,15 @@
 	return e.predecessor.renewsUntil()
 }
 
-func (e *Elector) releaseLease(ctx context.Context, leaseID uint64) {
+// releaseLease ends a lease, and reports whether it has certainly ended.
+func (e *Elector) releaseLease(ctx context.Context, leaseID uint64) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if err := e.ledger.Release(ctx, leaseID); err != nil && !errors.Is(err, yuccapaddle.ErrLeaseOver) {
 		e.log.Info("cannot release the lease, it will expire", zap.Uint64("lease", leaseID), zap.Error(err))
+		return false
 	}
+	return true
 }
 
 // lead runs the executor until the role is lost or given up. It releases the lease as
--- a/internal/standin/bookkeeper/bookkeeper.go
+++ b/internal/standin/bookkeeper/bookkeeper.go
@@ -137,7 +137,7 @@
 	var found yuccapaddle.Entry
 	err := b.apply(ctx, func() error {
 		e := b.entries[key]
-		found = yuccapaddle.Entry{Key: key, Value: slices.Clone(e.value), Revision: e.revision}
+		found = yuccapaddle.Entry{Key: key, Value: slices.Clone(e.value), Revision: e.revision, Lease: e.lease}
 		return nil
 	})
 	return found, err
@@ -151,7 +151,7 @@
 		rev = b.revision
 		for key, e := range b.entries {
 			if strings.HasPrefix(key, prefix) {
-				list = append(list, yuccapaddle.Entry{Key: key, Value: slices.Clone(e.value), Revision: e.revision})
+				list = append(list, yuccapaddle.Entry{Key: key, Value: slices.Clone(e.value), Revision: e.revision, Lease: e.lease})
 			}
 		}
 		slices.SortFunc(list, func(x, y yuccapaddle.Entry) int { return strings.Compare(x.Key, y.Key) })
--- a/store.go
+++ b/store.go
@@ -7,11 +7,13 @@
 )
 
 // Entry is one key of the platform's key-value service. Revision 0 means that
-// the key does not exist. Revisions increase across all keys of the service.
+// the key does not exist. Revisions increase across all keys of the service. Lease
+// is that of the key in a Ledger, 0 if it has none or the service does not tell.
 type Entry struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
+	Lease    uint64 `json:"lease,omitempty"`
 }
 
 // Write is a compare-and-swap: it takes effect only if the key has revision
