elector: a claim confirms the role as of the time at which it was sent

What callers saw: TWICE is possible. A host that is suspended while the answer to its claim is on its way, and is replaced meanwhile, renews the leases of workers for up to 2.4 s from the end of the pause. Cause: the role counted as confirmed as of the time at which the answer to the claim was handled. Evidence: TestPausedAfterClaim failed in 3 of 3 runs. Change: it counts as of the time before the claim was sent, as for renewals. Result: the test passes.

--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -25,6 +25,7 @@
 		e.log.Info("cannot obtain a lease to claim the active role", zap.Error(err))
 		return
 	}
+	claimSentAt := e.clock.Now()
 	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, e.nonce, yuccapaddle.Lock{
 		Key: lockKey, Revision: lockRevision, Lease: leaseID, Address: e.address,
 	}, claimOptions(handedOver)...)
@@ -38,7 +39,7 @@
 	e.voter.NoteLatest(rec.Epoch())
 	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), e.longestOutageMS)
 	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Int64("predecessor_renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
-	e.lead(ctx, rec, leaseID)
+	e.lead(ctx, rec, leaseID, claimSentAt)
 }
 
 func claimOptions(handedOver uint64) []recorder.ClaimOption {
@@ -79,16 +80,16 @@
 
 // lead runs the executor until the role is lost or given up. It releases the lease as
 // soon as that is known, without waiting for calls in progress, which may take seconds.
-func (e *Elector) lead(ctx context.Context, rec *recorder.Recorder, leaseID uint64) {
+// The claim was sent at claimSentAt.
+func (e *Elector) lead(ctx context.Context, rec *recorder.Recorder, leaseID uint64, claimSentAt time.Time) {
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.mu.Lock()
 	e.stopLeading = cancel
 	e.mu.Unlock()
 	exec, background := e.build(rec, e.PredecessorRenewsUntil)
-	claimedAt := e.clock.Now().UnixNano()
-	e.renewedAt.Store(claimedAt)
-	e.provenAt.Store(claimedAt)
+	e.renewedAt.Store(claimSentAt.UnixNano())
+	e.provenAt.Store(claimSentAt.UnixNano())
 	e.peersConfirmedAt.Store(0)
 	e.heldLease.Store(leaseID)
 	hosts, _ := rec.Hosts()
@@ -104,7 +105,7 @@
 	})
 	g.Go("renewal", func() error {
 		defer cancel()
-		return e.keepLease(leadCtx, g, rec, leaseID)
+		return e.keepLease(leadCtx, g, rec, leaseID, claimSentAt)
 	})
 	g.Go("background", func() error {
 		defer cancel()
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -66,10 +66,10 @@
 // host or gets answers from the ledger.
 //
 // Its calls run in the group, so that one that hangs does not delay the end of the role.
-func (e *Elector) keepLease(ctx context.Context, g *supervisor.Supervisor, rec *recorder.Recorder, leaseID uint64) error {
+func (e *Elector) keepLease(ctx context.Context, g *supervisor.Supervisor, rec *recorder.Recorder, leaseID uint64, claimSentAt time.Time) error {
 	_, settledEpoch := rec.Hosts()
 	l := &roleLease{
-		e: e, rec: rec, id: leaseID, log: e.log.With(zap.Uint64("epoch", rec.Epoch())), renewedAt: e.clock.Now(),
+		e: e, rec: rec, id: leaseID, log: e.log.With(zap.Uint64("epoch", rec.Epoch())), renewedAt: claimSentAt,
 		results: make(chan func() error, pendingResults), recorded: settledEpoch == rec.Epoch(),
 	}
 	return l.run(ctx, g)
