maintainer: order maintenance only while this host alone may

After a takeover, orders for maintenance of the former host and of its successor reached the platform in turns: one with a lower fencing token followed one with a higher.

Cause: the maintainer asked nobody before an order whether its host still has the role. A host that is cut off from the store and from the other hosts, but not from the machines, went on without end. And a successor ordered at once, while the lease of its predecessor still counted.

Change: maintainer.WithRole gives the maintainer two questions, which it asks right before each order. Elector.Leased: this host has renewed its own lease within 2.4 s; unlike Confirmed, the word of other hosts does not count. And the time until which a predecessor may have a lease, 3 s after the claim. A claim is possible only once the lease of 0.9 s has ended, so a former host orders for 1.5 s after it at most, and a call lasts 0.7 s.

The test fails for another reason as well now: if one of the two hosts orders nothing. It waited 3 s after the takeover, which the change would have filled.

Left: a pause between the question and the order, and an order that the platform carries out seconds late.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -156,7 +156,8 @@
 		executor.WithRole(a.elector.Confirmed, predecessorRenewsUntil),
 	}, a.executorOpts...)
 	e := executor.New(a.deps.Registry, a.deps.Runner, a.rules, rec, a.bounds, clock, a.log, opts...)
-	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log)
+	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log,
+		maintainer.WithRole(a.elector.Leased, func() time.Time { return predecessorRenewsUntil }))
 	return e, maintenance.Run
 }
 
--- a/internal/elector/ledgerhost_test.go
+++ b/internal/elector/ledgerhost_test.go
@@ -28,7 +28,7 @@
 type hostSetup struct {
 	ledger yuccapaddle.Ledger // a view of the cluster's ledger of its own, nil for a refusingLedger
 	// background returns what runs beside the executor of the active host, nil for nothing.
-	background func(name string, epoch uint64) func(context.Context) error
+	background func(h *host, epoch uint64, predecessorRenewsUntil func() time.Time) func(context.Context) error
 	// buildTime is how long the goroutine with the role is paused between its claim and its first
 	// order.
 	buildTime time.Duration
@@ -60,7 +60,7 @@
 		time.Sleep(s.buildTime)
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		if s.background != nil {
-			return e, s.background(name, rec.Epoch())
+			return e, s.background(h, rec.Epoch(), func() time.Time { return predecessorRenewsUntil })
 		}
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
--- a/internal/elector/maintenance_test.go
+++ b/internal/elector/maintenance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 type busyFleet struct {
 	mu      sync.Mutex
 	highest uint64
+	raised  int // orders with a higher token than all before
 	lowered int // orders with a lower token than one before
 }
 
@@ -33,6 +35,9 @@
 	if token < f.highest {
 		f.lowered++
 	}
+	if token > f.highest {
+		f.raised++
+	}
 	f.highest = max(f.highest, token)
 	return yuccapaddle.ErrBusy
 }
@@ -47,9 +52,19 @@
 func (f *busyFleet) Drain(context.Context, string, bool) (empty, mustStay bool) { return true, false }
 
 // maintain is a backgroundFunc that works on a wave over the machine.
-func (f *busyFleet) maintain(name string, epoch uint64) func(context.Context) error {
+func (f *busyFleet) maintain(h *host, epoch uint64, predecessorRenewsUntil func() time.Time) func(context.Context) error {
 	rules := &yuccapaddle.Rules{Waves: []yuccapaddle.Wave{{Number: 1, Machines: []string{"m0"}, DurationS: 100, MaxDown: 1}}}
-	return maintainer.New(f, f, func() *yuccapaddle.Rules { return rules }, yuccapaddle.SystemClock{}, name, epoch, zap.NewNop()).Run
+	return maintainer.New(f, f, func() *yuccapaddle.Rules { return rules }, yuccapaddle.SystemClock{}, h.address, epoch, zap.NewNop(),
+		maintainer.WithRole(h.Leased, predecessorRenewsUntil)).Run
+}
+
+// waitForHost waits until so many hosts, each with a higher token, have ordered maintenance.
+func (f *busyFleet) waitForHost(c *qt.C, n int) {
+	eventually(c, fmt.Sprintf("host %d orders maintenance", n), func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.raised == n
+	})
 }
 
 // TestMaintenanceByFormerHost guards against a former active host that goes on ordering
@@ -58,8 +73,10 @@
 func TestMaintenanceByFormerHost(t *testing.T) {
 	cl, fleet := newCluster(t), &busyFleet{}
 	withCutOff(cl.c, cl, hostSetup{background: fleet.maintain}, func(cutOff func() *host) {
+		fleet.waitForHost(cl.c, 1)
 		former := cutOff()
 		cl.waitForSuccessor(former)
+		fleet.waitForHost(cl.c, 2)
 		time.Sleep(settleTime)
 	})
 	fleet.mu.Lock()
--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -37,6 +37,20 @@
 	holder  string
 	token   uint64
 	waves   map[int64]*waveProgress
+
+	leased    func() bool
+	notBefore func() time.Time
+}
+
+// Option changes a Maintainer under construction.
+type Option func(*Maintainer)
+
+// WithRole makes the Maintainer order only what no other host contradicts: nothing unless
+// leased reports, right before the order, that this host has renewed its lease of late, and
+// nothing before the time that notBefore returns, until which a former active host may still
+// be ordering. Machines need not check fencing tokens.
+func WithRole(leased func() bool, notBefore func() time.Time) Option {
+	return func(m *Maintainer) { m.leased, m.notBefore = leased, notBefore }
 }
 
 // waveProgress is a wave and how far it is. The maps are keyed by machine.
@@ -53,13 +67,23 @@
 }
 
 // New returns a Maintainer. Its orders carry holder and the fencing token, so that those
-// of a former host are refused.
+// of a former host are refused where machines check them.
 func New(fleet yuccapaddle.Fleet, drainer yuccapaddle.Drainer, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
-	holder string, token uint64, log *zap.Logger,
+	holder string, token uint64, log *zap.Logger, opts ...Option,
 ) *Maintainer {
-	return &Maintainer{
+	m := &Maintainer{
 		fleet: fleet, drainer: drainer, rules: rules, clock: clock, holder: holder, token: token, log: log, waves: map[int64]*waveProgress{},
+		leased: func() bool { return true }, notBefore: func() time.Time { return time.Time{} },
+	}
+	for _, o := range opts {
+		o(m)
 	}
+	return m
+}
+
+// mayOrder reports whether this host is the only one that orders maintenance now.
+func (m *Maintainer) mayOrder() bool {
+	return m.leased() && !m.clock.Now().Before(m.notBefore())
 }
 
 // Run works on the waves until the context ends, when it returns nil, or until a later
@@ -239,8 +263,9 @@
 }
 
 // takeDown drains the worker of a machine, and orders the machine down once nothing runs
-// there or its drain deadline has passed, unless a step needs the worker. An error that
-// is not ErrOutdated is only logged, since the next step tries again.
+// there or its drain deadline has passed, unless a step needs the worker or this host may
+// not be the only one that orders. An error that is not ErrOutdated is only logged, since
+// the next step tries again.
 func (m *Maintainer) takeDown(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine, name string) error {
 	now := m.clock.Now()
 	if machine == nil {
@@ -254,6 +279,9 @@
 	if !empty && (mustStay || now.Before(m.drainDeadline(w, name))) {
 		return nil
 	}
+	if !m.mayOrder() {
+		return nil
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := m.fleet.Maintain(callCtx, name, w.Number, m.holder, m.token)
