maintainer: count machines that a former host has taken down

After a takeover more machines of a wave were down at once than it allows (LIMIT).

Cause: the maintainer counted the machines that its own host had ordered down. Those of its predecessor took a place only as far as the wave names them before the others, since an order for them is answered with 200 at once. The operators may write the machines in another order.

Change: a machine of the wave that the list shows in its maintenance counts towards the limit, whoever ordered it. The list is read before each round of orders. What belongs to one wave moves to wave.go.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -22,9 +22,6 @@
 	// listTimeout bounds the read of the list of machines as long as it arrives; it ends
 	// when nothing has arrived for callTimeout.
 	listTimeout = 10 * time.Second
-	// drainFraction is the fraction of a machine's share of the wave's time that it may
-	// wait until nothing runs on it.
-	drainFraction = 0.8
 )
 
 // Maintainer carries out the maintenance waves. It runs on the active host.
@@ -53,19 +50,6 @@
 	return func(m *Maintainer) { m.leased, m.notBefore = leased, notBefore }
 }
 
-// waveProgress is a wave and how far it is. The maps are keyed by machine.
-type waveProgress struct {
-	yuccapaddle.Wave
-	deadline      time.Time
-	done          map[string]bool
-	down          map[string]time.Time // when the machine was ordered down
-	drainingSince map[string]time.Time // when the drain of its worker began
-	workers       map[string]string    // ID of its worker, to end the drain later
-	looked        bool                 // it is known whether a former host has completed it
-	announced     bool                 // the start has been reported
-	completed     bool                 // the end has been reported
-}
-
 // New returns a Maintainer. Its orders carry holder and the fencing token, so that those
 // of a former host are refused where machines check them.
 func New(fleet yuccapaddle.Fleet, drainer yuccapaddle.Drainer, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
@@ -196,10 +180,7 @@
 	for _, order := range rules.Waves {
 		w := m.waves[order.Number]
 		if w == nil {
-			w = &waveProgress{
-				deadline: m.clock.Now().Add(time.Duration(order.DurationS * float64(time.Second))),
-				done:     map[string]bool{}, down: map[string]time.Time{}, drainingSince: map[string]time.Time{}, workers: map[string]string{},
-			}
+			w = newWaveProgress(m.clock.Now().Add(time.Duration(order.DurationS * float64(time.Second))))
 			m.waves[order.Number] = w
 		}
 		w.Wave = order
@@ -220,17 +201,17 @@
 		w.announced = true
 	}
 	m.finishMaintained(ctx, w, machines)
-	inProgress := len(w.down)
+	inProgress := w.inProgress(machines)
 	remaining := 0
 	for _, name := range w.Machines {
 		if w.done[name] || !w.down[name].IsZero() {
 			continue
 		}
 		remaining++
-		if inProgress >= max(w.MaxDown, 1) {
+		if !inProgress[name] && len(inProgress) >= w.limit() {
 			continue
 		}
-		inProgress++
+		inProgress[name] = true
 		if err := m.takeDown(ctx, w, machines[name], name); err != nil {
 			return err
 		}
@@ -276,7 +257,7 @@
 		w.drainingSince[name], w.workers[name] = now, machine.Worker
 	}
 	empty, mustStay := m.drain(ctx, machine.Worker, true)
-	if !empty && (mustStay || now.Before(m.drainDeadline(w, name))) {
+	if !empty && (mustStay || now.Before(w.drainDeadline(name))) {
 		return nil
 	}
 	if !m.mayOrder() {
@@ -299,21 +280,6 @@
 	return nil
 }
 
-// drainDeadline returns until when a machine may wait for its tasks to end. The time that
-// the wave had left when the drain began is divided by the rounds that the remaining
-// machines need, with as many at once as the wave allows.
-func (m *Maintainer) drainDeadline(w *waveProgress, name string) time.Time {
-	remaining := 0
-	for _, other := range w.Machines {
-		if !w.done[other] {
-			remaining++
-		}
-	}
-	rounds := (remaining + max(w.MaxDown, 1) - 1) / max(w.MaxDown, 1)
-	share := w.deadline.Sub(w.drainingSince[name]) / time.Duration(max(rounds, 1))
-	return w.drainingSince[name].Add(time.Duration(drainFraction * float64(share)))
-}
-
 // reportWave reports the start or the end of a wave to the operators.
 func (m *Maintainer) reportWave(ctx context.Context, w *waveProgress, completed bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
