maintainer: try refused maintenance again

It is ordered again 2 s later, its worker gets new runs meanwhile, and it takes no place of the wave's limit, so others are not held up.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -19,6 +19,9 @@
 const (
 	checkInterval = 400 * time.Millisecond
 	callTimeout   = 700 * time.Millisecond
+	// refusalRetryInterval is the time until an order is tried again that was refused since the
+	// machine is not of the wave, or not there. It covers the age of the rules in force.
+	refusalRetryInterval = 2 * time.Second
 	// listTimeout bounds the read of the list of machines as long as it arrives; it ends
 	// when nothing has arrived for callTimeout.
 	listTimeout = 10 * time.Second
@@ -208,6 +211,9 @@
 			continue
 		}
 		remaining++
+		if m.clock.Now().Before(w.retryAt[name]) {
+			continue
+		}
 		if !inProgress[name] && len(inProgress) >= w.limit() {
 			continue
 		}
@@ -271,15 +277,24 @@
 	switch {
 	case err == nil:
 		w.down[name], w.workers[name] = now, machine.Worker
-	case errors.Is(err, yuccapaddle.ErrNotOfWave):
-		w.done[name] = true
-		m.drain(ctx, machine.Worker, false)
+	case errors.Is(err, yuccapaddle.ErrNotOfWave), errors.Is(err, yuccapaddle.ErrNoMachine):
+		m.postpone(ctx, w, machine)
 	case errors.Is(err, yuccapaddle.ErrOutdated):
 		return err
 	}
 	return nil
 }
 
+// postpone lets the worker of a machine whose order was refused get new runs again until the
+// next attempt. The refusal is of the wave or the machine as the platform had it then. The
+// machine stays in the wave for as long as the rules name it.
+func (m *Maintainer) postpone(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine) {
+	m.drain(ctx, machine.Worker, false)
+	delete(w.drainingSince, machine.Name)
+	delete(w.workers, machine.Name)
+	w.retryAt[machine.Name] = m.clock.Now().Add(refusalRetryInterval)
+}
+
 // reportWave reports the start or the end of a wave to the operators.
 func (m *Maintainer) reportWave(ctx context.Context, w *waveProgress, completed bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/maintainer/wave.go
+++ b/internal/maintainer/wave.go
@@ -18,6 +18,7 @@
 	down          map[string]time.Time // when the machine was ordered down
 	drainingSince map[string]time.Time // when the drain of its worker began
 	workers       map[string]string    // ID of its worker, to end the drain later
+	retryAt       map[string]time.Time // when a machine that was refused may be ordered down again
 	looked        bool                 // it is known whether a former host has completed it
 	announced     bool                 // the start has been reported
 	completed     bool                 // the end has been reported
@@ -26,7 +27,7 @@
 func newWaveProgress(deadline time.Time) *waveProgress {
 	return &waveProgress{
 		deadline: deadline, done: map[string]bool{}, down: map[string]time.Time{},
-		drainingSince: map[string]time.Time{}, workers: map[string]string{},
+		drainingSince: map[string]time.Time{}, workers: map[string]string{}, retryAt: map[string]time.Time{},
 	}
 }
 
--- a/internal/maintainer/word_test.go
+++ b/internal/maintainer/word_test.go
@@ -20,6 +20,10 @@
 	*fleet
 	absentUntil time.Time // until then the list of machines leaves out m1
 	notOfWave   bool      // the next order for m1 is refused since it is not of the wave
+	refuseUntil time.Time // until then orders for m1 are refused with refusal
+	refusal     error
+	refusals    int
+	m1Last      bool // m1 was ordered down after all others
 }
 
 // Machines implements yuccapaddle.Fleet.
@@ -37,6 +41,13 @@
 		f.notOfWave = false
 		return yuccapaddle.ErrNotOfWave
 	}
+	if machine == "m1" && time.Now().Before(f.refuseUntil) {
+		f.refusals++
+		return f.refusal
+	}
+	if machine == "m1" {
+		f.m1Last = len(f.maintained) == len(machineNames)-1
+	}
 	return f.fleet.Maintain(ctx, machine, wave, holder, token)
 }
 
@@ -66,6 +77,19 @@
 	runOddWave(t, machineNames, 2, func(fl *oddFleet) { fl.notOfWave = true })
 }
 
+// TestMachineRefused checks that a machine whose orders are refused for a time gets its
+// maintenance later, is not ordered down without pause, and does not hold up the others.
+func TestMachineRefused(t *testing.T) {
+	for _, refusal := range []error{yuccapaddle.ErrNotOfWave, yuccapaddle.ErrNoMachine} {
+		var fl *oddFleet
+		runOddWave(t, machineNames, 1, func(f *oddFleet) {
+			fl, f.refusal, f.refuseUntil = f, refusal, time.Now().Add(11*time.Second)
+		})
+		fl.c.Check(fl.m1Last, qt.IsTrue)
+		fl.c.Check(fl.refusals > 1 && fl.refusals <= 6, qt.IsTrue, qt.Commentf("%d refusals in 11 s", fl.refusals))
+	}
+}
+
 // TestMachineMissingFromList guards against a wave that is reported as completed without a
 // machine that one list left out.
 func TestMachineMissingFromList(t *testing.T) {
--- a/runner.go
+++ b/runner.go
@@ -173,7 +173,8 @@
 	Machines(ctx context.Context) ([]Machine, error)
 	// Maintain takes a machine down for its maintenance in a wave, which ends all
 	// runs there. It is idempotent. ErrBusy means that the machine cannot be taken
-	// down now, and ErrNotOfWave that it is no longer part of the wave.
+	// down now, ErrNotOfWave that it is not part of the wave now, and ErrNoMachine
+	// that the platform does not know the machine now. None of them is for good.
 	Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error
 	// Report sends the progress of a wave to the operators.
 	Report(ctx context.Context, wave int64, completed bool) error
@@ -195,6 +196,8 @@
 	ErrBusy = errors.New("the machine is not up, or leaves")
 	// ErrNotOfWave reports a machine that is not part of the wave.
 	ErrNotOfWave = errors.New("the machine is not of that wave")
+	// ErrNoMachine reports a machine that the platform does not know.
+	ErrNoMachine = errors.New("there is no such machine")
 	// ErrOutdated reports an order whose fencing token is no longer the highest.
 	ErrOutdated = errors.New("a later host gives the orders")
 )
