maintainer: keep machines that one list leaves out in their wave

Cause: a machine that one list left out counted as gone before its maintenance and as back in it, for the rest of the role.

Change: a machine counts as gone once all lists of 5 s have left it out, and gets its maintenance if it is listed again. Until then it takes a place of the wave's limit, whether or not this host has ordered it down: it may be down. The worker of a machine that is gone is no longer drained.

--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -137,7 +137,7 @@
 }
 
 // releaseWithdrawn lets the workers get new runs again whose machines were taken out of a
-// wave, or whose wave was withdrawn, before the maintenance.
+// wave, or whose wave was withdrawn, before the maintenance, or are no longer listed.
 func (m *Maintainer) releaseWithdrawn(ctx context.Context) {
 	rules := m.rules()
 	if rules == nil {
@@ -147,10 +147,12 @@
 	for _, order := range rules.Waves {
 		ordered[order.Number] = order.Machines
 	}
+	now := m.clock.Now()
 	for number, w := range m.waves {
 		machines, open := ordered[number]
 		for name := range w.drainingSince {
-			if w.done[name] || !w.down[name].IsZero() || slices.Contains(machines, name) {
+			stays := slices.Contains(machines, name) && !w.gone(name, now)
+			if w.done[name] || !w.down[name].IsZero() || stays {
 				continue
 			}
 			m.drain(ctx, w.workers[name], false)
@@ -203,22 +205,24 @@
 		}
 		w.announced = true
 	}
+	now := m.clock.Now()
+	w.observe(machines, now)
 	m.finishMaintained(ctx, w, machines)
-	inProgress := w.inProgress(machines)
+	inProgress := w.inProgress(machines, now)
 	remaining := 0
 	for _, name := range w.Machines {
-		if w.done[name] || !w.down[name].IsZero() {
+		if w.done[name] || !w.down[name].IsZero() || w.gone(name, now) {
 			continue
 		}
 		remaining++
-		if m.clock.Now().Before(w.retryAt[name]) {
+		if machines[name] == nil || now.Before(w.retryAt[name]) {
 			continue
 		}
 		if !inProgress[name] && len(inProgress) >= w.limit() {
 			continue
 		}
 		inProgress[name] = true
-		if err := m.takeDown(ctx, w, machines[name], name); err != nil {
+		if err := m.takeDown(ctx, w, machines[name]); err != nil {
 			return err
 		}
 	}
@@ -232,15 +236,16 @@
 	return nil
 }
 
-// finishMaintained marks the machines that are back from maintenance as done, and lets
-// their workers get new runs again.
+// finishMaintained marks the machines that are back from maintenance, or are no longer part
+// of the fleet, as done, and lets their workers get new runs again.
 func (m *Maintainer) finishMaintained(ctx context.Context, w *waveProgress, machines map[string]*yuccapaddle.Machine) {
+	now := m.clock.Now()
 	for name, at := range w.down {
 		machine := machines[name]
 		// Maintain is idempotent, so a machine that is up a check interval after the order
 		// is either back or had its maintenance before.
-		back := machine == nil || machine.State == yuccapaddle.MachineUp
-		if !back || m.clock.Now().Sub(at) < checkInterval {
+		back := machine != nil && machine.State == yuccapaddle.MachineUp && now.Sub(at) >= checkInterval
+		if !back && !w.gone(name, now) {
 			continue
 		}
 		delete(w.down, name)
@@ -253,12 +258,8 @@
 // there or its drain deadline has passed, unless a step needs the worker or this host may
 // not be the only one that orders. An error that is not ErrOutdated is only logged, since
 // the next step tries again.
-func (m *Maintainer) takeDown(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine, name string) error {
-	now := m.clock.Now()
-	if machine == nil {
-		w.done[name] = true // it is no longer part of the fleet
-		return nil
-	}
+func (m *Maintainer) takeDown(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine) error {
+	now, name := m.clock.Now(), machine.Name
 	if w.drainingSince[name].IsZero() {
 		w.drainingSince[name], w.workers[name] = now, machine.Worker
 	}
--- a/internal/maintainer/maintainer_test.go
+++ b/internal/maintainer/maintainer_test.go
@@ -29,6 +29,7 @@
 	completed  bool
 	drained    map[string]bool
 	noWorker   string        // machine that has no worker
+	left       string        // machine that the wave may be completed without
 	busyUntil  time.Time     // until then tasks run on the workers
 	outdated   bool          // orders are refused with ErrOutdated
 	listing    time.Duration // in which the list of machines arrives, a byte each 100 ms
@@ -92,7 +93,9 @@
 func (f *fleet) Report(_ context.Context, _ int64, completed bool) error {
 	if completed {
 		for _, n := range machineNames {
-			f.c.Check(f.maintained[n], qt.Equals, 1, qt.Commentf("completed, machine %s", n))
+			if n != f.left {
+				f.c.Check(f.maintained[n], qt.Equals, 1, qt.Commentf("completed, machine %s", n))
+			}
 		}
 	}
 	f.completed = completed
