--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -19,6 +19,8 @@
 const (
 	checkInterval = 400 * time.Millisecond
 	callTimeout   = 700 * time.Millisecond
+	// reportTimeout bounds a report, which reads and writes.
+	reportTimeout = 2 * callTimeout
 	// refusalRetryInterval is the time until an order is tried again that was refused since the
 	// machine is not of the wave, or not there. It covers the age of the rules in force.
 	refusalRetryInterval = 2 * time.Second
@@ -200,10 +202,11 @@
 // its start and end.
 func (m *Maintainer) advance(ctx context.Context, w *waveProgress, machines map[string]*yuccapaddle.Machine) error {
 	if !w.announced {
-		if err := m.reportWave(ctx, w, false); err != nil {
+		err := m.reportWave(ctx, w, false)
+		w.announced, w.completed = err == nil, errors.Is(err, yuccapaddle.ErrWaveCompleted)
+		if err != nil {
 			return err
 		}
-		w.announced = true
 	}
 	now := m.clock.Now()
 	w.observe(machines, now)
@@ -298,7 +301,7 @@
 
 // reportWave reports the start or the end of a wave to the operators.
 func (m *Maintainer) reportWave(ctx context.Context, w *waveProgress, completed bool) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if err := m.fleet.Report(ctx, w.Number, completed); err != nil {
 		return err
--- a/runner.go
+++ b/runner.go
@@ -176,7 +176,8 @@
 	// down now, ErrNotOfWave that it is not part of the wave now, and ErrNoMachine
 	// that the platform does not know the machine now. None of them is for good.
 	Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error
-	// Report sends the progress of a wave to the operators.
+	// Report sends the progress of a wave to the operators. ErrWaveCompleted means that a
+	// wave has begun whose end was reported before, by any host.
 	Report(ctx context.Context, wave int64, completed bool) error
 	// Completed returns whether a wave has been reported as completed, by any host.
 	Completed(ctx context.Context, wave int64) (bool, error)
@@ -198,6 +199,8 @@
 	ErrNotOfWave = errors.New("the machine is not of that wave")
 	// ErrNoMachine reports a machine that the platform does not know.
 	ErrNoMachine = errors.New("there is no such machine")
+	// ErrWaveCompleted reports a wave that has been reported as completed.
+	ErrWaveCompleted = errors.New("the wave was completed before")
 	// ErrOutdated reports an order whose fencing token is no longer the highest.
 	ErrOutdated = errors.New("a later host gives the orders")
 )
