--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -164,7 +164,8 @@
 		executor.WithRole(a.elector.Confirmed, predecessorRenewsUntil),
 	}, a.executorOpts...)
 	e := executor.New(a.deps.Registry, a.deps.Runner, a.rules, rec, a.bounds, clock, a.log, opts...)
-	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log)
+	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log,
+		maintainer.WithRole(a.elector.Leased, a.elector.PredecessorLeasedUntil))
 	return e, maintenance.Run
 }
 
--- a/internal/elector/predecessor.go
+++ b/internal/elector/predecessor.go
@@ -60,3 +60,10 @@
 	}
 	return p.leasedUntil
 }
+
+// leaseEnd returns the time from which on the previous host has no lease of its own.
+func (p *predecessor) leaseEnd() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leasedUntil
+}
--- a/internal/maintainer/maintainer.go
+++ b/internal/maintainer/maintainer.go
@@ -19,12 +19,14 @@
 const (
 	checkInterval = 400 * time.Millisecond
 	callTimeout   = 700 * time.Millisecond
+	// reportTimeout bounds a report, which reads and writes.
+	reportTimeout = 2 * callTimeout
+	// refusalRetryInterval is the time until an order is tried again that was refused since the
+	// machine is not of the wave, or not there. It covers the age of the rules in force.
+	refusalRetryInterval = 2 * time.Second
 	// listTimeout bounds the read of the list of machines as long as it arrives; it ends
 	// when nothing has arrived for callTimeout.
 	listTimeout = 10 * time.Second
-	// drainFraction is the fraction of a machine's share of the wave's time that it may
-	// wait until nothing runs on it.
-	drainFraction = 0.8
 )
 
 // Maintainer carries out the maintenance waves. It runs on the active host.
@@ -37,29 +39,40 @@
 	holder  string
 	token   uint64
 	waves   map[int64]*waveProgress
+
+	leased    func() bool
+	notBefore func() time.Time
 }
 
-// waveProgress is a wave and how far it is. The maps are keyed by machine.
-type waveProgress struct {
-	yuccapaddle.Wave
-	deadline      time.Time
-	done          map[string]bool
-	down          map[string]time.Time // when the machine was ordered down
-	drainingSince map[string]time.Time // when the drain of its worker began
-	workers       map[string]string    // ID of its worker, to end the drain later
-	looked        bool                 // it is known whether a former host has completed it
-	announced     bool                 // the start has been reported
-	completed     bool                 // the end has been reported
+// Option changes a Maintainer under construction.
+type Option func(*Maintainer)
+
+// WithRole makes the Maintainer order only what no other host contradicts: nothing unless
+// leased reports, right before the order, that this host has renewed its lease of late, and
+// nothing before the time that notBefore returns, until which a former active host may still
+// be ordering. Machines need not check fencing tokens.
+func WithRole(leased func() bool, notBefore func() time.Time) Option {
+	return func(m *Maintainer) { m.leased, m.notBefore = leased, notBefore }
 }
 
 // New returns a Maintainer. Its orders carry holder and the fencing token, so that those
-// of a former host are refused.
+// of a former host are refused where machines check them.
 func New(fleet yuccapaddle.Fleet, drainer yuccapaddle.Drainer, rules func() *yuccapaddle.Rules, clock yuccapaddle.Clock,
-	holder string, token uint64, log *zap.Logger,
+	holder string, token uint64, log *zap.Logger, opts ...Option,
 ) *Maintainer {
-	return &Maintainer{
+	m := &Maintainer{
 		fleet: fleet, drainer: drainer, rules: rules, clock: clock, holder: holder, token: token, log: log, waves: map[int64]*waveProgress{},
+		leased: func() bool { return true }, notBefore: func() time.Time { return time.Time{} },
+	}
+	for _, o := range opts {
+		o(m)
 	}
+	return m
+}
+
+// mayOrder reports whether this host is the only one that orders maintenance now.
+func (m *Maintainer) mayOrder() bool {
+	return m.leased() && !m.clock.Now().Before(m.notBefore())
 }
 
 // Run works on the waves until the context ends, when it returns nil, or until a later
@@ -126,7 +139,7 @@
 }
 
 // releaseWithdrawn lets the workers get new runs again whose machines were taken out of a
-// wave, or whose wave was withdrawn, before the maintenance.
+// wave, or whose wave was withdrawn, before the maintenance, or are no longer listed.
 func (m *Maintainer) releaseWithdrawn(ctx context.Context) {
 	rules := m.rules()
 	if rules == nil {
@@ -136,10 +149,12 @@
 	for _, order := range rules.Waves {
 		ordered[order.Number] = order.Machines
 	}
+	now := m.clock.Now()
 	for number, w := range m.waves {
 		machines, open := ordered[number]
 		for name := range w.drainingSince {
-			if w.done[name] || !w.down[name].IsZero() || slices.Contains(machines, name) {
+			stays := slices.Contains(machines, name) && !w.gone(name, now)
+			if w.done[name] || !w.down[name].IsZero() || stays {
 				continue
 			}
 			m.drain(ctx, w.workers[name], false)
@@ -172,10 +187,7 @@
 	for _, order := range rules.Waves {
 		w := m.waves[order.Number]
 		if w == nil {
-			w = &waveProgress{
-				deadline: m.clock.Now().Add(time.Duration(order.DurationS * float64(time.Second))),
-				done:     map[string]bool{}, down: map[string]time.Time{}, drainingSince: map[string]time.Time{}, workers: map[string]string{},
-			}
+			w = newWaveProgress(m.clock.Now().Add(time.Duration(order.DurationS * float64(time.Second))))
 			m.waves[order.Number] = w
 		}
 		w.Wave = order
@@ -190,24 +202,30 @@
 // its start and end.
 func (m *Maintainer) advance(ctx context.Context, w *waveProgress, machines map[string]*yuccapaddle.Machine) error {
 	if !w.announced {
-		if err := m.reportWave(ctx, w, false); err != nil {
+		err := m.reportWave(ctx, w, false)
+		w.announced, w.completed = err == nil, errors.Is(err, yuccapaddle.ErrWaveCompleted)
+		if err != nil {
 			return err
 		}
-		w.announced = true
 	}
+	now := m.clock.Now()
+	w.observe(machines, now)
 	m.finishMaintained(ctx, w, machines)
-	inProgress := len(w.down)
+	inProgress := w.inProgress(machines, now)
 	remaining := 0
 	for _, name := range w.Machines {
-		if w.done[name] || !w.down[name].IsZero() {
+		if w.done[name] || !w.down[name].IsZero() || w.gone(name, now) {
 			continue
 		}
 		remaining++
-		if inProgress >= max(w.MaxDown, 1) {
+		if machines[name] == nil || now.Before(w.retryAt[name]) {
+			continue
+		}
+		if !inProgress[name] && len(inProgress) >= w.limit() {
 			continue
 		}
-		inProgress++
-		if err := m.takeDown(ctx, w, machines[name], name); err != nil {
+		inProgress[name] = true
+		if err := m.takeDown(ctx, w, machines[name]); err != nil {
 			return err
 		}
 	}
@@ -221,15 +239,16 @@
 	return nil
 }
 
-// finishMaintained marks the machines that are back from maintenance as done, and lets
-// their workers get new runs again.
+// finishMaintained marks the machines that are back from maintenance, or are no longer part
+// of the fleet, as done, and lets their workers get new runs again.
 func (m *Maintainer) finishMaintained(ctx context.Context, w *waveProgress, machines map[string]*yuccapaddle.Machine) {
+	now := m.clock.Now()
 	for name, at := range w.down {
 		machine := machines[name]
 		// Maintain is idempotent, so a machine that is up a check interval after the order
 		// is either back or had its maintenance before.
-		back := machine == nil || machine.State == yuccapaddle.MachineUp
-		if !back || m.clock.Now().Sub(at) < checkInterval {
+		back := machine != nil && machine.State == yuccapaddle.MachineUp && now.Sub(at) >= checkInterval
+		if !back && !w.gone(name, now) {
 			continue
 		}
 		delete(w.down, name)
@@ -239,19 +258,19 @@
 }
 
 // takeDown drains the worker of a machine, and orders the machine down once nothing runs
-// there or its drain deadline has passed, unless a step needs the worker. An error that
-// is not ErrOutdated is only logged, since the next step tries again.
-func (m *Maintainer) takeDown(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine, name string) error {
-	now := m.clock.Now()
-	if machine == nil {
-		w.done[name] = true // it is no longer part of the fleet
-		return nil
-	}
+// there or its drain deadline has passed, unless a step needs the worker or this host may
+// not be the only one that orders. An error that is not ErrOutdated is only logged, since
+// the next step tries again.
+func (m *Maintainer) takeDown(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine) error {
+	now, name := m.clock.Now(), machine.Name
 	if w.drainingSince[name].IsZero() {
 		w.drainingSince[name], w.workers[name] = now, machine.Worker
 	}
 	empty, mustStay := m.drain(ctx, machine.Worker, true)
-	if !empty && (mustStay || now.Before(m.drainDeadline(w, name))) {
+	if !empty && (mustStay || now.Before(w.drainDeadline(name))) {
+		return nil
+	}
+	if !m.mayOrder() {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -262,33 +281,27 @@
 	switch {
 	case err == nil:
 		w.down[name], w.workers[name] = now, machine.Worker
-	case errors.Is(err, yuccapaddle.ErrNotOfWave):
-		w.done[name] = true
-		m.drain(ctx, machine.Worker, false)
+	case errors.Is(err, yuccapaddle.ErrNotOfWave), errors.Is(err, yuccapaddle.ErrNoMachine):
+		m.postpone(ctx, w, machine)
 	case errors.Is(err, yuccapaddle.ErrOutdated):
 		return err
 	}
 	return nil
 }
 
-// drainDeadline returns until when a machine may wait for its tasks to end. The time that
-// the wave had left when the drain began is divided by the rounds that the remaining
-// machines need, with as many at once as the wave allows.
-func (m *Maintainer) drainDeadline(w *waveProgress, name string) time.Time {
-	remaining := 0
-	for _, other := range w.Machines {
-		if !w.done[other] {
-			remaining++
-		}
-	}
-	rounds := (remaining + max(w.MaxDown, 1) - 1) / max(w.MaxDown, 1)
-	share := w.deadline.Sub(w.drainingSince[name]) / time.Duration(max(rounds, 1))
-	return w.drainingSince[name].Add(time.Duration(drainFraction * float64(share)))
+// postpone lets the worker of a machine whose order was refused get new runs again until the
+// next attempt. The refusal is of the wave or the machine as the platform had it then. The
+// machine stays in the wave for as long as the rules name it.
+func (m *Maintainer) postpone(ctx context.Context, w *waveProgress, machine *yuccapaddle.Machine) {
+	m.drain(ctx, machine.Worker, false)
+	delete(w.drainingSince, machine.Name)
+	delete(w.workers, machine.Name)
+	w.retryAt[machine.Name] = m.clock.Now().Add(refusalRetryInterval)
 }
 
 // reportWave reports the start or the end of a wave to the operators.
 func (m *Maintainer) reportWave(ctx context.Context, w *waveProgress, completed bool) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if err := m.fleet.Report(ctx, w.Number, completed); err != nil {
 		return err
