executor: take a reply of a later process for a restart

What callers see: two runs of one task at once, after a worker has restarted twice under its ID while two holds and a late copy of a start were under way. Cause: the reply to a hold that was sent to a former process of the worker was dropped unless it came from the process known by now. It may come from the one after that. Then a list that the process between them had given, on its way still, ended the run, and the present process, which had seen no raised token, could begin the late copy while the task ran elsewhere. Evidence: TestOrderOfHoldReplies plays all orders of eight steps, in which holds are carried out and answered and the worker restarts up to twice. Change: only a reply of an earlier start than the known one is of a former process. One of a later start is handled like any first answer of a restart: it raises the token and its list does not count. Why it works: the list of the process in between comes with a lower token, or as that of a former process, and is dropped. Weighed: to compare starts relies on their order, which the planner does too.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -220,9 +220,10 @@
 }
 
 // ofFormerProcess reports whether the reply to a hold that was sent to a process of the worker
-// is that of one before the latest that has answered. It tells nothing of the worker then.
+// is that of one before the latest that has answered. It tells nothing of the worker then. A
+// process that began later may answer such a hold too, and that reply tells of a restart.
 func (l *link) ofFormerProcess(process uint64, reply *yuccapaddle.HoldReply) bool {
-	return process != l.process && reply.Incarnation != l.incarnation
+	return process != l.process && reply.Incarnation < l.incarnation
 }
 
 // handleHoldReply passes a worker's reply on to the planner. poll is the number that the
