planner: compare a registered capacity at a takeover with that of the runs

What callers see: a worker is brought over its capacity (LIMIT) when another host becomes active while an entry of another writer with more capacity stands under the worker's ID, and the worker is the only one of its kind. It seems to be where the entry names other labels too, whatever other workers there are. Cause: a host that takes over believes a first registration up to the median of the worker's service and labels, which of a single worker is its own value. Change: the record of a run names the capacity that counted for its worker when it was placed. A host that restores it counts no more than that at once, of the same incarnation, the least of it; the rest counts after a heartbeat and 0.5 s as before. Why it works: what counted at the former host had stood for a heartbeat or been compared with the worker's kind, and an incarnation keeps the record apart from that of a restarted worker.

--- a/internal/executor/room_test.go
+++ b/internal/executor/room_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,6 +147,91 @@
 	}
 }
 
+// takeOverBesideOddKind has another host take over while an entry with twice the capacity and
+// other labels stands for a worker, which makes it the only one of its kind, and checks that it
+// is not brought over its capacity. If busy is set, tasks wait for room at the former host.
+func takeOverBesideOddKind(t *testing.T, workers int, busy bool) {
+	withGaugedRig(t, workers, func(r *rig) {
+		r.taskTime.Store(int64(20 * time.Second))
+		time.Sleep(2 * time.Second)
+		if busy {
+			r.submitMany()
+		}
+		time.Sleep(2 * time.Second)
+		r.odd.Store(overwritten("w0", oddWrite{100 * time.Millisecond, func(w *yuccapaddle.Worker) {
+			multiplied(2)(w)
+			w.Labels = []string{"b", "r0"}
+		}}))
+		time.Sleep(200 * time.Millisecond)
+		r.takeOver()
+		if !busy {
+			r.submitMany()
+		}
+		time.Sleep(8 * time.Second)
+		r.c.Check(r.running("many"), qt.Equals, 8*workers)
+	})
+}
+
+// TestOddKindAtTakeOver guards against a worker with runs of the former host that is brought over
+// its capacity since it is the only one of its kind, or seems to be, when another host takes over.
+func TestOddKindAtTakeOver(t *testing.T) {
+	for _, workers := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d workers", workers), func(t *testing.T) {
+			takeOverBesideOddKind(t, workers, true)
+		})
+	}
+}
+
+// TestOddKindOfIdleWorkerAtTakeOver guards against the same on a worker without runs.
+func TestOddKindOfIdleWorkerAtTakeOver(t *testing.T) {
+	for _, workers := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d workers", workers), func(t *testing.T) {
+			takeOverBesideOddKind(t, workers, false)
+		})
+	}
+}
+
+// TestOnlyWorkerPlacesAtOnceAfterTakeOver guards against a host that takes over and fills a worker
+// with runs of the former host, the only one of its kind, only once it has registered again.
+func TestOnlyWorkerPlacesAtOnceAfterTakeOver(t *testing.T) {
+	for _, before := range []int{0, 3} {
+		t.Run(fmt.Sprintf("%d runs before", before), func(t *testing.T) {
+			withGaugedRig(t, 1, func(r *rig) {
+				r.taskTime.Store(int64(20 * time.Second))
+				time.Sleep(2 * time.Second)
+				if before > 0 {
+					r.submit("before", "batch", yuccapaddle.Step{Count: before, Need: eighthOfWorker, Estimate: 20000})
+				}
+				time.Sleep(time.Second)
+				r.takeOver()
+				r.submitMany()
+				time.Sleep(300 * time.Millisecond)
+				r.c.Check(r.running("many"), qt.Equals, 8-before)
+			})
+		})
+	}
+}
+
+// TestGrownWorkerAtTakeOver checks that the capacity by which a worker has grown since its runs
+// were placed counts at another host once it has stood for a heartbeat there.
+func TestGrownWorkerAtTakeOver(t *testing.T) {
+	withGaugedRig(t, 1, func(r *rig) {
+		r.taskTime.Store(int64(20 * time.Second))
+		time.Sleep(500 * time.Millisecond)
+		r.resize("w0", 4)
+		time.Sleep(2 * time.Second)
+		r.submit("before", "batch", yuccapaddle.Step{Count: 4, Need: eighthOfWorker, Estimate: 20000})
+		time.Sleep(time.Second)
+		r.resize("w0", 8)
+		r.takeOver()
+		r.submitMany()
+		time.Sleep(heartbeat)
+		r.c.Check(r.running("many"), qt.Equals, 0)
+		time.Sleep(2 * time.Second)
+		r.c.Check(r.running("many"), qt.Equals, 4)
+	})
+}
+
 // TestTakeOverPlacesAtOnce guards against a host that takes over and places nothing until the
 // workers have registered again.
 func TestTakeOverPlacesAtOnce(t *testing.T) {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -75,7 +75,8 @@
 	// unknown.
 	incarnation int64
 	address     string
-	confirmed   bool // see confirmRun
+	capacity    yuccapaddle.Need // of the worker that counted then, zero if unknown
+	confirmed   bool             // see confirmRun
 	// confirmedPoll is the number of the latest poll of any worker when it was confirmed.
 	confirmedPoll int64
 	neverStarted  bool      // it certainly has not started
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -356,7 +356,8 @@
 	for i, id := range workers {
 		w := p.workers[id]
 		u.members[i] = member{
-			worker: id, incarnation: max(w.Incarnation, w.reportedIncarnation), address: w.Address, progressAt: p.now, pace: fullPace, unsent: true,
+			worker: id, incarnation: max(w.Incarnation, w.reportedIncarnation), address: w.Address, capacity: w.capacity(),
+			progressAt: p.now, pace: fullPace, unsent: true,
 		}
 		w.addRun(u, i)
 		p.batch.Starts = append(p.batch.Starts, p.startOrder(u, id, i))
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -45,6 +45,8 @@
 	Incarnation int64  `json:"b,omitempty"`
 	Address     string `json:"a,omitempty"`
 	Leaving     bool   `json:"l,omitempty"`
+	// Capacity is the one of the worker that counted when the member was placed there.
+	Capacity yuccapaddle.Need `json:"c,omitzero"`
 }
 
 // crashRecord is the committed form of the crashes under a member.
@@ -160,7 +162,7 @@
 	r.PlacedAt = u.placedAtMS
 	for i := range u.members {
 		m := &u.members[i]
-		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address, Leaving: m.leaving})
+		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address, Leaving: m.leaving, Capacity: m.capacity})
 	}
 	return r
 }
@@ -268,10 +270,12 @@
 	for _, m := range r.Members {
 		u.members = append(u.members, member{
 			worker: m.Worker, incarnation: m.Incarnation, address: m.Address, leaving: m.Leaving, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true,
-			startScattered: true,
+			startScattered: true, capacity: m.Capacity,
 		})
 		if !m.Ended {
-			p.worker(m.Worker).addRun(u, len(u.members)-1)
+			w := p.worker(m.Worker)
+			w.addRun(u, len(u.members)-1)
+			w.former.note(m.Incarnation, m.Capacity)
 		}
 	}
 	if u.state == unitPlaced && !u.live() {
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -33,6 +33,32 @@
 	pendingUntil time.Time
 }
 
+// formerCapacity is the capacity of an incarnation of a worker that counted at former hosts when
+// they placed the runs that are in the records, the least one of each resource.
+type formerCapacity struct {
+	incarnation int64
+	capacity    yuccapaddle.Need // zero if unknown
+}
+
+// note records the capacity that counted for an incarnation when a run was placed.
+func (f *formerCapacity) note(incarnation int64, capacity yuccapaddle.Need) {
+	switch {
+	case capacity == yuccapaddle.Need{} || incarnation < f.incarnation:
+	case incarnation > f.incarnation:
+		*f = formerCapacity{incarnation, capacity}
+	default:
+		f.capacity = lower(f.capacity, capacity)
+	}
+}
+
+// limit returns the lower of a capacity and the former one of the same incarnation.
+func (f *formerCapacity) limit(incarnation int64, capacity yuccapaddle.Need) yuccapaddle.Need {
+	if f.incarnation != incarnation || f.capacity == (yuccapaddle.Need{}) {
+		return capacity
+	}
+	return lower(capacity, f.capacity)
+}
+
 // newRoom returns a room of which the capacity counts.
 func newRoom(incarnation int64, capacity yuccapaddle.Need) room {
 	return room{
@@ -137,11 +163,12 @@
 }
 
 // beginRoom begins the room of a worker's incarnation anew. There is no earlier registration
-// to compare with, so the capacity counts up to what is usual among the worker's peers.
+// to compare with, so the capacity counts up to what is usual among the worker's peers, and to
+// what counted at former hosts.
 func (p *Planner) beginRoom(w *worker) {
 	limit := w.Capacity
 	if p.limits.Heartbeat != 0 {
-		limit = p.usualCapacity(w)
+		limit = w.former.limit(w.Incarnation, p.usualCapacity(w))
 	}
 	if w.room.incarnation != w.Incarnation {
 		w.highestCapacity = yuccapaddle.Need{}
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -38,7 +38,8 @@
 	unresponsive        bool      // the latest poll had no answer
 	inMaintenance       bool      // it gets no new runs, for its machine's maintenance
 	fixed               fixedFields
-	room                room // see capacity
+	room                room           // see capacity
+	former              formerCapacity // at hosts that were active before
 	// highestCapacity holds the most of each resource that has counted in its present
 	// incarnation.
 	highestCapacity yuccapaddle.Need
