executor: let a worker that has had no hold answer the next one at once

What callers see: a task that is done runs again, or a worker is brought over its capacity, where a late start reaches a worker that has restarted under its ID. Cause: the restart of an idle worker shows in its registration, which may be read a second later. If the worker gets a run meanwhile, the first hold told the host of the restart, but the worker delayed its reply until a run ended, up to 1.9 s, and only the hold after that carries the raised token. Evidence: TestLateStartOnRestartedWorkerInUse failed before, "a" started twice on w0. Change: the first hold after 2.6 s without one, the longest call of a hold, does not wait. Why it works: its reply tells the restart within one round trip, and the next hold has the raised token; what was sent before the restart is refused from then on. Price: one more look for each run that begins on a worker without a hold in the last 2.6 s.

--- a/internal/executor/idlefence_test.go
+++ b/internal/executor/idlefence_test.go
@@ -82,3 +82,28 @@
 		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 30*time.Second)
 	})
 }
+
+// TestLateStartOnRestartedWorkerInUse guards against a second run of a task that is done: its
+// worker has restarted under its ID while it ran nothing, which no registration tells yet, and
+// the first hold of a new run is answered only when that run ends.
+func TestLateStartOnRestartedWorkerInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		l := &lateStarter{rig: r}
+		r.runner = l
+		r.takeOver()
+		defer func() { r.close() }()
+		time.Sleep(20 * time.Second)
+		late := time.Now().Add(lateOrder)
+		r.submit("a", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 2000})
+		r.waitForState("a", "batch", yuccapaddle.JobCompleted, 5*time.Second)
+		former := r.workers["w0"].Worker()
+		r.odd.Store(change("w0", func(w *yuccapaddle.Worker) { *w = former }))
+		time.Sleep(time.Until(late) - time.Second)
+		r.workers["w0"].Restart()
+		r.taskTime.Store(int64(20 * time.Second))
+		r.submit("long", "batch", yuccapaddle.Step{Count: 1, Need: oneGPU, Estimate: 20000})
+		time.Sleep(2 * time.Second)
+		r.c.Check(r.startLog.Workers(yuccapaddle.TaskID{Job: "a"}), qt.HasLen, 1)
+	})
+}
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -23,6 +23,9 @@
 	// holdCallSlack is what the call of a hold may take beyond the wait.
 	holdCallSlack  = 700 * time.Millisecond
 	holdRetryDelay = 200 * time.Millisecond
+	// unheldTime is the time without a hold after which a worker replies to the next one at
+	// once: it may have restarted while it ran nothing.
+	unheldTime = holdWaitMS*time.Millisecond + holdCallSlack
 	// probeInterval is the time between holds to a silent worker that runs nothing.
 	probeInterval = 600 * time.Millisecond
 	// restartBits is the number of low bits of a fencing token that count the restarts
@@ -148,7 +151,7 @@
 		// not, so each one would postpone the time when its leases have certainly ended.
 		o.Deadline = e.renewalDeadline(l)
 		switch {
-		case !l.reported:
+		case !l.reported || e.now.Sub(l.holdSentAt) > unheldTime:
 		case e.plan.HasSpareBesideTarget(id):
 			o.WaitMS = pacedHoldWaitMS
 		default:
