--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -23,6 +23,9 @@
 	// holdCallSlack is what the call of a hold may take beyond the wait.
 	holdCallSlack  = 700 * time.Millisecond
 	holdRetryDelay = 200 * time.Millisecond
+	// unheldTime is the time without a hold after which a worker replies to the next one at
+	// once: it may have restarted while it ran nothing.
+	unheldTime = holdWaitMS*time.Millisecond + holdCallSlack
 	// probeInterval is the time between holds to a silent worker that runs nothing.
 	probeInterval = 600 * time.Millisecond
 	// restartBits is the number of low bits of a fencing token that count the restarts
@@ -153,7 +156,7 @@
 		// not, so each one would postpone the time when its leases have certainly ended.
 		o.Deadline = e.renewalDeadline(l)
 		switch {
-		case !l.reported:
+		case !l.reported || e.now.Sub(l.holdSentAt) > unheldTime:
 		case e.plan.HasSpareBesideTarget(id):
 			o.WaitMS = pacedHoldWaitMS
 		default:
@@ -225,9 +228,10 @@
 }
 
 // ofFormerProcess reports whether the reply to a hold that was sent to a process of the worker
-// is that of one before the latest that has answered. It tells nothing of the worker then.
+// is that of one before the latest that has answered. It tells nothing of the worker then. A
+// process that began later may answer such a hold too, and that reply tells of a restart.
 func (l *link) ofFormerProcess(process uint64, reply *yuccapaddle.HoldReply) bool {
-	return process != l.process && reply.Incarnation != l.incarnation
+	return process != l.process && reply.Incarnation < l.incarnation
 }
 
 // handleHoldReply passes a worker's reply on to the planner. poll is the number that the
