--- a/batch.go
+++ b/batch.go
@@ -25,6 +25,8 @@
 	// Heartbeat is the time within which a worker registers again. A capacity that grows counts
 	// once it has been registered for longer; at 0 it counts at once.
 	Heartbeat time.Duration
+	// LongestLease is how long a lease that a worker has granted may last.
+	LongestLease time.Duration
 }
 
 // Batch is the result of a planning step. Records and Removed are committed
@@ -94,6 +96,9 @@
 type StoredJob struct {
 	Job, State []byte
 	Parts      [][]byte
+	// PartRevisions holds the revision of the latest change of each of the Parts, nil if they
+	// are unknown.
+	PartRevisions []uint64
 }
 
 // JobRecord is the stored form of a job. Job is empty if it is unchanged since
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -161,7 +161,7 @@
 	clock := timekeeper.Timekeeper{}
 	opts := append([]executor.Option{
 		executor.WithAdviser(a.deps.Adviser), executor.WithMeter(a.monitor),
-		executor.WithRole(a.elector.Confirmed, predecessorRenewsUntil),
+		executor.WithRole(a.elector),
 	}, a.executorOpts...)
 	e := executor.New(a.deps.Registry, a.deps.Runner, a.rules, rec, a.bounds, clock, a.log, opts...)
 	maintenance := maintainer.New(a.deps.Fleet, e, a.rules.Current, clock, a.cfg.Host, rec.Epoch(), a.log,
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -112,6 +112,8 @@
 	pending     map[string]int64   // jobs that have not started, by queue
 }
 
+var _ yuccapaddle.Role = (*Elector)(nil)
+
 // leader is the host that this one believes to be active.
 type leader struct {
 	address    string
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -73,9 +73,10 @@
 	log      *zap.Logger
 	bounds   Bounds
 	clock    yuccapaddle.Clock
-	// roleConfirmed and predecessorRenewsUntil are set by WithRole.
+	// roleConfirmed and the following are set by WithRole.
 	roleConfirmed          func() bool
 	predecessorRenewsUntil func() time.Time
+	predecessorStartsUntil func() time.Time
 
 	events         chan func() // for the loop to call
 	submissions    chan submission
@@ -127,23 +128,28 @@
 	return func(e *Executor) { e.adviser = a }
 }
 
-// WithRole sets how to check that this host is still confirmed as the active one, and
-// until when the previous active host may go on renewing leases, which may become earlier.
-// While unconfirmed, the executor renews no leases and places no tasks.
-func WithRole(confirmed func() bool, predecessorRenewsUntil func() time.Time) Option {
-	return func(e *Executor) { e.roleConfirmed, e.predecessorRenewsUntil = confirmed, predecessorRenewsUntil }
+// WithRole sets the role of this host. While it is not confirmed, the executor renews no leases
+// and places no tasks.
+func WithRole(r yuccapaddle.Role) Option {
+	return func(e *Executor) {
+		e.roleConfirmed, e.predecessorRenewsUntil, e.predecessorStartsUntil = r.Confirmed, r.PredecessorRenewsUntil, r.PredecessorLeasedUntil
+	}
 }
 
+// never is the end of what a former host does if there is none.
+func never() time.Time { return time.Time{} }
+
 // New returns an executor that saves the job records through rec.
 func New(registry yuccapaddle.Registry, runner yuccapaddle.Runner, rules *rulekeeper.RuleKeeper, rec *recorder.Recorder,
 	bounds Bounds, clock yuccapaddle.Clock, log *zap.Logger, opts ...Option,
 ) *Executor {
+	bounds.Planner.LongestLease = longestLease(bounds.MaxLeaseMS)
 	e := &Executor{
 		registry: registry, runner: runner, rules: rules, rec: rec, bounds: bounds, clock: clock, log: log,
-		events: make(chan func(), eventQueueSize), submissions: make(chan submission, eventQueueSize), done: make(chan struct{}), plan: planner.New(bounds.Planner),
+		events: make(chan func(), eventQueueSize), submissions: make(chan submission, eventQueueSize), done: make(chan struct{}), plan: planner.New(bounds.Planner, planner.WithCommitTimes(rules.StoreReachedBy)),
 		links: map[string]*link{}, committedJobs: map[string]committedJob{}, watchers: map[string][]chan struct{}{}, adviceRequests: make(chan yuccapaddle.AdviceRequest, maxQueuedAdvice),
 		uncommitted: tracker.New(), shownJobs: map[string]committedJob{},
-		meter: yuccapaddle.NoMeter{}, roleConfirmed: func() bool { return true }, predecessorRenewsUntil: func() time.Time { return time.Time{} },
+		meter: yuccapaddle.NoMeter{}, roleConfirmed: func() bool { return true }, predecessorRenewsUntil: never, predecessorStartsUntil: never,
 	}
 	for _, o := range opts {
 		o(e)
@@ -173,6 +179,7 @@
 func (e *Executor) readClock() {
 	e.now = e.clock.Now()
 	e.plan.SetTime(e.now, time.Now().Round(0))
+	e.plan.SetPredecessorEnd(e.predecessorEnd())
 }
 
 // loop loads the job records, and then handles the events one at a time. While it runs,
@@ -319,9 +326,11 @@
 		if err != nil {
 			return fmt.Errorf("commit the job records: %w", err)
 		}
+		revision := e.rec.Revision()
 		e.post(func() {
 			e.committing = false
 			e.uncommitted.Commit(mark)
+			e.plan.NoteCommitted(revision)
 			e.executeBatch(&b, waiters, ends)
 		})
 		return nil
--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -76,10 +76,22 @@
 	return l.leasesEndBy
 }
 
+// predecessorEnd returns until when the former host may go on sending starts.
+func (e *Executor) predecessorEnd() time.Time {
+	if until := e.predecessorStartsUntil(); until.After(e.startedAt) {
+		return until
+	}
+	return e.startedAt
+}
+
 // leaseEnd returns when a lease granted at the given time has certainly ended.
 func (e *Executor) leaseEnd(at time.Time) time.Time {
-	ms := float64(e.bounds.MaxLeaseMS) / minClockRate
-	return at.Add(time.Duration(ms) * time.Millisecond)
+	return at.Add(longestLease(e.bounds.MaxLeaseMS))
+}
+
+// longestLease returns how long a lease of that length by the worker's clock may last.
+func longestLease(maxLeaseMS int64) time.Duration {
+	return time.Duration(float64(maxLeaseMS)/minClockRate) * time.Millisecond
 }
 
 // token returns the fencing token for orders to the worker.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -61,6 +61,7 @@
 		switch {
 		case !u.live():
 		case u.stopping:
+			p.releaseKept(u)
 			if p.now.Sub(u.stopSentAt) > stopResendInterval {
 				p.stop(u, "the stop has had no effect yet")
 			}
@@ -348,6 +349,7 @@
 	u.state, u.stopping, u.failureCounted = unitPlaced, false, false
 	u.placedAt, u.placedAtMS, u.placedAtKnown = p.now, p.wall.UnixMilli(), true
 	u.startedAt, u.resumed = p.now, u.checkpoint != ""
+	p.permitStarts(u)
 	u.waitNoted, u.placedAlone = false, false
 	if u.suspect {
 		p.suspectHosts = nil
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -27,10 +27,12 @@
 	}
 	m := &x.u.members[x.member]
 	var refusal *yuccapaddle.RefusalError
+	if err == nil || errors.As(err, &refusal) && refusal.Reason != yuccapaddle.RefusedUnsent {
+		m.noteAnswered()
+	}
 	switch {
 	case err == nil:
 		p.confirmRun(m)
-		m.noteCarriedOut()
 		m.progressAt = p.now
 		p.markJobRunning(x.u)
 		p.watchRun(x.u)
@@ -108,9 +110,11 @@
 	m.startAddress = address
 }
 
-// resendStart sends a start again; the run number makes it idempotent.
+// resendStart sends a start again; the run number makes it idempotent. That is committed
+// before: a later host then knows of which runs there is one copy at most.
 func (p *Planner) resendStart(w *worker, x assignment) {
 	x.u.members[x.member].resends++
+	p.markUnitDirty(x.u)
 	p.batch.Starts = append(p.batch.Starts, p.startOrder(x.u, w.ID, x.member))
 }
 
