planner: keep that a start had no answer over a change of host

Trace: task job-14.0.0.0 never started. Its first start went to w1, which had crashed 0.8 s before without the host's knowledge: no answer, a crash that speaks against the task. The second went to w0n behind a cut. It had no answer twice, and the run was stopped, which was committed. h3 took over, then h4. w0n crashed 5.5 s after the start.

Change: the record of a run that is being stopped says whether the worker had answered for its start. The record is written then in any case, so that it costs no further call of the store. A host that takes over treats such a run as unanswered, as the former one did. The crash still counts; it proves nothing.

--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -93,6 +93,8 @@
 	adopted       bool                         // placed by a former host, and not reported to this one yet
 	unsent        bool                         // its start has not been sent, by a former host neither
 	stall         *stalldetector.StallDetector // nil if its progress is not watched
+	// leftUnanswered means that a former host has stopped it before the worker answered for it.
+	leftUnanswered bool
 	// startScattered means that copies of its start may have gone to several addresses.
 	startScattered bool
 }
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -88,7 +88,7 @@
 	ran := lostAt.Sub(u.startedAt)
 	l := loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
-		others: w.runsBeside(u), unanswered: !m.confirmed && !m.adopted,
+		others: w.runsBeside(u), unanswered: !m.mayHaveAnswered(),
 		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), unseen: m.adopted, long: ran > longRun,
 		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), since: p.now, poll: p.lastPoll,
 	}
@@ -108,6 +108,12 @@
 	return u.placedAtKnown && p.lostContact(w).Sub(u.startedAt) <= limit
 }
 
+// mayHaveAnswered reports whether the worker has answered for the member's run, or may have
+// answered a former host for it.
+func (m *member) mayHaveAnswered() bool {
+	return m.confirmed || m.adopted && !m.leftUnanswered
+}
+
 // trackLosses has the unit's pending losses judged.
 func (p *Planner) trackLosses(u *unit) {
 	p.unsettled[u] = true
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -45,6 +45,7 @@
 	Incarnation int64  `json:"b,omitempty"`
 	Address     string `json:"a,omitempty"`
 	Leaving     bool   `json:"l,omitempty"`
+	Unanswered  bool   `json:"u,omitempty"` // when it was stopped
 }
 
 // crashRecord is the committed form of the crashes under a member.
@@ -160,7 +161,7 @@
 	r.PlacedAt = u.placedAtMS
 	for i := range u.members {
 		m := &u.members[i]
-		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address, Leaving: m.leaving})
+		r.Members = append(r.Members, memberRecord{Worker: m.worker, Ended: m.ended, Incarnation: m.incarnation, Address: m.address, Leaving: m.leaving, Unanswered: u.stopping && !m.mayHaveAnswered()})
 	}
 	return r
 }
@@ -268,7 +269,7 @@
 	for _, m := range r.Members {
 		u.members = append(u.members, member{
 			worker: m.Worker, incarnation: m.Incarnation, address: m.Address, leaving: m.Leaving, ended: m.Ended, progressAt: p.now, pace: fullPace, adopted: true,
-			startScattered: true,
+			leftUnanswered: m.Unanswered, startScattered: true,
 		})
 		if !m.Ended {
 			p.worker(m.Worker).addRun(u, len(u.members)-1)
