planner: a worker that has answered this host was not lost unseen

What callers saw: a sound job could be shown as failed for the crash of a worker long after a former host had started a task there.

Cause: where a former host placed a run and the present one has seen no report of it, evidence.go assumes that the worker may have been lost right after the start, up to 15 s before.

Change: that holds only while the worker has not answered the present host with the incarnation on which the run was placed. After it has, the time at which it fell silent counts, as for runs of this host.

Evidence: TestAnsweredAfterTakeover failed before ("3 workers have crashed under task a.0.0.0"), one prompt crash and two of workers that had answered seconds after the start.

--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -41,7 +41,7 @@
 	unanswered  bool  // the worker had not answered for the run
 	soon        bool  // the worker was lost right after the start
 	recent      bool  // it was lost shortly after the start
-	unseen      bool  // a former host placed the run, so that it is not known when it was lost
+	unseen      bool  // it is not known when the worker was lost, see lostUnseen
 	long        bool  // the task had run for long
 	away        bool  // it counts as a crash since the worker has stayed away
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
@@ -89,7 +89,7 @@
 	l := loss{
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
 		others: w.runsBeside(u), unanswered: !m.mayHaveAnswered(),
-		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), unseen: m.adopted, long: ran > longRun,
+		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), unseen: m.lostUnseen(w), long: ran > longRun,
 		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), since: p.now, poll: p.lastPoll,
 	}
 	u.losses = append(u.losses, l)
@@ -102,12 +102,18 @@
 // the member. Of a run that only a former host has heard of it is not known when it was lost.
 func (p *Planner) startedRecently(u *unit, m *member, w *worker) bool {
 	limit := recentStart
-	if m.adopted {
+	if m.lostUnseen(w) {
 		limit += unheardTime
 	}
 	return u.placedAtKnown && p.lostContact(w).Sub(u.startedAt) <= limit
 }
 
+// lostUnseen reports whether the loss of the member's worker may have gone unseen: a former host
+// placed the run, and the worker has not answered this one since.
+func (m *member) lostUnseen(w *worker) bool {
+	return m.adopted && w.reportedIncarnation != m.incarnation
+}
+
 // mayHaveAnswered reports whether the worker has answered for the member's run, or may have
 // answered a former host for it.
 func (m *member) mayHaveAnswered() bool {
--- a/internal/planner/takeovercrash_test.go
+++ b/internal/planner/takeovercrash_test.go
@@ -65,3 +65,21 @@
 	h.stepUntil(func() bool { return len(h.startedOn[task]) == 2 })
 	h.c.Check(h.p.View("a").Steps[0].Crashes, qt.Equals, 2)
 }
+
+// TestAnsweredAfterTakeover checks that a sound task is not given up for the crash of a worker
+// that a former host had started it on if the worker has answered the present one long after
+// the start.
+func TestAnsweredAfterTakeover(t *testing.T) {
+	h := newRebornHistory(t, 0)
+	h.submit("a", queueBatch, longTask)
+	task := yuccapaddle.TaskID{Job: "a"}
+	h.crashAtStart(task, 1)
+	for range 2 {
+		id := h.stopUnanswered()
+		h.takeOver()
+		h.step()
+		h.crash(id, backAsOther)
+	}
+	h.stepUntil(func() bool { return len(h.startedOn[task]) == 2 })
+	h.c.Check(h.p.View("a").Steps[0].Crashes, qt.Equals, 3)
+}
