planner: a worker that restarted before a start proves nothing

Trace: w4 crashed at 75.217 s and came back at once as w4n. The host placed job-14.0.0.1 on w4 at 76.517 s, since its next read of the registrations had been late; the role moved 0.1 s later. The new host found w4 replaced. As nobody had seen the loss, it counted as one right after the start, and as proof, although w4n had been started 1.3 s before the placement.

Change: a loss keeps when its run was placed. Of a loss that no host has seen, a restart before that time is no proof. The crash still counts as one that speaks against the task: the times are those of two clocks, and with clocks that differ a task that does crash its workers takes three of them in place of two. Losses that the host has seen are judged as before.

Evidence: TestReplacedBeforeStart failed before ("2 workers have crashed under task a.0.0.0, the last while nothing else ran there"). The tests of tasks that crash their workers pass unchanged; internal/planner and internal/executor pass, also with the race detector.

--- a/internal/executor/writers_test.go
+++ b/internal/executor/writers_test.go
@@ -584,7 +584,7 @@
 }
 
 // failedWriterSeeds are seeds that have found faults.
-var failedWriterSeeds = []uint64{35, 142, 284, 479, 1035}
+var failedWriterSeeds = []uint64{35, 142, 284, 479, 1035, 3141}
 
 // TestWriterHistories checks in random histories with registrations of other writers that no
 // task runs twice at once, or again after it was done, that no worker is over its capacity,
--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -115,7 +115,7 @@
 	if u.crashes == nil {
 		u.crashes = map[int]crashCount{}
 	}
-	l.counted = l.evidence(f.crowd)
+	l.counted = l.evidence(f.crowd, f.beforeStart)
 	c := u.crashes[l.member]
 	c.add(l, l.counted)
 	c.alone = l.counted == evidenceProof && c.address != l.address
@@ -167,7 +167,7 @@
 			continue
 		}
 		c := counts[l.member]
-		c.add(l, l.evidence(false))
+		c.add(l, l.evidence(false, false))
 		counts[l.member] = c
 		if c.tooMany() {
 			p.wakeBy(p.now.Add(settleInterval))
--- a/internal/planner/evidence.go
+++ b/internal/planner/evidence.go
@@ -19,15 +19,16 @@
 )
 
 // evidence returns what the crash of the worker says about the task. crowd means that many
-// other workers were lost at the same time.
-func (l *loss) evidence(crowd bool) evidence {
+// other workers were lost at the same time, and beforeStart that the worker seems to have
+// restarted before the start.
+func (l *loss) evidence(crowd, beforeStart bool) evidence {
 	prompt := l.soon || l.unseen && l.recent
 	switch {
 	case crowd && l.unanswered:
 		return evidenceNone
 	case crowd && !l.soon:
 		return evidenceWeak
-	case prompt && l.alone() && !l.away:
+	case prompt && l.alone() && !l.away && (!l.unseen || !beforeStart):
 		return evidenceProof
 	case prompt, l.recent && l.alone():
 		return evidenceStrong
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -45,6 +45,7 @@
 	long        bool  // the task had run for long
 	away        bool  // it counts as a crash since the worker has stayed away
 	lostAt      int64 // when the worker was last in touch, in Unix milliseconds
+	placedAt    int64 // when the run was placed, in Unix milliseconds, 0 if unknown
 	outcome     verdict
 	counted     evidence // with which it counts as a crash
 	// These are not committed: each host sees them anew.
@@ -90,7 +91,7 @@
 		run: u.run, member: x.member, worker: w.ID, address: m.address, rack: w.Rack, domain: w.Domain, incarnation: m.incarnation,
 		others: w.runsBeside(u), unanswered: !m.mayHaveAnswered(),
 		soon: u.placedAtKnown && ran <= soonAfterStart, recent: p.startedRecently(u, m, w), unseen: m.lostUnseen(w), long: ran > longRun,
-		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), since: p.now, poll: p.lastPoll,
+		lostAt: p.wall.Add(lostAt.Sub(p.now)).UnixMilli(), placedAt: u.placedAtMS, since: p.now, poll: p.lastPoll,
 	}
 	u.losses = append(u.losses, l)
 	p.avoidCrashed(u, &l)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -75,6 +75,7 @@
 	Long        bool     `json:"g,omitempty"`
 	Away        bool     `json:"y,omitempty"`
 	LostAt      int64    `json:"at,omitempty"`
+	PlacedAt    int64    `json:"pt,omitempty"`
 	Outcome     verdict  `json:"v,omitempty"`
 	Counted     evidence `json:"e,omitempty"`
 }
@@ -152,7 +153,7 @@
 		l := &u.losses[i]
 		r.Losses = append(r.Losses, lossRecord{
 			Run: l.run, Member: l.member, Worker: l.worker, Address: l.address, Rack: l.rack, Domain: l.domain, Incarnation: l.incarnation,
-			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, Recent: l.recent, Unseen: l.unseen, Long: l.long, Away: l.away, LostAt: l.lostAt, Outcome: l.outcome, Counted: l.counted,
+			Others: l.others, Unanswered: l.unanswered, Soon: l.soon, Recent: l.recent, Unseen: l.unseen, Long: l.long, Away: l.away, LostAt: l.lostAt, PlacedAt: l.placedAt, Outcome: l.outcome, Counted: l.counted,
 		})
 	}
 	if !u.live() {
@@ -301,7 +302,7 @@
 		}
 		u.losses = append(u.losses, loss{
 			run: r.Run, member: r.Member, worker: r.Worker, address: r.Address, rack: r.Rack, domain: r.Domain, incarnation: r.Incarnation,
-			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, recent: r.Recent, unseen: r.Unseen, long: r.Long, away: r.Away, lostAt: r.LostAt, outcome: r.Outcome, counted: r.Counted, since: p.now,
+			others: r.Others, unanswered: r.Unanswered, soon: r.Soon, recent: r.Recent, unseen: r.Unseen, long: r.Long, away: r.Away, lostAt: r.LostAt, placedAt: r.PlacedAt, outcome: r.Outcome, counted: r.Counted, since: p.now,
 		})
 	}
 	if len(u.losses) > 0 {
--- a/internal/planner/takeovercrash_test.go
+++ b/internal/planner/takeovercrash_test.go
@@ -14,6 +14,9 @@
 // stopped, and for the stop to be committed.
 const unansweredTime = 2 * time.Second
 
+// restartLead is how long before a start a worker restarts of which the host has not learned.
+const restartLead = 1500 * time.Millisecond
+
 // crashAtStart waits for the nth answered start of the only task, after which its worker
 // crashes at once.
 func (h *rebornHistory) crashAtStart(task yuccapaddle.TaskID, n int) {
@@ -83,3 +86,21 @@
 	h.stepUntil(func() bool { return len(h.startedOn[task]) == 2 })
 	h.c.Check(h.p.View("a").Steps[0].Crashes, qt.Equals, 3)
 }
+
+// TestReplacedBeforeStart checks that a sound task is not given up after two crashes if the
+// second worker had restarted before the task was placed on it, and another host takes over.
+func TestReplacedBeforeStart(t *testing.T) {
+	h := newRebornHistory(t, 0)
+	h.submit("a", queueBatch, longTask)
+	task := yuccapaddle.TaskID{Job: "a"}
+	h.crashAtStart(task, 1)
+	id := h.placeOnly()
+	restarted := h.registered[id]
+	delete(h.registered, id)
+	restarted.ID, restarted.Incarnation = id+"x", h.now.Add(-restartLead).UnixMilli()
+	h.registered[restarted.ID] = restarted
+	clear(h.dead)
+	h.takeOver()
+	h.stepUntil(func() bool { return len(h.startedOn[task]) == 2 })
+	h.c.Check(h.p.View("a").Steps[0].Crashes, qt.Equals, 2)
+}
--- a/internal/planner/verdict.go
+++ b/internal/planner/verdict.go
@@ -41,9 +41,10 @@
 
 // finding is what is known of a loss.
 type finding struct {
-	outcome  verdict
-	evidence string
-	crowd    bool // many other workers were lost at the same time
+	outcome     verdict
+	evidence    string
+	crowd       bool // many other workers were lost at the same time
+	beforeStart bool // the worker seems to have restarted before the start
 }
 
 // judge says what is known of a loss.
@@ -72,7 +73,7 @@
 		l.away = false
 		return finding{outcome: verdictNoCrash, evidence: "it was lost with its " + place}
 	}
-	return finding{outcome: verdictCrash, evidence: evidence, crowd: lost.crowd()}
+	return finding{outcome: verdictCrash, evidence: evidence, crowd: lost.crowd(), beforeStart: back != 0 && back < l.placedAt}
 }
 
 // returned returns the incarnation as which a lost worker has come back, 0 if it has not,
