planner: decide in a fixed order, not in that of a map

Cause: tick checks the jobs in the order of a map. The same holds for the runs of a worker whose losses, or whose missing runs, are handled one after the other, for victims of one job whose tasks have the same index in different steps, for the orders of paces, and for the workers that are asked or looked at at the same time.

Change: jobs are checked by ID, only those that run something or expect an occurrence; the runs of a worker are handled in the order of their tasks; the lists of busy workers and due looks are sorted; of two workers with the same incarnation at one address the first by ID counts. The simulations report runs and ends in a fixed order, too.

--- a/internal/planner/cluster_test.go
+++ b/internal/planner/cluster_test.go
@@ -50,6 +50,7 @@
 	beside    []int         // how many other tasks ran there
 	startedOn map[yuccapaddle.TaskID][]string
 	startedAt map[yuccapaddle.TaskID][]time.Time
+	decisions []string
 	records   map[string]*yuccapaddle.StoredJob
 	parts     map[string]map[int][]byte
 }
@@ -78,7 +79,16 @@
 
 func (cl *cluster) register() {
 	cl.p.SetTime(cl.now, cl.now)
-	cl.p.SetRegistrations(slices.Collect(maps.Values(cl.registered)), cl.now)
+	cl.p.SetRegistrations(cl.registrations(), cl.now)
+}
+
+// registrations lists what is registered by ID.
+func (cl *cluster) registrations() []yuccapaddle.Worker {
+	var list []yuccapaddle.Worker
+	for _, id := range cl.sortedWorkers() {
+		list = append(list, cl.registered[id])
+	}
+	return list
 }
 
 func (cl *cluster) after(d time.Duration, do func()) {
@@ -154,6 +164,9 @@
 }
 
 func (cl *cluster) commit(b yuccapaddle.Batch) {
+	for i := range b.Decisions {
+		cl.decisions = append(cl.decisions, describeDecision(cl.now, &b.Decisions[i]))
+	}
 	for _, r := range b.Records {
 		stored := cl.records[r.ID]
 		if stored == nil {
@@ -176,6 +189,7 @@
 			list = append(list, task)
 		}
 	}
+	slices.SortFunc(list, compareTasks)
 	return list
 }
 
@@ -242,7 +256,8 @@
 // reportEnds reports the runs that have ended by now to the planner.
 func (cl *cluster) reportEnds() {
 	ends := map[string][]yuccapaddle.End{}
-	for task, r := range cl.runs {
+	for _, task := range slices.SortedFunc(maps.Keys(cl.runs), compareTasks) {
+		r := cl.runs[task]
 		if cl.now.Before(r.endsAt) {
 			continue
 		}
@@ -257,8 +272,8 @@
 		ends[r.worker] = append(ends[r.worker], yuccapaddle.End{Number: cl.endNumbers[r.worker], Task: task, Run: r.run, Cause: cause})
 		delete(cl.runs, task)
 	}
-	for id, list := range ends {
-		cl.reportRuns(id, list)
+	for _, id := range slices.Sorted(maps.Keys(ends)) {
+		cl.reportRuns(id, ends[id])
 	}
 }
 
@@ -279,7 +294,8 @@
 	cl.p = planner.New(yuccapaddle.PlanLimits{RemoteSlowdown: 3, Retention: time.Hour, Restore: 600 * time.Millisecond})
 	cl.p.SetTime(cl.now, cl.now)
 	cl.p.Configure(rules)
-	for id, r := range cl.records {
+	for _, id := range slices.Sorted(maps.Keys(cl.records)) {
+		r := cl.records[id]
 		cl.c.Assert(cl.p.Restore(r.Job, r.State, slices.Collect(maps.Values(cl.parts[id]))), qt.IsNil)
 	}
 	cl.register()
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -190,17 +191,24 @@
 	}
 }
 
-// workersByAddress returns the latest incarnation that is registered at each address.
+// workersByAddress returns the latest incarnation that is registered at each address, of equal
+// ones that with the first ID.
 func (p *Planner) workersByAddress() map[string]*worker {
 	latest := make(map[string]*worker, len(p.workers))
 	for _, w := range p.workers {
-		if other := latest[w.Address]; w.registered && (other == nil || other.Incarnation < w.Incarnation) {
+		if other := latest[w.Address]; w.registered && (other == nil || w.laterThan(other)) {
 			latest[w.Address] = w
 		}
 	}
 	return latest
 }
 
+// laterThan reports whether the worker's incarnation is later than that of another one, or the
+// same and its ID comes first.
+func (w *worker) laterThan(other *worker) bool {
+	return cmp.Or(cmp.Compare(other.Incarnation, w.Incarnation), cmp.Compare(w.ID, other.ID)) < 0
+}
+
 // settleUnit judges the pending losses of a unit, and fails its job if it is to be given up.
 func (p *Planner) settleUnit(u *unit, atAddress map[string]*worker) {
 	judged := 0
--- a/internal/planner/pace.go
+++ b/internal/planner/pace.go
@@ -48,7 +48,7 @@
 			worstRatio = max(worstRatio, running[i].Gauge/float64(x.u.stepSpec().TargetMS))
 		}
 	}
-	for _, x := range w.runs {
+	for _, x := range w.assignments() {
 		if !x.u.stepSpec().Spare {
 			continue
 		}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -39,8 +39,8 @@
 // tick handles what becomes due by the passage of time alone: occurrences, stops to
 // resend, stalled runs, runs on workers that leave, and expired jobs.
 func (p *Planner) tick() {
-	for _, j := range p.jobs {
-		if !j.state.Final() && j.openedOccurrences < j.spec.Occurrences() {
+	for _, j := range p.jobsToCheck() {
+		if j.expectsOccurrence() {
 			p.openOccurrences(j)
 		}
 		if j.busy() {
@@ -54,6 +54,24 @@
 	p.wakeBy(p.nextTick)
 }
 
+// jobsToCheck lists the jobs that tick checks by ID: what is decided of one may depend on those
+// before it, as with several runs that stand still on one worker.
+func (p *Planner) jobsToCheck() []*job {
+	var list []*job
+	for _, j := range p.jobs {
+		if j.expectsOccurrence() || j.busy() {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
+	return list
+}
+
+// expectsOccurrence reports whether an occurrence of the job has not been opened yet.
+func (j *job) expectsOccurrence() bool {
+	return !j.state.Final() && j.openedOccurrences < j.spec.Occurrences()
+}
+
 // checkRuns resends stops that have had no effect, and stops stalled runs. Endless tasks
 // and those that may run only once are not checked for progress.
 func (p *Planner) checkRuns(j *job) {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -110,7 +110,7 @@
 		}
 	}
 	slices.SortFunc(victims, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(p.lostWork(a), p.lostWork(b)), cmp.Compare(a.job.spec.ID, b.job.spec.ID), cmp.Compare(a.taskIndex, b.taskIndex))
+		return cmp.Or(cmp.Compare(p.lostWork(a), p.lostWork(b)), a.compare(b))
 	})
 	limit := p.perWorkerLeft(u, w)
 	tasks := func() int {
--- a/internal/planner/rebornsim_test.go
+++ b/internal/planner/rebornsim_test.go
@@ -34,6 +34,8 @@
 	promptLimit = 2
 	// maxBadStarts is how many workers a task may take with it that crashes them.
 	maxBadStarts = 5
+	// sameCourseSeeds is how many of the histories are played twice.
+	sameCourseSeeds = 3
 	// badInterval is the number of jobs of which one crashes its workers.
 	badInterval = 25
 )
@@ -232,3 +234,13 @@
 	}
 	h.c.Check(starts, qt.Equals, maxUnprovenStarts+1)
 }
+
+// TestSameCourseOfCrashes checks that a random history takes the same course each time.
+func TestSameCourseOfCrashes(t *testing.T) {
+	for seed := range uint64(sameCourseSeeds) {
+		first, again := newRebornHistory(t, seed), newRebornHistory(t, seed)
+		first.play()
+		again.play()
+		checkSameCourse(first.c, again.decisions, first.decisions)
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -72,13 +72,14 @@
 	w.reportedIncarnation, w.appliedEnd, w.answeredAddress = incarnation, 0, ""
 }
 
-// assignments returns a copy of the worker's runs, which may be changed while it is
-// iterated.
+// assignments returns a copy of the worker's runs, which may be changed while it is iterated, in
+// the order of their tasks.
 func (w *worker) assignments() []assignment {
 	list := make([]assignment, 0, len(w.runs))
 	for _, x := range w.runs {
 		list = append(list, x)
 	}
+	slices.SortFunc(list, assignment.compare)
 	return list
 }
 
@@ -167,11 +168,11 @@
 // startUnsent handle runs that a former host placed there and may not have started.
 func (p *Planner) handleMissing(w *worker, running map[yuccapaddle.TaskID]bool, poll int64) {
 	var unsent, vanished, lost []assignment
-	for t, x := range w.runs {
+	for _, x := range w.assignments() {
 		m := &x.u.members[x.member]
 		restarted := w.restartedUnder(m)
 		switch {
-		case running[t] || poll <= m.confirmedPoll:
+		case running[x.u.taskID(x.member)] || poll <= m.confirmedPoll:
 			continue
 		case m.confirmed || m.adopted && restarted:
 			vanished = append(vanished, x)
--- a/internal/planner/stall.go
+++ b/internal/planner/stall.go
@@ -52,7 +52,7 @@
 	delete(p.looks, id)
 }
 
-// DueLooks lists the workers that have to be looked at now, and returns when the next one
+// DueLooks lists the workers that have to be looked at now, in order, and returns when the next one
 // has to be, the zero time if none.
 func (p *Planner) DueLooks() (due []string, next time.Time) {
 	for id, at := range p.looks {
@@ -63,6 +63,7 @@
 			next = at
 		}
 	}
+	slices.Sort(due)
 	return due, next
 }
 
--- a/internal/planner/stall_test.go
+++ b/internal/planner/stall_test.go
@@ -171,3 +171,14 @@
 	found := sim.now.Sub(frozenAt)
 	sim.c.Check(found > 1600*time.Millisecond, qt.IsTrue, qt.Commentf("found after %v", found))
 }
+
+// TestSameCourse checks that a day takes the same course each time: what the planner decides
+// depends on what it is told, and not on the order of a map.
+func TestSameCourse(t *testing.T) {
+	for _, learn := range []bool{true, false} {
+		first, again := newStallSim(t, stallWorkers, learn, 0), newStallSim(t, stallWorkers, learn, 0)
+		frozenDay(first)
+		frozenDay(again)
+		checkSameCourse(first.c, again.decisions, first.decisions)
+	}
+}
--- a/internal/planner/stallsim_test.go
+++ b/internal/planner/stallsim_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -58,6 +59,7 @@
 	startDelay  map[string]time.Duration // from the order to the start on a worker
 	lateStarts  []lateStart
 	whileFrozen map[string]bool // jobs submitted while workers were frozen
+	decisions   []string
 }
 
 const (
@@ -165,7 +167,8 @@
 	for _, l := range sim.lateStarts {
 		frozenJobs[l.order.Task.Job] = sim.lockstep[l.order.Task.Job]
 	}
-	for task, r := range sim.runs {
+	for _, task := range sim.tasks() {
+		r := sim.runs[task]
 		if !sim.frozen(r.worker) && !frozenJobs[task.Job] {
 			r.done += time.Duration(float64(stepTime) / max(sim.slowdown[r.worker], 1))
 		}
@@ -182,6 +185,15 @@
 	}
 }
 
+// tasks lists the tasks that run, in a fixed order.
+func (sim *stallSim) tasks() []yuccapaddle.TaskID {
+	return slices.SortedFunc(maps.Keys(sim.runs), compareTasks)
+}
+
+func compareTasks(a, b yuccapaddle.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
 // reply lets the workers reply to holds and looks.
 func (sim *stallSim) reply() {
 	for i := range sim.workers {
@@ -211,8 +223,8 @@
 
 func (sim *stallSim) report(id string) {
 	reply := &yuccapaddle.HoldReply{Incarnation: 1, Ended: sim.ends[id]}
-	for task, r := range sim.runs {
-		if r.worker == id {
+	for _, task := range sim.tasks() {
+		if r := sim.runs[task]; r.worker == id {
 			reply.Running = append(reply.Running, yuccapaddle.Run{Task: task, Run: r.run, Percent: min(int(100*r.done/r.needs), 99)})
 		}
 	}
@@ -234,6 +246,7 @@
 		}
 	}
 	for i := range b.Decisions {
+		sim.decisions = append(sim.decisions, describeDecision(sim.now, &b.Decisions[i]))
 		sim.judge(&b.Decisions[i])
 	}
 	for _, s := range b.Stops {
@@ -253,6 +266,19 @@
 	})
 }
 
+// describeDecision describes a decision and the time at which it was taken.
+func describeDecision(at time.Time, d *yuccapaddle.Decision) string {
+	return fmt.Sprintf("%v %+v", at.Sub(time.Unix(1000, 0)), *d)
+}
+
+// checkSameCourse checks that two plays of one seed have led to the same decisions.
+func checkSameCourse(c *qt.C, got, want []string) {
+	for i := range min(len(got), len(want)) {
+		c.Assert(got[i], qt.Equals, want[i], qt.Commentf("decision %d of %d", i, len(want)))
+	}
+	c.Assert(len(got), qt.Equals, len(want))
+}
+
 // judge checks a decision to stop a run that stands still.
 func (sim *stallSim) judge(d *yuccapaddle.Decision) {
 	if d.Event != "stop" || d.Detail != "task "+d.Task+" stands still" {
--- a/internal/planner/worker.go
+++ b/internal/planner/worker.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"yuccapaddle"
@@ -50,6 +52,11 @@
 	member int // index in u.members
 }
 
+// compare orders assignments by the ID of their task.
+func (x assignment) compare(y assignment) int {
+	return cmp.Or(x.u.compare(y.u), cmp.Compare(x.member, y.member))
+}
+
 // worker returns the worker with an ID, and adds it if it is unknown.
 func (p *Planner) worker(id string) *worker {
 	w := p.workers[id]
@@ -92,7 +99,7 @@
 	return w != nil && (len(w.runs) > 0 || len(w.orphans) > 0)
 }
 
-// BusyWorkers lists the IDs of the busy workers.
+// BusyWorkers lists the IDs of the busy workers, in order.
 func (p *Planner) BusyWorkers() []string {
 	var list []string
 	for id := range p.workers {
@@ -100,6 +107,7 @@
 			list = append(list, id)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
