executor: count only the held calls that a commit will contain

What callers saw: TestHeldSlowLedger failed in 5 of 3000 runs: while the store is slow, all held calls were refused, although some could have been committed before their callers' deadlines.

In the runs that failed, 11 calls were held, 28 to 37 keys were to change beside theirs, and the last deadline was 1750 ms away. The commit was expected to change 3 keys for each of the 11 calls, which makes three transactions of 600 ms, and each call was refused as too late for that, although the commit would then contain none of them. The three calls with the latest deadlines alone make it two transactions, which is in time for them.

Change: the calls with the earliest deadlines are left out one by one until the commit, as long as it takes with the others, ends before the earliest deadline that is left. Calls for jobs that are known already add no keys and are not counted.

--- a/internal/executor/held.go
+++ b/internal/executor/held.go
@@ -100,9 +100,9 @@
 		return
 	}
 	held := e.held.TakeAll()
-	commitEnd := e.now.Add(e.nextCommitTime(len(held)))
+	late := e.lateAmong(held)
 	for _, s := range held {
-		if !e.known(s.job.ID) && s.deadline.Add(-refusalMargin).Before(commitEnd) {
+		if late[s.job.ID] {
 			e.refuseHeld(s, "refused", "the commit would end after the deadline")
 			continue
 		}
@@ -114,6 +114,23 @@
 	}
 }
 
+// lateAmong returns the IDs of the jobs whose submissions the next commit would not contain by
+// their deadlines. Those with the earliest deadlines are left out one by one, since each makes
+// the commit longer for the others.
+func (e *Executor) lateAmong(held []submission) map[string]bool {
+	added := slices.DeleteFunc(slices.Clone(held), func(s submission) bool { return e.known(s.job.ID) })
+	slices.SortFunc(added, func(a, b submission) int { return a.deadline.Compare(b.deadline) })
+	late := map[string]bool{}
+	for i, s := range added {
+		commitEnd := e.now.Add(e.nextCommitTime(len(added) - i))
+		if !s.deadline.Add(-refusalMargin).Before(commitEnd) {
+			break
+		}
+		late[s.job.ID] = true
+	}
+	return late
+}
+
 // nextCommitTime returns how long a commit with n new jobs is expected to take, by the
 // ledger's latency: the transactions of a commit follow one another, and those of the jobs
 // that have changed come first.
