stalldetector: ask for a report before the fixed threshold decides

What callers saw: TestFrozenWorkers reported a wrong stop in some runs ("740 ms of 10 s done"): a run is stopped although its worker works again.

Trace, with the planner's order fixed, seed 94: w13 is frozen until 46.9 s. At 46.88 s it reports run b-frozen1-004.0.0.1 at 0 percent, 2.5 s after its start, as one of those that get the longest stall timeout: not urgent, and placed where runs stand still. The second report is due a third of that later, at 47.95 s. The fixed threshold of 3.5 s is reached at 47.9 s, and decides by the report of 46.88 s; the one of 47.96 s shows 10 percent. Seeds 78 and 86 are the same.

Change: the next report is due at the ceiling of 3.2 s at the latest, if there has been none since. That is what the ceiling is for: a report decides, and not the lack of one. A run that still stands still is stopped at the fixed threshold as before.

--- a/internal/planner/stall_test.go
+++ b/internal/planner/stall_test.go
@@ -101,6 +101,16 @@
 	sim.c.Check(sim.wrong, qt.HasLen, 0)
 }
 
+// TestThawedNotStalled guards against stops of runs whose worker works again, by reports from
+// while it was frozen. The seeds have found some.
+func TestThawedNotStalled(t *testing.T) {
+	for _, seed := range []uint64{78, 86, 94} {
+		sim := newStallSim(t, stallWorkers, true, seed)
+		frozenDay(sim)
+		sim.c.Check(sim.wrong, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestShortPause guards against stops of runs on workers that stand still for a moment.
 func TestShortPause(t *testing.T) {
 	for seed := range uint64(2) {
--- a/internal/stalldetector/stalldetector.go
+++ b/internal/stalldetector/stalldetector.go
@@ -164,7 +164,7 @@
 	}
 	confirm := confirmTime(timeout)
 	if d.reports > 0 {
-		return later(d.progressAt.Add(timeout), d.lastAt.Add(confirm))
+		return d.beforeThreshold(later(d.progressAt.Add(timeout), d.lastAt.Add(confirm)))
 	}
 	if left := time.Duration(float64(c.runTime) * float64(100-max(d.percent, 0)) / 100); left < timeout-confirm {
 		return time.Time{}
@@ -172,6 +172,16 @@
 	return d.progressAt.Add(timeout - confirm)
 }
 
+// beforeThreshold returns the time of the next report, maxTimeout after the latest progress if
+// it would be later than that: a report has to come before the fixed threshold decides.
+func (d *StallDetector) beforeThreshold(next time.Time) time.Time {
+	ceiling := d.progressAt.Add(maxTimeout)
+	if next.After(ceiling) && d.lastAt.Before(ceiling) {
+		return ceiling
+	}
+	return next
+}
+
 func confirmTime(timeout time.Duration) time.Duration {
 	return time.Duration(confirmFraction * float64(timeout))
 }
--- a/internal/stalldetector/stalldetector_test.go
+++ b/internal/stalldetector/stalldetector_test.go
@@ -112,3 +112,19 @@
 	d.Observe(100, ms(4250))
 	c.Check(d.NextReport(learned).IsZero(), qt.IsTrue)
 }
+
+// TestLateFirstReport guards against a second report that is due only after the fixed threshold
+// of 3.5 s has decided without it: by then the worker may work again.
+func TestLateFirstReport(t *testing.T) {
+	c := qt.New(t)
+	opts := []stalldetector.Option{stalldetector.WithRunTime(quick), stalldetector.WithLongestTimeout()}
+	d := stalldetector.New(start)
+	d.Observe(0, ms(2000))
+	c.Check(d.NextReport(opts...), qt.Equals, ms(3200))
+	d = stalldetector.New(start)
+	d.Observe(0, ms(2500))
+	c.Check(d.NextReport(opts...), qt.Equals, ms(3200))
+	d.Observe(0, ms(3200))
+	c.Check(d.StandsStill(opts...), qt.IsFalse, qt.Commentf("the reports are too close"))
+	c.Check(d.NextReport(opts...).After(ms(3500)), qt.IsTrue, qt.Commentf("one look there is enough"))
+}
