--- a/internal/planner/late.go
+++ b/internal/planner/late.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"yuccapaddle"
@@ -152,10 +153,12 @@
 // replaced reports whether another worker has answered that is registered at the address of a
 // member's worker since. One that has not answered yet is asked.
 func (p *Planner) replaced(w *worker, m *member) bool {
+	var later []string
 	for id, other := range p.workers {
 		if other != w && other.registered && other.Address == m.address && other.Incarnation > m.incarnation {
-			return p.requestProofs([]string{id})
+			later = append(later, id)
 		}
 	}
-	return false
+	slices.Sort(later)
+	return len(later) > 0 && p.requestProofs(later[:1])
 }
