--- a/internal/elector/histories_test.go
+++ b/internal/elector/histories_test.go
@@ -159,7 +159,8 @@
 		{description: "isolate", apply: func(v *virtualCluster) { v.drawIsolation(at()) }},
 		{description: "heal links", apply: (*virtualCluster).healLinks},
 		{description: "store", apply: func(v *virtualCluster) { v.drawStore(at()) }},
-		{description: "store", apply: func(v *virtualCluster) { v.drawStore(at()) }},
+		{description: "pair", apply: func(v *virtualCluster) { v.drawPair(at()) }},
+		{description: "pair", apply: func(v *virtualCluster) { v.drawPair(at()) }},
 		{description: "store of active", apply: func(v *virtualCluster) { v.drawStoreOfActive(at()) }},
 		{description: "restart", apply: func(v *virtualCluster) { v.drawRestarts(at()) }},
 		{description: "end", apply: func(v *virtualCluster) { v.drawEnd(at()) }},
@@ -185,6 +186,27 @@
 	v.note("cut %s", kind)
 }
 
+// drawPair cuts an active host off from another one, which the store answers, and from the store.
+// The others may reach both, and the store answers them or does not.
+func (v *virtualCluster) drawPair(r *rand.Rand) {
+	i := slices.IndexFunc(v.nodes, func(x *node) bool { return x.Active() })
+	if i < 0 || len(v.nodes) < 2 {
+		return
+	}
+	v.healLinks()
+	kind := oneOf(r, cutSilent, cutReset, cutRefused)
+	j := (i + 1 + r.IntN(len(v.nodes)-1)) % len(v.nodes)
+	a, b := v.nodes[i], v.nodes[j]
+	v.cut(kind, []*node{a}, []*node{b})
+	v.cut(kind, []*node{b}, []*node{a})
+	for _, x := range v.nodes {
+		x.faults.set(oneOf(r, storeSilent, storeSilent, storeAnswers, storeLosesReplies))
+	}
+	a.faults.set(oneOf(r, storeSilent, storeSilent, storeRefuses))
+	b.faults.set(storeAnswers)
+	v.note("pair %s %s %s", a.address, b.address, kind)
+}
+
 func (v *virtualCluster) drawIsolation(r *rand.Rand) {
 	x := v.nodes[r.IntN(len(v.nodes))]
 	kind := oneOf(r, cutSilent, cutReset, cutRefused)
@@ -318,6 +340,7 @@
 		}
 		v.note("heal all")
 		v.heal()
+		v.run(settledTime) // the role may move only now
 		settled := v.runUntil(recoveryTime, v.settledAndConfirmed)
 		if settled == nil {
 			settled = v.keepsSettled()
