--- a/internal/elector/stalled_test.go
+++ b/internal/elector/stalled_test.go
@@ -53,11 +53,14 @@
 			}
 			return nil
 		}), qt.IsNil)
-		successor.clock.stall.Store(&stall{"(*roleLease).countConfirmations", 9 * time.Second})
+		successor.clock.stall.Store(&stall{"(*roleLease).countConfirmations", 8200 * time.Millisecond})
 		v.run(7 * time.Second)
-		v.cut(cutReset, []*node{follower}, []*node{former})
+		v.c.Assert(former.Confirmed(), qt.IsTrue)
+		confirmedAt := time.Now()
+		v.isolate(cutReset, former)
 		v.run(partitionTime)
 		v.c.Check(successor.clock.stall.Load(), qt.IsNil, qt.Commentf("it was paused"))
+		v.c.Check(successor.renewsUntil()().Before(confirmedAt), qt.IsFalse, qt.Commentf("the former host was confirmed after the time that the successor counts on"))
 		v.c.Check(v.check(), qt.IsNil)
 	})
 }
