elector: only a host that knows the epoch confirms it when it is asked

What callers saw: TWICE is possible. The successor counts a host as having left the former one that still confirms that one. Cause: the answer to Who of a host that knew of no later epoch counted as its confirmation, also if the epoch that it knew was the former one. The successor took it for a host that confirms no lower epoch any more. Change: an answer counts only if it names this epoch.

--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -355,8 +355,8 @@
 }
 
 // laterActive asks the hosts that have not confirmed this one recently, and reports whether
-// one of them knows of a later active host. The answer of a host that certainly knows of none
-// counts as its confirmation.
+// one of them knows of a later active host. The answer of a host that knows this epoch, and
+// certainly none later, counts as its confirmation.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
 	later := false
 	e.askHosts(ctx, e.unconfirmedSince(now.Add(-peerConfirmValidity/2)), dialTimeout, func(address string, reply *peer.WhoReply) {
@@ -364,7 +364,7 @@
 		switch {
 		case reply.GetEpoch() > epoch:
 			later = true
-		case reply.GetConfirms():
+		case reply.GetConfirms() && reply.GetEpoch() == epoch:
 			e.registrar.Confirm(address, now)
 		}
 	})
