executor: a former host's leases last beyond a worker's first answer

What callers saw: TWICE is possible. A worker answers the new host once, gets no renewal and falls silent; its runs count as over while leases that the former host granted until that answer go on. Cause: since the end of the former host's renewals was left out for each worker that had answered, and nothing noted that they had gone on until then. Change: the first answer moves the end of the worker's leases to one lease after it, or after the end of the former host if that is earlier.

--- a/internal/executor/link.go
+++ b/internal/executor/link.go
@@ -70,7 +70,19 @@
 // allLeasesEndBy returns when all leases of a worker have certainly ended. A worker that has
 // answered this host refuses renewals by a former one.
 func (e *Executor) allLeasesEndBy(l *link) time.Time {
-	if end := e.leaseEnd(e.predecessorRenewsUntil()); !l.answered && end.After(l.leasesEndBy) {
+	if l.answered {
+		return l.leasesEndBy
+	}
+	return e.formerLeasesEndBy(l, e.predecessorRenewsUntil())
+}
+
+// formerLeasesEndBy returns when all leases of a worker have certainly ended to which a former
+// host granted none after a time.
+func (e *Executor) formerLeasesEndBy(l *link, lastGrant time.Time) time.Time {
+	if until := e.predecessorRenewsUntil(); until.Before(lastGrant) {
+		lastGrant = until
+	}
+	if end := e.leaseEnd(lastGrant); end.After(l.leasesEndBy) {
 		return end
 	}
 	return l.leasesEndBy
@@ -261,6 +273,7 @@
 	}
 	if !l.answered {
 		e.logFirstAnswer(id, l, &reply, at)
+		l.leasesEndBy = e.formerLeasesEndBy(l, at)
 	}
 	if !l.answered || reply.Incarnation != l.incarnation {
 		restarted := l.answered
