elector: a late copy of a claim is not taken for the next one

What callers saw: TWICE is possible. A host renews a lease that the lock does not have, and counts as confirmed after another one has claimed. Cause: all claims of a process in one epoch had the same head. A claim without an answer that is carried out just before the next one makes that one conflict, and its head was taken for the next one's. Change: each claim has a nonce of its own. The next one then fails, and the host claims again once the lock is free.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -104,8 +104,10 @@
 	voter       *voter.Voter
 	registrar   *registrar.Registrar
 	predecessor predecessor
-	// lastLeader is the address of the host that this one followed last. Only Run uses it.
+	// lastLeader is the address of the host that this one followed last, and claims counts the
+	// claims of this process. Only Run uses them.
 	lastLeader string
+	claims     int
 
 	mu          sync.Mutex
 	stopLeading context.CancelFunc // ends the active role, if this host has it
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 		return
 	}
 	claimSentAt := e.clock.Now()
-	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, e.nonce, yuccapaddle.Lock{
+	e.claims++
+	nonce := e.nonce + "-" + strconv.Itoa(e.claims) // a late copy of an earlier claim is another one
+	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, nonce, yuccapaddle.Lock{
 		Key: lockKey, Revision: lockRevision, Lease: leaseID, Address: e.address,
 	}, claimOptions(handedOver)...)
 	if err != nil {
