elector: a former host that has recorded no hosts is not outvoted

What callers saw: TWICE is possible in an upgrade from a version that records no hosts, or if the record is lost. Cause: a host that found no list of hosts recorded itself alone, and took its own word for a majority of the hosts that the former one counts. Change: without such a list the former host is not outvoted, and the new one waits for the longest outage once. A list that cannot be read counts as none, in place of failing each claim. Not covered: a former host of a version without the record goes on for as long as half of the hosts that it knows confirm it.

--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -40,7 +40,8 @@
 	// What this host answers from here on is no confirmation of its predecessor, so the time
 	// that is read next is not before the last one that was.
 	e.voter.NoteLatest(rec.Epoch())
-	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), e.longestOutageMS)
+	_, settledEpoch := rec.Hosts()
+	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), settledEpoch != 0, e.longestOutageMS)
 	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Int64("predecessor_renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
 	e.lead(ctx, rec, leaseID, claimSentAt)
 }
--- a/internal/elector/predecessor.go
+++ b/internal/elector/predecessor.go
@@ -22,14 +22,15 @@
 	leasedUntil    time.Time
 	confirmedUntil time.Time
 	outvoted       bool // no majority of the hosts is left to confirm it
+	counted        bool // the hosts that it counts are known
 }
 
 // begin records that this host has taken over at a time. stopped means that no former host
-// sends further orders.
-func (p *predecessor) begin(at time.Time, stopped bool, longestOutageMS int64) {
+// sends further orders, and counted that the hosts are known which the previous one counts.
+func (p *predecessor) begin(at time.Time, stopped, counted bool, longestOutageMS int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leasedUntil, p.confirmedUntil, p.outvoted = time.Time{}, time.Time{}, stopped
+	p.leasedUntil, p.confirmedUntil, p.outvoted, p.counted = time.Time{}, time.Time{}, stopped, counted
 	if !stopped {
 		p.leasedUntil = at.Add(predecessorRenewPeriod)
 		p.confirmedUntil = at.Add(time.Duration(longestOutageMS)*time.Millisecond + clockSlack)
@@ -37,11 +38,11 @@
 }
 
 // outvote records that since the given time no majority of the hosts is left to confirm the
-// previous host. It returns whether that is news.
+// previous host, if it is known which hosts that one counts. It returns whether that is news.
 func (p *predecessor) outvote(at time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.outvoted {
+	if p.outvoted || !p.counted {
 		return false
 	}
 	p.outvoted = true
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -124,9 +124,7 @@
 	if err := decode(last, &r.former); err != nil {
 		return nil, err
 	}
-	if err := decode(hosts, &r.hosts); err != nil {
-		return nil, err
-	}
+	recorded := hosts.Revision != 0 && json.Unmarshal(hosts.Value, &r.hosts) == nil && len(r.hosts.Addresses) > 0
 	for _, o := range opts {
 		if err := o(r); err != nil {
 			return nil, err
@@ -136,8 +134,8 @@
 	r.head = head{Epoch: r.epoch, Host: host, Address: address, Nonce: nonce}
 	t := lockTransaction(lock)
 	t.If = append(t.If, yuccapaddle.Condition{Key: hostsKey, Revision: hosts.Revision})
-	if hosts.Revision == 0 {
-		r.hosts.Addresses = []string{address}
+	if !recorded {
+		r.hosts = hostRecord{Addresses: []string{address}}
 		if r.former.Epoch == 0 {
 			r.hosts.Epoch = r.epoch
 		}
@@ -187,8 +185,9 @@
 }
 
 // Hosts returns the addresses of the hosts that were recorded once this host had become the
-// writer: the list of the former host, or this host alone if there was none. epoch is that of
-// the last writer that took all former ones for stopped.
+// writer: the list of the former host, or this host alone if there was none that can be read.
+// epoch is that of the last writer that took all former ones for stopped, 0 if the list is not
+// one by which all former hosts count.
 func (r *Recorder) Hosts() (addresses []string, epoch uint64) {
 	return r.hosts.Addresses, r.hosts.Epoch
 }
