elector: pauses do not make confirmations count for longer or for another role

What callers saw: TWICE is possible after a pause of a host, in two ways. Causes: the clock was read before the count of the hosts that have confirmed this one, so a pause in between dated the time too early from which the former host is outvoted. And a confirmation that was checked against the epoch, and handled after a pause in a later role of the same host, counted for that one. Change: the clock is read after the count. The registrar knows the epoch and compares it with that of the confirmation, under its lock.

--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -154,7 +154,7 @@
 		return
 	}
 	e.hosts.note(req.GetAddress(), true)
-	e.registrar.Confirm(req.GetAddress(), at)
+	e.registrar.Confirm(req.GetAddress(), req.GetEpoch(), at)
 }
 
 // follow receives heartbeats from the active host until they stop, its role is free or it turns
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -97,7 +97,7 @@
 	e.peersConfirmedAt.Store(0)
 	e.heldLease.Store(leaseID)
 	hosts, _ := rec.Hosts()
-	e.registrar.Begin(hosts)
+	e.registrar.Begin(rec.Epoch(), hosts)
 	e.hosts.expect(hosts)
 	e.handedOver.Store(false)
 	e.leader.Store(nil)
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -147,11 +147,12 @@
 // countConfirmations takes note of what the other hosts have confirmed.
 func (l *roleLease) countConfirmations() {
 	e := l.e
-	now := e.clock.Now()
 	l.countHosts()
-	if e.registrar.PredecessorOutvoted(now) && e.predecessor.outvote(now) {
-		l.log.Info("the former host has no majority any more", zap.Int64("renews_ms", e.PredecessorRenewsUntil().Sub(now).Milliseconds()))
+	// The clock is read after the count: the hosts may have confirmed the former one until then.
+	if e.registrar.PredecessorOutvoted() && e.predecessor.outvote(e.clock.Now()) {
+		l.log.Info("the former host has no majority any more", zap.Int64("renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
 	}
+	now := e.clock.Now()
 	if l.age() <= e.leaseTTL {
 		return
 	}
@@ -365,7 +366,7 @@
 		case reply.GetEpoch() > epoch:
 			later = true
 		case reply.GetConfirms() && reply.GetEpoch() == epoch:
-			e.registrar.Confirm(address, now)
+			e.registrar.Confirm(address, epoch, now)
 		}
 	})
 	return later
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -15,6 +15,7 @@
 	self string
 
 	mu       sync.Mutex
+	epoch    uint64   // of this host
 	members  []string // as recorded in the ledger
 	proposed []string // that is being recorded, nil if none is
 	known    []string // that are to be recorded next
@@ -28,11 +29,12 @@
 	return &Registrar{self: self, confirmedAt: map[string]time.Time{}}
 }
 
-// Begin starts a new epoch of this host, with the members that the ledger has recorded. It
-// removes all confirmations.
-func (r *Registrar) Begin(members []string) {
+// Begin starts an epoch of this host, with the members that the ledger has recorded. It removes
+// all confirmations.
+func (r *Registrar) Begin(epoch uint64, members []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.epoch = epoch
 	r.members, r.proposed, r.known = members, nil, nil
 	clear(r.confirmedAt)
 }
@@ -72,11 +74,12 @@
 	}
 }
 
-// Confirm records that at the given time a host knew of no epoch later than this host's.
-func (r *Registrar) Confirm(address string, at time.Time) {
+// Confirm records that at the given time a host knew of no epoch later than this one, if that
+// is the present epoch of this host.
+func (r *Registrar) Confirm(address string, epoch uint64, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.After(r.confirmedAt[address]) {
+	if epoch == r.epoch && at.After(r.confirmedAt[address]) {
 		r.confirmedAt[address] = at
 	}
 }
@@ -105,10 +108,16 @@
 
 // PredecessorOutvoted reports whether so many of the recorded members have confirmed this
 // host, now or earlier in its epoch, that no majority of them is left for a former host.
-func (r *Registrar) PredecessorOutvoted(now time.Time) bool {
+func (r *Registrar) PredecessorOutvoted() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.listConfirmedBy(r.members, now, func(hosts int) int { return (hosts + 1) / 2 }).IsZero()
+	confirmed := 0
+	for _, address := range r.members {
+		if address == r.self || !r.confirmedAt[address].IsZero() {
+			confirmed++
+		}
+	}
+	return len(r.members) > 0 && 2*confirmed >= len(r.members)
 }
 
 // confirmedBy returns the latest time for which as many hosts have confirmed this one as
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -11,7 +11,11 @@
 	"yuccapaddle/internal/registrar"
 )
 
-const self = "self:1"
+const (
+	self = "self:1"
+	// epoch is the present epoch of the host.
+	epoch = 7
+)
 
 // addresses returns n addresses of other hosts, from number first on.
 func addresses(first, n int) []string {
@@ -22,6 +26,13 @@
 	return list
 }
 
+// begin returns a Registrar of a host in its present epoch.
+func begin(address string) *registrar.Registrar {
+	r := registrar.New(address)
+	r.Begin(epoch, nil)
+	return r
+}
+
 // record makes a list the recorded one.
 func record(r *registrar.Registrar, members []string) {
 	r.Know(members)
@@ -31,7 +42,7 @@
 
 func confirm(r *registrar.Registrar, hosts []string, at time.Time) {
 	for _, address := range hosts {
-		r.Confirm(address, at)
+		r.Confirm(address, epoch, at)
 	}
 }
 
@@ -39,7 +50,7 @@
 // the others have confirmed it, and is not confirmed by the absence of hosts that it knew.
 func TestHalfConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c, r := qt.New(t), registrar.New(self)
+		c, r := qt.New(t), begin(self)
 		start := time.Now()
 		c.Check(r.MajorityConfirmedAt(start).IsZero(), qt.IsTrue, qt.Commentf("it is not known who counts"))
 		record(r, []string{self})
@@ -51,7 +62,7 @@
 		c.Check(r.MajorityConfirmedAt(start), qt.Equals, start.Add(-time.Second), qt.Commentf("49 of 97"))
 		confirm(r, addresses(0, 49), start.Add(-time.Minute))
 		c.Check(r.MajorityConfirmedAt(start), qt.Equals, start.Add(-time.Second), qt.Commentf("a delayed confirmation does not replace a later one"))
-		r.Begin(r.Members())
+		r.Begin(epoch, r.Members())
 		c.Check(r.MajorityConfirmedAt(start).IsZero(), qt.IsTrue)
 		time.Sleep(time.Hour)
 		c.Check(r.MajorityConfirmedAt(time.Now()).IsZero(), qt.IsTrue, qt.Commentf("none of the others is left"))
@@ -67,20 +78,20 @@
 		all := addresses(0, n)
 		for members := 1; members <= n; members++ {
 			for side := range 1 << n {
-				former, successor := registrar.New(all[n-1]), registrar.New(all[0])
+				former, successor := begin(all[n-1]), begin(all[0])
 				record(former, all[:members])
-				successor.Begin(all[:members])
+				successor.Begin(epoch, all[:members])
 				for i, address := range all {
 					if side>>i&1 == 0 {
-						former.Confirm(address, now)
+						former.Confirm(address, epoch, now)
 					} else {
-						successor.Confirm(address, now)
+						successor.Confirm(address, epoch, now)
 					}
 				}
 				if side&1 == 0 || side>>(n-1)&1 == 1 {
 					continue // each of the two is on its own side
 				}
-				both := successor.PredecessorOutvoted(now) && !former.MajorityConfirmedAt(now).IsZero()
+				both := successor.PredecessorOutvoted() && !former.MajorityConfirmedAt(now).IsZero()
 				c.Assert(both, qt.IsFalse, qt.Commentf("%d hosts, %d members, side %b", n, members, side))
 			}
 		}
@@ -90,7 +101,7 @@
 // TestMajorityOfBothLists guards against a majority of a list that the ledger may not have any
 // more, or not yet.
 func TestMajorityOfBothLists(t *testing.T) {
-	c, r, now := qt.New(t), registrar.New(self), time.Unix(1000, 0)
+	c, r, now := qt.New(t), begin(self), time.Unix(1000, 0)
 	before := append(addresses(0, 2), self)
 	record(r, before)
 	grown := append(addresses(0, 4), self)
@@ -111,3 +122,14 @@
 	confirm(r, grown, now.Add(-time.Second))
 	c.Check(r.AllConfirmedAt(now), qt.Equals, now.Add(-time.Second))
 }
+
+// TestConfirmationOfFormerRole guards against a confirmation that is handled in a later epoch of
+// this host than the one that it is for.
+func TestConfirmationOfFormerRole(t *testing.T) {
+	c, r, now := qt.New(t), begin(self), time.Unix(1000, 0)
+	r.Begin(epoch, addresses(0, 1))
+	r.Confirm(addresses(0, 1)[0], epoch-1, now)
+	c.Check(r.PredecessorOutvoted(), qt.IsFalse)
+	r.Confirm(addresses(0, 1)[0], epoch, now)
+	c.Check(r.PredecessorOutvoted(), qt.IsTrue)
+}
