elector: hosts that refuse each other's connections do not take turns

What callers saw: the role moves twice a second while the network between two hosts refuses connections; each move loads all jobs again. Cause: since a host that found the holder of the lock refusing connections ended its lease at once, and that host did the same in turn. Change: the lease is ended at once only for a holder that this host has followed for 5 s, and otherwise once the holder has refused connections for 20 s.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -54,6 +54,10 @@
 	claimDelayPerRank = 60 * time.Millisecond
 	maxRankSteps      = 5
 	minCPUShare       = 0.01
+	// A host whose connections are refused has its lease ended at once if it has been followed
+	// for minFollowed, and otherwise once it has refused them for minRefused.
+	minFollowed = 5 * time.Second
+	minRefused  = 20 * time.Second
 	// renewalValidity is how long after it renewed its own lease the active host may
 	// renew the workers' leases. peerConfirmValidity is the same after half of the other
 	// hosts answered that they know of no later active host.
@@ -104,10 +108,15 @@
 	voter       *voter.Voter
 	registrar   *registrar.Registrar
 	predecessor predecessor
-	// lastLeader is the address of the host that this one followed last, and claims counts the
-	// claims of this process. Only Run uses them.
-	lastLeader string
-	claims     int
+	// lastLeader is the address of the host that this one followed last, from followedFrom to
+	// followedTo, and refuser the holder of the lock that has refused connections since
+	// refusedFrom. claims counts the claims of this process. Only Run uses these.
+	lastLeader   string
+	followedFrom time.Time
+	followedTo   time.Time
+	refuser      string
+	refusedFrom  time.Time
+	claims       int
 
 	mu          sync.Mutex
 	stopLeading context.CancelFunc // ends the active role, if this host has it
@@ -258,11 +267,12 @@
 	case holder != e.address:
 		switch e.probe(ctx, holder) {
 		case reachable:
+			e.refuser = ""
 			return candidate{address: holder, inLedger: true}
 		case unreachable:
 			return candidate{} // it may still be running: wait until its lease expires
 		}
-		e.log.Info("the active host refuses connections, so its process has probably exited", zap.String("address", holder))
+		e.noteRefusal(holder)
 	}
 	if e.resigned.Load() || !e.waitForTurn(ctx, lock.Revision) {
 		return candidate{}
@@ -271,19 +281,32 @@
 		e.claim(ctx, lock.Revision, 0) // its holder is an earlier process of this host
 		return candidate{}
 	}
-	if lock.Revision == 0 || e.endLease(ctx, lock.Lease) {
+	if lock.Revision == 0 || e.endLease(ctx, holder, lock.Lease) {
 		e.claim(ctx, 0, 0)
 	}
 	return candidate{}
 }
 
+// noteRefusal records that the holder of the lock refuses connections.
+func (e *Elector) noteRefusal(holder string) {
+	if e.refuser == holder {
+		return
+	}
+	e.refuser, e.refusedFrom = holder, e.clock.Now()
+	e.log.Info("the active host refuses connections, so its process has probably exited", zap.String("address", holder))
+}
+
 // endLease ends the lease of a lock whose holder refuses connections, and reports whether it
 // has certainly ended. The holder may be running all the same, if it is the network that
 // refuses them. It takes each renewal of its lease for a proof that no other host has claimed
-// the role, so its lease has to end before that.
-func (e *Elector) endLease(ctx context.Context, lease uint64) bool {
-	if lease == 0 {
-		return false // the ledger does not tell it: wait until it expires
+// the role, so its lease has to end before that. If its process has exited the lease soon
+// expires anyway, so it is ended only for a host that was followed before, or that holds on:
+// otherwise two hosts behind such a network would take the role from each other without end.
+func (e *Elector) endLease(ctx context.Context, holder string, lease uint64) bool {
+	followed := holder == e.lastLeader && e.followedTo.Sub(e.followedFrom) >= minFollowed
+	holdsOn := e.clock.Now().Sub(e.refusedFrom) >= minRefused
+	if lease == 0 || !followed && !holdsOn { // 0 if the ledger does not tell it
+		return false
 	}
 	return e.releaseLease(ctx, lease)
 }
--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -166,7 +166,7 @@
 	defer func() { _ = g.Wait() }() // its functions return no errors
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.lastLeader = address
+	e.lastLeader, e.followedFrom, e.followedTo = address, time.Time{}, time.Time{}
 	defer e.leader.Store(nil)
 	defer e.conns.Drop(address)
 	client, err := e.conns.Client(address)
@@ -213,8 +213,10 @@
 		if !received {
 			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
 			received = true
+			e.followedFrom = beatAt
 			e.noteEpoch(beat.GetEpoch(), found.inLedger)
 		}
+		e.followedTo = beatAt
 		sentAt := delays.sentAt(e.clock.Now(), beat.GetSentNs())
 		e.applyHeartbeat(address, beat, sentAt)
 		rules.observe(ctx, beat, sentAt)
