elector: an absent host's silence is not its word

What callers saw: TWICE is possible. A host that was cut off for more than 30 s claims while the others, with the active host, lose the store; the former host goes on for as long as those confirm it. Cause: after 30 s without a sign a host no longer counted as known, so the word of all that were left was a proof that nobody had claimed. Change: a host that expires without a word counts as absent for ten minutes, and while one is absent the word of the others is no proof. The price: an outage longer than outage.longestMs ends running work if a host was lost within the last ten minutes, as it does for one that is lost in the outage. Result: the test passes, as do TestConfirmedInOutage and TestPartitions.

--- a/internal/elector/hosts.go
+++ b/internal/elector/hosts.go
@@ -14,6 +14,9 @@
 const (
 	// hostExpiry is how long a host is kept in the table after it was last seen.
 	hostExpiry = 30 * time.Second
+	// absenceExpiry is how long a host that has expired without a word counts as absent: it may
+	// be running behind a partition.
+	absenceExpiry = 10 * time.Minute
 	// maxListedHosts is how many addresses one heartbeat lists at most.
 	maxListedHosts = 12
 )
@@ -27,6 +30,8 @@
 	mu    sync.Mutex
 	hosts map[string]*hostEntry
 	ranks map[string]int // of the followers, from 1
+	// absent holds when hosts have expired, by address.
+	absent map[string]time.Time
 }
 
 // hostEntry is what is known of one host.
@@ -38,7 +43,7 @@
 }
 
 func newHostTable(self string, clock yuccapaddle.Clock) *hostTable {
-	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, ranks: map[string]int{}}
+	return &hostTable{self: self, clock: clock, hosts: map[string]*hostEntry{}, ranks: map[string]int{}, absent: map[string]time.Time{}}
 }
 
 // note records contact with a host just now if direct, or that another host has listed it.
@@ -63,6 +68,7 @@
 	}
 	if direct {
 		h.direct, h.lastSeenAt = true, t.clock.Now()
+		delete(t.absent, address)
 	}
 	return h
 }
@@ -72,6 +78,12 @@
 	for a, h := range t.hosts {
 		if h.streams == 0 && t.clock.Now().Sub(h.lastSeenAt) > hostExpiry {
 			delete(t.hosts, a)
+			t.absent[a] = t.clock.Now()
+		}
+	}
+	for a, at := range t.absent {
+		if t.clock.Now().Sub(at) > absenceExpiry {
+			delete(t.absent, a)
 		}
 	}
 }
@@ -180,3 +192,11 @@
 	slices.Sort(list)
 	return list
 }
+
+// anyAbsent reports whether a host that was known is absent.
+func (t *hostTable) anyAbsent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	return len(t.absent) > 0
+}
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -157,7 +157,9 @@
 		return
 	}
 	storeLater(&e.peersConfirmedAt, e.registrar.MajorityConfirmedAt(now))
-	storeLater(&e.provenAt, e.registrar.AllConfirmedAt(now))
+	if !e.hosts.anyAbsent() {
+		storeLater(&e.provenAt, e.registrar.AllConfirmedAt(now))
+	}
 }
 
 // storeLater stores a time as UnixNano if it is later than the stored one.
