--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 		return
 	}
 	claimSentAt := e.clock.Now()
-	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, e.nonce, yuccapaddle.Lock{
+	e.claims++
+	nonce := e.nonce + "-" + strconv.Itoa(e.claims) // a late copy of an earlier claim is another one
+	rec, err := recorder.Claim(callCtx, e.ledger, e.host, e.address, nonce, yuccapaddle.Lock{
 		Key: lockKey, Revision: lockRevision, Lease: leaseID, Address: e.address,
 	}, claimOptions(handedOver)...)
 	if err != nil {
@@ -37,7 +40,8 @@
 	// What this host answers from here on is no confirmation of its predecessor, so the time
 	// that is read next is not before the last one that was.
 	e.voter.NoteLatest(rec.Epoch())
-	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), e.longestOutageMS)
+	_, settledEpoch := rec.Hosts()
+	e.predecessor.begin(e.clock.Now(), e.formerStopped(rec, handedOver), settledEpoch != 0, e.longestOutageMS)
 	e.log.Info("this host is active", zap.Uint64("epoch", rec.Epoch()), zap.Int64("predecessor_renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
 	e.lead(ctx, rec, leaseID, claimSentAt)
 }
@@ -87,13 +91,14 @@
 	e.mu.Lock()
 	e.stopLeading = cancel
 	e.mu.Unlock()
+	e.followedFrom, e.followedTo, e.refuser = time.Time{}, time.Time{}, ""
 	exec, background := e.build(rec, e.PredecessorRenewsUntil)
 	e.renewedAt.Store(claimSentAt.UnixNano())
 	e.provenAt.Store(claimSentAt.UnixNano())
 	e.peersConfirmedAt.Store(0)
 	e.heldLease.Store(leaseID)
 	hosts, _ := rec.Hosts()
-	e.registrar.Begin(hosts)
+	e.registrar.Begin(rec.Epoch(), hosts)
 	e.hosts.expect(hosts)
 	e.handedOver.Store(false)
 	e.leader.Store(nil)
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -147,16 +147,19 @@
 // countConfirmations takes note of what the other hosts have confirmed.
 func (l *roleLease) countConfirmations() {
 	e := l.e
-	now := e.clock.Now()
 	l.countHosts()
-	if e.registrar.PredecessorOutvoted(now) && e.predecessor.outvote(now) {
-		l.log.Info("the former host has no majority any more", zap.Int64("renews_ms", e.PredecessorRenewsUntil().Sub(now).Milliseconds()))
+	// The clock is read after the count: the hosts may have confirmed the former one until then.
+	if e.registrar.PredecessorOutvoted() && e.predecessor.outvote(e.clock.Now()) {
+		l.log.Info("the former host has no majority any more", zap.Int64("renews_ms", e.PredecessorRenewsUntil().Sub(e.clock.Now()).Milliseconds()))
 	}
+	now := e.clock.Now()
 	if l.age() <= e.leaseTTL {
 		return
 	}
 	storeLater(&e.peersConfirmedAt, e.registrar.MajorityConfirmedAt(now))
-	storeLater(&e.provenAt, e.registrar.AllConfirmedAt(now))
+	if !e.hosts.anyAbsent() {
+		storeLater(&e.provenAt, e.registrar.AllConfirmedAt(now))
+	}
 }
 
 // storeLater stores a time as UnixNano if it is later than the stored one.
@@ -355,8 +358,8 @@
 }
 
 // laterActive asks the hosts that have not confirmed this one recently, and reports whether
-// one of them knows of a later active host. The answer of a host that certainly knows of none
-// counts as its confirmation.
+// one of them knows of a later active host. The answer of a host that knows this epoch, and
+// certainly none later, counts as its confirmation.
 func (e *Elector) laterActive(ctx context.Context, epoch uint64, now time.Time) bool {
 	later := false
 	e.askHosts(ctx, e.unconfirmedSince(now.Add(-peerConfirmValidity/2)), dialTimeout, func(address string, reply *peer.WhoReply) {
@@ -364,8 +367,8 @@
 		switch {
 		case reply.GetEpoch() > epoch:
 			later = true
-		case reply.GetConfirms():
-			e.registrar.Confirm(address, now)
+		case reply.GetConfirms() && reply.GetEpoch() == epoch:
+			e.registrar.Confirm(address, epoch, now)
 		}
 	})
 	return later
