--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -155,9 +155,8 @@
 }
 
 // newExecutor returns the executor that runs while this host is active, and the
-// function that runs the maintenance of machines beside it. A former host may go on
-// renewing the workers' leases until the time that predecessorRenewsUntil returns.
-func (a *Assembler) newExecutor(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (*executor.Executor, func(context.Context) error) {
+// function that runs the maintenance of machines beside it.
+func (a *Assembler) newExecutor(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
 	clock := timekeeper.Timekeeper{}
 	opts := append([]executor.Option{
 		executor.WithAdviser(a.deps.Adviser), executor.WithMeter(a.monitor),
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -68,9 +68,8 @@
 )
 
 // buildFunc creates the executor when this host becomes active, and a function that runs
-// in the background while it is. Until the time that predecessorRenewsUntil returns the
-// previous active host may still renew workers' leases; it may become earlier.
-type buildFunc = func(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (exec *executor.Executor, background func(ctx context.Context) error)
+// in the background while it is.
+type buildFunc = func(rec *recorder.Recorder) (exec *executor.Executor, background func(ctx context.Context) error)
 
 // Elector follows the active host or is the active host itself. All methods but Run
 // are safe for concurrent use.
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -93,9 +93,10 @@
 	rules := rulekeeper.New(source, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
 	h := &host{number: i, address: address, clock: clock, ledger: &refusingLedger{Bookkeeper: store}, rules: rules, peers: grpc.NewServer()}
-	build := func(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (*executor.Executor, func(context.Context) error) {
+	build := func(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
 		h.recorder.Store(rec)
-		h.predecessorRenewsUntil.Store(&predecessorRenewsUntil)
+		renewsUntil := h.PredecessorRenewsUntil
+		h.predecessorRenewsUntil.Store(&renewsUntil)
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		return e, func(ctx context.Context) error {
 			<-ctx.Done()
--- a/internal/elector/lead.go
+++ b/internal/elector/lead.go
@@ -92,7 +92,7 @@
 	e.stopLeading = cancel
 	e.mu.Unlock()
 	e.followedFrom, e.followedTo, e.refuser = time.Time{}, time.Time{}, ""
-	exec, background := e.build(rec, e.PredecessorRenewsUntil)
+	exec, background := e.build(rec)
 	e.renewedAt.Store(claimSentAt.UnixNano())
 	e.provenAt.Store(claimSentAt.UnixNano())
 	e.peersConfirmedAt.Store(0)
--- a/internal/elector/ledgerhost_test.go
+++ b/internal/elector/ledgerhost_test.go
@@ -55,8 +55,9 @@
 	if s.ledger == nil {
 		s.ledger = h.ledger
 	}
-	build := func(rec *recorder.Recorder, predecessorRenewsUntil func() time.Time) (*executor.Executor, func(context.Context) error) {
-		h.predecessorRenewsUntil.Store(&predecessorRenewsUntil)
+	build := func(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
+		renewsUntil := h.PredecessorRenewsUntil
+		h.predecessorRenewsUntil.Store(&renewsUntil)
 		time.Sleep(s.buildTime)
 		e := executor.New(fixedRules{}, nil, rules, rec, executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500}, clock, zap.NewNop())
 		if s.background != nil {
--- a/internal/elector/virtual_test.go
+++ b/internal/elector/virtual_test.go
@@ -110,11 +110,6 @@
 	v.nodes = slices.DeleteFunc(v.nodes, func(y *node) bool { return y == x })
 }
 
-// restart kills a host, and starts another one at its address.
-func (v *virtualCluster) restart(x *node) *node {
-	return v.restartWith(x, storeAnswers)
-}
-
 // restartWith is restart, with a host that the store treats in a way from the start.
 func (v *virtualCluster) restartWith(x *node, m storeMode) *node {
 	v.kill(x)
--- a/internal/router/held_test.go
+++ b/internal/router/held_test.go
@@ -58,7 +58,7 @@
 	name, clock, conns := fmt.Sprintf("h%d", i), yuccapaddle.SystemClock{}, connector.New()
 	rules := rulekeeper.New(platform{}, 2500, clock, zap.NewNop())
 	c.Assert(rules.Refresh(t.Context()), qt.IsNil)
-	build := func(rec *recorder.Recorder, _ func() time.Time) (*executor.Executor, func(context.Context) error) {
+	build := func(rec *recorder.Recorder) (*executor.Executor, func(context.Context) error) {
 		bounds := executor.Bounds{MaxLeaseMS: 6000, LeaveWithinMS: 2500, Planner: yuccapaddle.PlanLimits{Retention: time.Minute}}
 		e := executor.New(platform{}, nil, rules, rec, bounds, clock, zap.NewNop(), executor.WithHeldCalls(10))
 		return e, func(ctx context.Context) error {
