--- a/internal/elector/follow.go
+++ b/internal/elector/follow.go
@@ -184,39 +184,32 @@
 	if err != nil {
 		return 0
 	}
-	received, epoch := false, uint64(0)
-	beatAt, bytesAtBeat, longestGap := openedAt, e.conns.Received(), time.Duration(0)
+	var epoch uint64
+	reception := &reception{e: e, address: address, beatAt: openedAt, bytesAtBeat: e.conns.Received()}
 	watch := &lockWatch{e: e, client: client, leader: address}
 	rules := &ruleFollower{e: e, client: client, leader: address, group: g}
 	delays := &delayMeter{openedAt: openedAt}
 	for {
 		beat, err := stream.Recv()
 		if err != nil {
-			if received {
-				e.log.Info("the active host is lost", zap.String("address", address), zap.Error(err),
-					zap.Int64("heartbeat_ms_ago", e.clock.Now().Sub(beatAt).Milliseconds()), zap.Int64("bytes_since", e.conns.Received()-bytesAtBeat),
-					zap.Int64("longest_gap_ms", longestGap.Milliseconds()))
-			}
+			reception.logLost(err)
 			if status.Code(err) == codes.Aborted {
 				return epoch
 			}
 			return 0
 		}
 		watchdog.Reset(heartbeatTimeout(beat))
-		longestGap = max(longestGap, e.clock.Now().Sub(beatAt))
-		beatAt, bytesAtBeat = e.clock.Now(), e.conns.Received()
 		if beat.GetEpoch() < e.voter.Highest() {
 			e.log.Info("the host was replaced", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()), zap.Uint64("later", e.voter.Highest()))
 			return 0
 		}
 		epoch = beat.GetEpoch()
-		if !received {
-			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", beat.GetEpoch()))
-			received = true
-			e.followedFrom = beatAt
-			e.noteEpoch(beat.GetEpoch(), found.inLedger)
+		if first := reception.note(); first {
+			e.log.Info("another host is active", zap.String("address", address), zap.Uint64("epoch", epoch))
+			e.followedFrom = reception.beatAt
+			e.noteEpoch(epoch, found.inLedger)
 		}
-		e.followedTo = beatAt
+		e.followedTo = reception.beatAt
 		sentAt := delays.sentAt(e.clock.Now(), beat.GetSentNs())
 		e.applyHeartbeat(address, beat, sentAt)
 		rules.observe(ctx, beat, sentAt)
@@ -227,6 +220,35 @@
 	}
 }
 
+// reception is what a follower has received from the active host, for its log.
+type reception struct {
+	e           *Elector
+	address     string
+	beatAt      time.Time // when the latest heartbeat arrived, or the stream was opened
+	bytesAtBeat int64     // that had arrived from all hosts by then
+	longestGap  time.Duration
+	received    bool // a heartbeat has arrived
+}
+
+// note records the arrival of a heartbeat, and reports whether it is the first one.
+func (r *reception) note() (first bool) {
+	now := r.e.clock.Now()
+	r.longestGap = max(r.longestGap, now.Sub(r.beatAt))
+	r.beatAt, r.bytesAtBeat = now, r.e.conns.Received()
+	first, r.received = !r.received, true
+	return first
+}
+
+// logLost logs the end of a stream on which heartbeats have arrived.
+func (r *reception) logLost(err error) {
+	if !r.received {
+		return
+	}
+	r.e.log.Info("the active host is lost", zap.String("address", r.address), zap.Error(err),
+		zap.Int64("heartbeat_ms_ago", r.e.clock.Now().Sub(r.beatAt).Milliseconds()), zap.Int64("bytes_since", r.e.conns.Received()-r.bytesAtBeat),
+		zap.Int64("longest_gap_ms", r.longestGap.Milliseconds()))
+}
+
 // noteEpoch records the epoch of a host that this one follows, and whether the ledger has named
 // that host.
 func (e *Elector) noteEpoch(epoch uint64, inLedger bool) {
--- a/internal/elector/histories_test.go
+++ b/internal/elector/histories_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"yuccapaddle"
 )
 
@@ -383,7 +385,7 @@
 		t.Run(fmt.Sprintf("-histories 1 -history-seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			if notes, err := playHistory(t, seed); err != nil {
-				t.Errorf("seed %d: %s: %s", seed, strings.ReplaceAll(err.Error(), "\n", "; "), notes)
+				qt.Check(t, err, qt.IsNil, qt.Commentf("seed %d: %s", seed, notes))
 			}
 		})
 	}
--- a/internal/elector/partitions_test.go
+++ b/internal/elector/partitions_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 var (
@@ -298,8 +300,6 @@
 func checkPartition(t *testing.T, name string, p *partition) {
 	t.Run(name, func(t *testing.T) {
 		t.Parallel()
-		if err := playPartition(t, p); err != nil {
-			t.Errorf("%s: %v: %s", name, p, strings.ReplaceAll(err.Error(), "\n", "; "))
-		}
+		qt.Check(t, playPartition(t, p), qt.IsNil, qt.Commentf("%s: %v", name, p))
 	})
 }
--- a/internal/elector/replaced_test.go
+++ b/internal/elector/replaced_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"yuccapaddle"
 	"yuccapaddle/internal/elector"
 	"yuccapaddle/internal/recorder"
@@ -407,9 +409,7 @@
 			t.Parallel()
 			withVirtualCluster(t, r.hosts, func(v *virtualCluster) {
 				w := &replacedHost{replacement: r, v: v}
-				if err := w.run(); err != nil {
-					t.Error(err)
-				}
+				v.c.Check(w.run(), qt.IsNil)
 				t.Log(w.trace())
 			})
 		})
