--- a/internal/elector/maintenance_test.go
+++ b/internal/elector/maintenance_test.go
@@ -71,6 +71,7 @@
 // maintenance after its successor has done so, where machines do not check fencing tokens. It
 // is cut off from the ledger and from the other hosts, not from the machine service.
 func TestMaintenanceByFormerHost(t *testing.T) {
+	t.Parallel()
 	cl, fleet := newCluster(t), &busyFleet{}
 	withCutOff(cl.c, cl, hostSetup{background: fleet.maintain}, func(cutOff func() *host) {
 		fleet.waitForHost(cl.c, 1)
