--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -260,7 +260,7 @@
 		confirmed = func() bool { return true }
 	}
 	options := append([]executor.Option{
-		executor.WithAdviser(r), executor.WithMeter(meter), executor.WithRole(&rigRole{confirmed, r}),
+		executor.WithAdviser(r), executor.WithMeter(meter), executor.WithRole(&rigRole{confirmed, r.predecessorRenewsUntil}),
 	}, r.options...)
 	r.exec, r.stop = executor.New(r, runner, host.rules, rec, bounds, host.clock, host.log, options...), host.stop
 	exec := r.exec
--- a/internal/executor/rigfollower_test.go
+++ b/internal/executor/rigfollower_test.go
@@ -43,15 +43,15 @@
 
 // rigRole is the role of a host of a rig.
 type rigRole struct {
-	confirmed func() bool
-	r         *rig
+	confirmed              func() bool
+	predecessorRenewsUntil time.Time
 }
 
 // Confirmed implements yuccapaddle.Role.
 func (r *rigRole) Confirmed() bool { return r.confirmed() }
 
 // PredecessorRenewsUntil implements yuccapaddle.Role.
-func (r *rigRole) PredecessorRenewsUntil() time.Time { return r.r.predecessorRenewsUntil }
+func (r *rigRole) PredecessorRenewsUntil() time.Time { return r.predecessorRenewsUntil }
 
 // PredecessorLeasedUntil implements yuccapaddle.Role.
-func (r *rigRole) PredecessorLeasedUntil() time.Time { return r.r.predecessorRenewsUntil }
+func (r *rigRole) PredecessorLeasedUntil() time.Time { return r.predecessorRenewsUntil }
