--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,28 +77,41 @@
 	}
 }
 
+// Ports are taken from below the range that the system gives to outgoing connections, from a
+// place that differs for each process.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
 // freePorts returns n free loopback addresses.
 func freePorts(n int) ([]string, error) {
 	var list []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+	for tries := 0; len(list) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, fmt.Errorf("there are no free ports")
+		}
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(nextPort))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		open = append(open, l)
 		list = append(list, l.Addr().String())
+		_ = l.Close()
 	}
 	return list, nil
 }
 
 func serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := freePorts(1)
+	if err != nil {
+		return "", err
+	}
+	l, err := net.Listen("tcp", ports[0])
 	if err != nil {
 		return "", err
 	}
@@ -141,11 +156,7 @@
 		l.kill(h.cmd)
 	}
 	_ = l.record.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(l.dir)
-	} else {
-		fmt.Println(l.dir)
-	}
+	_ = os.RemoveAll(l.dir)
 }
 
 func (l *lab) kill(cmd *exec.Cmd) {
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -44,6 +46,13 @@
 		return exitCouldNot
 	}
 	defer l.close()
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		<-signals
+		l.close()
+		os.Exit(exitCouldNot)
+	}()
 	broken, err := play(l)
 	l.recordEvents()
 	if err != nil {
