bodyreader, httpserver: one budget for the bodies of all requests

What callers saw: a host that ran out of memory ended with all calls in it. Cause: fasthttp set aside the announced size of a body in one piece, before a byte had arrived and before path, Host and key were looked at; each connection could hold 1 MiB, at each listener, and nothing counted the sum.

The handler now reads the body itself as it arrives (StreamRequestBody), after path, Host and key were checked, from one budget: a sixth of memoryMb, a third of it for bodies of up to 16 kB. When it is used up, the body that is longest behind 4 kB in a second is cut off, else the newcomer refused, 503 with Retry-After; nothing was passed on yet, so that is true. Memory is given back whatever way the request ends, also after a panic.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -106,6 +106,7 @@
 	opts := append(outageOptions(&s.Outage),
 		assembler.WithDrainTime(time.Duration(drainFraction*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithCPUShare(s.CPUShare),
+		assembler.WithMemory(s.MemoryMB*bytesPerMB),
 		assembler.WithMinLease(time.Duration(s.MinLeaseMS)*time.Millisecond))
 	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log, opts...)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -4,10 +4,10 @@
 package administrator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,6 +16,7 @@
 	"yuccapaddle"
 	"yuccapaddle/internal/applier"
 	"yuccapaddle/internal/authenticator"
+	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/checker"
 	"yuccapaddle/internal/forwarder"
 	"yuccapaddle/internal/loader"
@@ -99,8 +100,7 @@
 
 func (a *Administrator) check(ctx *fasthttp.RequestCtx) {
 	var site yuccapaddle.Site
-	if err := decodeStrict(ctx.PostBody(), &site); err != nil {
-		writer.Error(ctx, fasthttp.StatusBadRequest, err.Error())
+	if !readStrict(ctx, &site) {
 		return
 	}
 	r := applier.Result{Status: applier.Accepted}
@@ -110,19 +110,25 @@
 	writer.JSON(ctx, fasthttp.StatusOK, r)
 }
 
-func decodeStrict(body []byte, v any) error {
-	dec := json.NewDecoder(strings.NewReader(string(body)))
+// readStrict decodes the body of a request into v, which has all of its fields. It reports
+// whether it could; if not, the request has been answered.
+func readStrict(ctx *fasthttp.RequestCtx, v any) bool {
+	body, ok := bodyreader.Read(ctx)
+	if !ok {
+		return false
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		return fmt.Errorf("the body is not valid: %w", err)
+		writer.Error(ctx, fasthttp.StatusBadRequest, fmt.Sprintf("the body is not valid: %v", err))
+		return false
 	}
-	return nil
+	return true
 }
 
 func (a *Administrator) change(ctx *fasthttp.RequestCtx, operator string) {
 	var c applier.Change
-	if err := decodeStrict(ctx.PostBody(), &c); err != nil {
-		writer.Error(ctx, fasthttp.StatusBadRequest, err.Error())
+	if !readStrict(ctx, &c) {
 		return
 	}
 	c.Operator = operator
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -15,9 +15,11 @@
 	"google.golang.org/grpc"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/connector"
 	"yuccapaddle/internal/elector"
 	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/httpserver"
 	"yuccapaddle/internal/inspector"
 	"yuccapaddle/internal/jobmaker"
 	"yuccapaddle/internal/jobserver"
@@ -42,7 +44,10 @@
 const (
 	maxMessageBytes = 8 << 20
 	maxBodyBytes    = 1 << 20
-	idleTimeout     = 60 * time.Second
+	// defaultMemory is the memory of a process that is not told how much it has, in bytes.
+	defaultMemory = 256 << 20
+	// bodyDivisor is one over the fraction of the memory that is for the bodies of requests.
+	bodyDivisor = 6
 )
 
 // HostConfig holds the location of a host and the addresses, as host:port, on which it
@@ -74,6 +79,7 @@
 	drainTime    time.Duration
 	minLease     time.Duration
 	cpuShare     float64
+	memory       int64 // bytes
 	executorOpts []executor.Option
 	electorOpts  []elector.Option
 	routerOpts   []router.Option
@@ -84,7 +90,7 @@
 	jobs         yuccapaddle.JobService
 	elector      *elector.Elector
 	monitor      *monitor.Monitor
-	callerServer *fasthttp.Server
+	bodies       *bodyreader.BodyReader
 	callerLimits *limiter.Limiter
 	requestAPI   *responder.Responder
 	pauses       *pausedetector.PauseDetector
@@ -112,6 +118,11 @@
 	return func(a *Assembler) { a.cpuShare = share }
 }
 
+// WithMemory sets the memory that the process has, in bytes.
+func WithMemory(n int64) Option {
+	return func(a *Assembler) { a.memory = n }
+}
+
 // WithCompletionsShown makes the host report completed jobs while the ledger does not
 // answer, see executor.WithCompletionsShown.
 func WithCompletionsShown() Option {
@@ -137,7 +148,7 @@
 
 // New returns an Assembler. nonce must be unique for each process.
 func New(cfg HostConfig, deps Dependencies, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
-	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log}
+	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log, memory: defaultMemory}
 	for _, o := range opts {
 		o(a)
 	}
@@ -145,6 +156,7 @@
 	a.rules = rulekeeper.New(deps.RuleSource, bounds.ApplyWithinMS, clock, log)
 	a.conns = connector.New()
 	a.monitor = monitor.New(cfg.Host, a.isReady)
+	a.bodies = bodyreader.New(maxBodyBytes, a.memory/bodyDivisor, a.monitor)
 	settings := loader.DefaultHost()
 	settings.Region = cfg.Region
 	a.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
@@ -180,12 +192,11 @@
 	group, ctx := supervisor.New(ctx, a.log)
 	guard := recoverer.New(a.log)
 	handler := guard.HTTP(a.deps.NewCallerHandler(a.jobs, a.monitor))
-	a.callerServer = newHTTPServer(a.countInFlight(handler))
-	readiness, metrics := newHTTPServer(guard.HTTP(a.handleReady)), newHTTPServer(guard.HTTP(a.inspection.Handle))
-	requests := newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
+	callers, requests := a.newHTTPServer(a.countInFlight(handler)), a.newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
+	readiness, metrics := a.newHTTPServer(guard.HTTP(a.handleReady)), a.newHTTPServer(guard.HTTP(a.inspection.Handle))
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(guard.Unary), grpc.StreamInterceptor(guard.Stream))
 	peer.RegisterJobsServer(peers, jobserver.New(a.elector, a.status))
-	servers := []server{{a.cfg.Peers, peers.Serve}, {a.cfg.Readiness, readiness.Serve}, {a.cfg.Metrics, metrics.Serve}, {a.cfg.Requests, requests.Serve}, {a.cfg.Callers, a.callerServer.Serve}}
+	servers := []server{{a.cfg.Peers, peers.Serve}, {a.cfg.Readiness, readiness.Serve}, {a.cfg.Metrics, metrics.Serve}, {a.cfg.Requests, requests.Serve}, {a.cfg.Callers, callers.Serve}}
 	if err := serveAll(group, servers); err != nil {
 		return err
 	}
@@ -200,7 +211,8 @@
 		}
 		cancel()
 		peers.Stop()
-		return errors.Join(a.callerServer.Shutdown(), readiness.Shutdown(), metrics.Shutdown(), requests.Shutdown())
+		forever := context.Background()
+		return errors.Join(callers.Shutdown(forever), readiness.Shutdown(forever), metrics.Shutdown(forever), requests.Shutdown(forever))
 	})
 	a.log.Info("started", zap.String("callers", a.cfg.Callers), zap.String("peers", a.cfg.Peers))
 	err := group.Wait()
@@ -247,11 +259,10 @@
 	}
 }
 
-func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: handler, Name: "yuccapaddle", MaxRequestBodySize: maxBodyBytes, IdleTimeout: idleTimeout,
-		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
-	}
+// newHTTPServer returns a server for one of the host's listeners. All of them share the memory
+// for bodies.
+func (a *Assembler) newHTTPServer(handler fasthttp.RequestHandler) *httpserver.HTTPServer {
+	return httpserver.New(handler, a.bodies, a.log)
 }
 
 // countInFlight wraps a handler to count the requests in progress, for which a
--- /dev/null
+++ b/internal/httpserver/httpserver.go
@@ -0,0 +1,66 @@
+// Package httpserver serves HTTP on a listener. The bodies of requests are left to the
+// handler, which reads them within the memory of the process.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"yuccapaddle/internal/bodyreader"
+)
+
+// idleTime is how long a connection is kept between two requests.
+const idleTime = 60 * time.Second
+
+// HTTPServer serves the requests of one listener.
+type HTTPServer struct {
+	server *fasthttp.Server
+}
+
+// Option changes an HTTPServer under construction.
+type Option func(*fasthttp.Server)
+
+// WithReadTime sets how long a request may take to arrive.
+func WithReadTime(d time.Duration) Option {
+	return func(s *fasthttp.Server) { s.ReadTimeout = d }
+}
+
+// WithHeaderBytes sets the size of the largest header.
+func WithHeaderBytes(n int) Option {
+	return func(s *fasthttp.Server) { s.ReadBufferSize = n }
+}
+
+// WithConnections sets the number of connections that are served at once.
+func WithConnections(n int) Option {
+	return func(s *fasthttp.Server) { s.Concurrency = n }
+}
+
+// New returns an HTTPServer. The handler reads bodies with bodyreader.Read only, as ctx.PostBody
+// has no bound.
+func New(handler fasthttp.RequestHandler, bodies *bodyreader.BodyReader, log *zap.Logger, opts ...Option) *HTTPServer {
+	s := &fasthttp.Server{
+		Handler: bodies.Wrap(handler), Name: "yuccapaddle", IdleTimeout: idleTime,
+		// The handler is called when the first byte of a body is there, before memory is set aside for it.
+		StreamRequestBody: true, MaxRequestBodySize: 1,
+		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
+		Logger: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return &HTTPServer{server: s}
+}
+
+// Serve serves the connections of a listener until it is shut down.
+func (s *HTTPServer) Serve(l net.Listener) error {
+	return s.server.Serve(l)
+}
+
+// Shutdown closes the listener and waits for the requests in progress until ctx ends.
+func (s *HTTPServer) Shutdown(ctx context.Context) error {
+	return s.server.ShutdownWithContext(ctx)
+}
--- a/internal/loader/host.go
+++ b/internal/loader/host.go
@@ -52,6 +52,9 @@
 	HeaderBytes int `json:"headerBytes"`
 	Connections int `json:"connections"`
 	InFlight    int `json:"inFlight"`
+	// MemoryMB is the memory that the process has, in megabytes. The bodies of all requests
+	// under way take up to a fixed fraction of it.
+	MemoryMB int `json:"memoryMb"`
 	// CallerRate is the rate limit of each caller, in requests per second.
 	CallerRate  float64 `json:"callerRate"`
 	CallerBurst int     `json:"callerBurst"`
@@ -105,6 +108,7 @@
 		HeaderBytes:        8 << 10,
 		Connections:        2048,
 		InFlight:           4096,
+		MemoryMB:           256,
 		CallerRate:         500,
 		CallerBurst:        2000,
 		ReadMS:             10_000,
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/limiter"
 	"yuccapaddle/internal/loader"
 	"yuccapaddle/internal/writer"
@@ -131,7 +132,11 @@
 }
 
 func (r *Responder) submit(ctx *fasthttp.RequestCtx, workspace, caller string, wait time.Duration, start time.Time) {
-	req, err := r.parseRequest(ctx.PostBody(), workspace, caller, start)
+	body, ok := bodyreader.Read(ctx)
+	if !ok {
+		return
+	}
+	req, err := r.parseRequest(body, workspace, caller, start)
 	if err != nil {
 		writer.Error(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,8 +20,10 @@
 	"yuccapaddle/internal/administrator"
 	"yuccapaddle/internal/applier"
 	"yuccapaddle/internal/authenticator"
+	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/driver"
 	"yuccapaddle/internal/forwarder"
+	"yuccapaddle/internal/httpserver"
 	"yuccapaddle/internal/leaser"
 	"yuccapaddle/internal/limiter"
 	"yuccapaddle/internal/loader"
@@ -42,6 +44,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	maxMessageBytes   = 4 << 20
 	shutdownTimeout   = 2 * time.Second
+	// bodyDivisor is one over the fraction of the memory that is for the bodies of requests.
+	bodyDivisor = 6
 )
 
 // Server is one host of the system.
@@ -68,7 +72,8 @@
 	noListeners  bool
 	dial         func(address string) (peer.PeerClient, error)
 	listeners    []net.Listener
-	httpServers  []*fasthttp.Server
+	httpServers  []*httpserver.HTTPServer
+	bodies       *bodyreader.BodyReader
 	grpcServer   *grpc.Server
 }
 
@@ -117,6 +122,7 @@
 	s.forward = forwarder.New(settings.Name, s.lease.Holder, s.localEngine, budget, forwarder.WithDial(s.dial), forwarder.WithToken(settings.Tokens.Peers))
 	auth := authenticator.New(settings.Tokens)
 	s.monitor = monitor.New(settings.Name, s.ready)
+	s.bodies = bodyreader.New(settings.Limits.BodyBytes, int64(settings.Limits.MemoryMB)<<20/bodyDivisor, s.monitor)
 	s.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
 	s.callerAPI = responder.New(auth, s.forward, s.callerLimits, settings, log, s.monitor.ObserveAnswer)
 	s.operatorAPI = administrator.New(auth, applier.New(store, nonce), s.configs, s.forward, store, settings, s.status, log,
@@ -309,18 +315,10 @@
 	return receiver.New(s.localEngine, s.configs, s.status)
 }
 
-func (s *Server) newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+// newHTTPServer returns a server for one of the host's listeners. All of them share the memory
+// for bodies.
+func (s *Server) newHTTPServer(handler fasthttp.RequestHandler) *httpserver.HTTPServer {
 	limits := s.settings.Limits
-	return &fasthttp.Server{
-		Handler:                      handler,
-		Name:                         "yuccapaddle",
-		Concurrency:                  limits.Connections,
-		MaxRequestBodySize:           limits.BodyBytes,
-		ReadBufferSize:               limits.HeaderBytes,
-		ReadTimeout:                  time.Duration(limits.ReadMS) * time.Millisecond,
-		CloseOnShutdown:              true,
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		Logger:                       zap.NewStdLog(s.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	return httpserver.New(handler, s.bodies, s.log, httpserver.WithConnections(limits.Connections),
+		httpserver.WithHeaderBytes(limits.HeaderBytes), httpserver.WithReadTime(time.Duration(limits.ReadMS)*time.Millisecond))
 }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, srv := range s.httpServers {
-		if err := srv.ShutdownWithContext(ctx); err != nil {
+		if err := srv.Shutdown(ctx); err != nil {
 			s.log.Info("an HTTP server did not shut down in time", zap.Error(err))
 		}
 	}
