--- a/cmd/yuccapaddled/main.go
+++ b/cmd/yuccapaddled/main.go
@@ -59,6 +59,7 @@
 		return err
 	}
 	host := &settings.Host
+	limitHeap(int64(host.Limits.MemoryMB) << 20)
 	log = log.With(zap.String("host", host.Name))
 	opts := []server.Option{}
 	if host.Platform.HostList != "" {
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -36,10 +36,7 @@
 	// gcPercent is above the default of 100: it trades memory, which is plentiful,
 	// for CPU time.
 	gcPercent = 300
-	// memoryLimitFraction is the part of the process's memory that the Go runtime may
-	// use before it collects more often.
-	memoryLimitFraction = 0.7
-	bytesPerMB          = 1 << 20
+	bytesPerMB = 1 << 20
 	// drainFraction is the part of the termination grace period in which a stopping
 	// host still serves callers.
 	drainFraction = 0.45
@@ -77,7 +74,7 @@
 	}()
 	log = log.With(zap.String("host", s.Host))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB*bytesPerMB)))
+	limitHeap(s.MemoryMB * bytesPerMB)
 	store := storer.New(s.Store)
 	deps := assembler.Dependencies{
 		Ledger: store, Registry: lister.New(store, log), Runner: runner.New(), RuleSource: reader.New(store),
--- a/crowd/testbed_test.go
+++ b/crowd/testbed_test.go
@@ -53,7 +53,7 @@
 	}
 	binary = filepath.Join(dir, "yuccapaddled")
 	// go test runs the tests again after a change of the files that they have read.
-	for _, f := range []string{"main.go", "platform.go"} {
+	for _, f := range []string{"main.go", "memory.go", "platform.go"} {
 		if _, err := os.ReadFile(filepath.Join("..", "cmd", "yuccapaddled", f)); err != nil {
 			panic(err)
 		}
--- a/internal/bodyreader/bodyreader.go
+++ b/internal/bodyreader/bodyreader.go
@@ -19,7 +19,7 @@
 const (
 	// workFactor is how many times its size a body takes while its request is handled: decoded,
 	// checked, and encoded again.
-	workFactor = 5
+	workFactor = 8
 	// unreadBytes is the largest rest of a body that a connection is kept for.
 	unreadBytes = 64 << 10
 	// minRetryDelay is the shortest time that a refused client is asked to wait. Up to
--- a/job.go
+++ b/job.go
@@ -123,7 +123,8 @@
 
 // Limits on a job's size, so that a hostile submission cannot exhaust memory.
 const (
-	maxSteps        = 64
+	// MaxSteps is the most steps that a job may have.
+	MaxSteps        = 64
 	maxTasksPerStep = 4096
 	maxOccurrences  = 10000
 	// maxTasks bounds the tasks of all steps and occurrences, which may be due at once.
@@ -132,8 +133,8 @@
 
 // Check validates the job as its caller wrote it. The error says what is wrong.
 func (j *Job) Check() error {
-	if len(j.Steps) < 1 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("a job has 1 to %d steps, this one has %d", maxSteps, len(j.Steps))
+	if len(j.Steps) < 1 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
 	}
 	if j.Times < 0 || j.Times > maxOccurrences {
 		return fmt.Errorf("a job has up to %d occurrences, this one has %d", maxOccurrences, j.Times)
@@ -165,16 +166,29 @@
 	if received <= maxJobBytes/(2*maxEscape) {
 		return nil
 	}
-	data, err := json.Marshal(j)
-	if err != nil {
-		return fmt.Errorf("encode the job: %w", err)
+	size := j.textBytes() // a text takes as many bytes as it has at least
+	if size <= maxJobBytes {
+		data, err := json.Marshal(j)
+		if err != nil {
+			return fmt.Errorf("encode the job: %w", err)
+		}
+		size = len(data)
 	}
-	if len(data) > maxJobBytes {
-		return fmt.Errorf("a job takes up to %d bytes when it is stored, this one takes %d", maxJobBytes, len(data))
+	if size > maxJobBytes {
+		return fmt.Errorf("a job takes up to %d bytes when it is stored, this one takes %d", maxJobBytes, size)
 	}
 	return nil
 }
 
+// textBytes returns the size of the job's texts in bytes.
+func (j *Job) textBytes() int {
+	n := len(j.Payload) + len(j.Key)
+	for i := range j.Steps {
+		n += len(j.Steps[i].Label) + len(j.Steps[i].DataRack)
+	}
+	return n
+}
+
 func (s *Step) check(position int) error {
 	if s.Count < 1 || s.Count > maxTasksPerStep {
 		return fmt.Errorf("a step has 1 to %d tasks, this one has %d", maxTasksPerStep, s.Count)
