gatekeeper, allotter: listeners share the descriptors and outlive their lack

What callers saw: the process ended, 'accept4: too many open files', and all calls with it; before that the host's own calls found no descriptor. Cause: Serve of fasthttp and of gRPC returns on a failed accept, and the group ends with it; no listener had a bound, and max-fds was not read. Evidence: TestDescriptors, TestMixedCrowds and TestRequestPath/silent of on: 400 connections that say nothing, send slowly or read no answer end a host of 300 descriptors, at each listener, of both kinds of host.

Each listener has a share of the setting descriptors (limits.max-fds), and of the memory; more than half is left to the host's own connections. At its bound it closes the connection that waits longest for its client, first those without a whole request for a second; none before 0.1 s, none whose request is worked on. While crowded, each connection serves one request. A failed accept is waited out, logged once in 10 s, counted. Kernel buffers of accepted connections are 32 kB, since what is not read counts as memory.

Tries that failed in TestDescriptors/no_answer_read, where ordinary callers were cut: closing the youngest silent connections at once; no least time of waiting. TestServeAllOrNone now calls serveAll with the names and bounds it takes; what it checks is the same.

--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/allotter"
 	"yuccapaddle/internal/assembler"
 	"yuccapaddle/internal/executor"
 	"yuccapaddle/internal/logger"
@@ -35,7 +36,7 @@
 const (
 	// gcPercent is above the default of 100: it trades memory, which is plentiful,
 	// for CPU time.
-	gcPercent = 300
+	gcPercent  = 300
 	bytesPerMB = 1 << 20
 	// drainFraction is the part of the termination grace period in which a stopping
 	// host still serves callers.
@@ -103,7 +104,7 @@
 	opts := append(outageOptions(&s.Outage),
 		assembler.WithDrainTime(time.Duration(drainFraction*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithCPUShare(s.CPUShare),
-		assembler.WithMemory(s.MemoryMB*bytesPerMB),
+		assembler.WithLimits(allotter.New(s.Descriptors, s.MemoryMB*bytesPerMB)),
 		assembler.WithMinLease(time.Duration(s.MinLeaseMS)*time.Millisecond))
 	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log, opts...)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/crowd/requestpath_test.go
+++ b/crowd/requestpath_test.go
@@ -27,7 +27,8 @@
 	settings.Name, settings.Domain, settings.Region = h.name, "z0", "r"
 	settings.Listen = loader.Listen{Callers: h.addresses[callers], Operators: h.addresses[operators], Peers: h.addresses[peers], Metrics: h.addresses[metrics]}
 	settings.Platform = loader.Platform{Store: "127.0.0.1:1", HostList: "127.0.0.1:1"}
-	settings.Limits.BodyBytes, settings.Limits.CallerRate, settings.Limits.MemoryMB = requestPathBody, 1e5, memoryMB
+	settings.Limits.BodyBytes, settings.Limits.CallerRate = requestPathBody, 1e5
+	settings.Limits.MemoryMB, settings.Limits.Descriptors = memoryMB, descriptors
 	settings.Tokens.Callers = []loader.CallerToken{{Workspace: "w", Caller: "c", Hash: authenticator.Hash(key)}, {Workspace: "v", Caller: "c", Hash: authenticator.Hash(ordinaryKey)}}
 	settings.Tokens.Operators = []loader.OperatorToken{{Name: "op", Hash: authenticator.Hash(key)}}
 	b.writeSettings(h.name, map[string]any{"host": settings})
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -15,10 +14,12 @@
 	"google.golang.org/grpc"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/allotter"
 	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/connector"
 	"yuccapaddle/internal/elector"
 	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/gatekeeper"
 	"yuccapaddle/internal/httpserver"
 	"yuccapaddle/internal/inspector"
 	"yuccapaddle/internal/jobmaker"
@@ -46,8 +47,6 @@
 	maxBodyBytes    = 1 << 20
 	// defaultMemory is the memory of a process that is not told how much it has, in bytes.
 	defaultMemory = 256 << 20
-	// bodyDivisor is one over the fraction of the memory that is for the bodies of requests.
-	bodyDivisor = 6
 )
 
 // HostConfig holds the location of a host and the addresses, as host:port, on which it
@@ -79,7 +78,7 @@
 	drainTime    time.Duration
 	minLease     time.Duration
 	cpuShare     float64
-	memory       int64 // bytes
+	limits       *allotter.Allotter
 	executorOpts []executor.Option
 	electorOpts  []elector.Option
 	routerOpts   []router.Option
@@ -118,9 +117,9 @@
 	return func(a *Assembler) { a.cpuShare = share }
 }
 
-// WithMemory sets the memory that the process has, in bytes.
-func WithMemory(n int64) Option {
-	return func(a *Assembler) { a.memory = n }
+// WithLimits sets the limits of the process.
+func WithLimits(l *allotter.Allotter) Option {
+	return func(a *Assembler) { a.limits = l }
 }
 
 // WithCompletionsShown makes the host report completed jobs while the ledger does not
@@ -148,7 +147,7 @@
 
 // New returns an Assembler. nonce must be unique for each process.
 func New(cfg HostConfig, deps Dependencies, bounds executor.Bounds, nonce string, log *zap.Logger, opts ...Option) *Assembler {
-	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log, memory: defaultMemory}
+	a := &Assembler{cfg: cfg, deps: deps, bounds: bounds, nonce: nonce, log: log, limits: allotter.New(0, defaultMemory)}
 	for _, o := range opts {
 		o(a)
 	}
@@ -156,7 +155,7 @@
 	a.rules = rulekeeper.New(deps.RuleSource, bounds.ApplyWithinMS, clock, log)
 	a.conns = connector.New()
 	a.monitor = monitor.New(cfg.Host, a.isReady)
-	a.bodies = bodyreader.New(maxBodyBytes, a.memory/bodyDivisor, a.monitor)
+	a.bodies = bodyreader.New(maxBodyBytes, a.limits.BodyBytes(), a.monitor)
 	settings := loader.DefaultHost()
 	settings.Region = cfg.Region
 	a.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
@@ -194,10 +193,17 @@
 	handler := guard.HTTP(a.deps.NewCallerHandler(a.jobs, a.monitor))
 	callers, requests := a.newHTTPServer(a.countInFlight(handler)), a.newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
 	readiness, metrics := a.newHTTPServer(guard.HTTP(a.handleReady)), a.newHTTPServer(guard.HTTP(a.inspection.Handle))
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(guard.Unary), grpc.StreamInterceptor(guard.Stream))
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ChainUnaryInterceptor(gatekeeper.Unary, guard.Unary), grpc.ChainStreamInterceptor(gatekeeper.Stream, guard.Stream))
 	peer.RegisterJobsServer(peers, jobserver.New(a.elector, a.status))
-	servers := []server{{a.cfg.Peers, peers.Serve}, {a.cfg.Readiness, readiness.Serve}, {a.cfg.Metrics, metrics.Serve}, {a.cfg.Requests, requests.Serve}, {a.cfg.Callers, callers.Serve}}
-	if err := serveAll(group, servers); err != nil {
+	servers := []server{
+		{"peers", a.cfg.Peers, a.limits.Peers(), func(l *gatekeeper.Gatekeeper) error { return peers.Serve(l) }},
+		{"readiness", a.cfg.Readiness, a.limits.Checks(), readiness.Serve},
+		{"metrics", a.cfg.Metrics, a.limits.Checks(), metrics.Serve},
+		{"requests", a.cfg.Requests, a.limits.Requests(), requests.Serve},
+		{"callers", a.cfg.Callers, a.limits.Callers(), callers.Serve},
+	}
+	if err := a.serveAll(group, servers); err != nil {
 		return err
 	}
 	group.Go("rules", func() error { return a.rules.Run(ctx, a.elector.MustReadRules, a.elector.Active) })
@@ -222,21 +228,22 @@
 	return err
 }
 
-// server serves the connections that a listener accepts on an address.
+// server serves up to maxConns connections at once that a listener accepts on an address.
 type server struct {
-	address string
-	serve   func(net.Listener) error
+	name, address string
+	maxConns      int
+	serve         func(*gatekeeper.Gatekeeper) error
 }
 
 // serveAll listens on the addresses that are not empty and serves them in the group. If it
 // cannot listen on one of them, it serves none.
-func serveAll(group *supervisor.Supervisor, servers []server) error {
-	listeners := make([]net.Listener, len(servers))
+func (a *Assembler) serveAll(group *supervisor.Supervisor, servers []server) error {
+	listeners := make([]*gatekeeper.Gatekeeper, len(servers))
 	for i, s := range servers {
 		if s.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", s.address)
+		l, err := gatekeeper.Listen(s.address, s.name, s.maxConns, a.monitor, a.log)
 		if err != nil {
 			closeAll(listeners)
 			return fmt.Errorf("listen on %s: %w", s.address, err)
@@ -251,7 +258,7 @@
 	return nil
 }
 
-func closeAll(listeners []net.Listener) {
+func closeAll(listeners []*gatekeeper.Gatekeeper) {
 	for _, l := range listeners {
 		if l != nil {
 			_ = l.Close() // nothing was accepted on it
--- a/internal/assembler/listen_test.go
+++ b/internal/assembler/listen_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"yuccapaddle/internal/executor"
+	"yuccapaddle/internal/gatekeeper"
 	"yuccapaddle/internal/portpicker"
 	"yuccapaddle/internal/supervisor"
 )
@@ -21,8 +23,9 @@
 	address, err := portpicker.New().Address()
 	c.Assert(err, qt.IsNil)
 	group, _ := supervisor.New(t.Context(), zap.NewNop())
-	none := func(net.Listener) error { return nil }
-	err = serveAll(group, []server{{"", none}, {address, none}, {taken.Addr().String(), none}})
+	none := func(*gatekeeper.Gatekeeper) error { return nil }
+	a := New(HostConfig{}, Dependencies{}, executor.Bounds{}, "nonce", zap.NewNop())
+	err = a.serveAll(group, []server{{"a", "", 1, none}, {"b", address, 1, none}, {"c", taken.Addr().String(), 1, none}})
 	c.Assert(err, qt.ErrorMatches, "listen on .*")
 	again, err := net.Listen("tcp", address)
 	c.Assert(err, qt.IsNil, qt.Commentf("the first address is free again"))
--- a/internal/bodyreader/bodyreader.go
+++ b/internal/bodyreader/bodyreader.go
@@ -47,7 +47,9 @@
 type connection interface {
 	Await()
 	Work()
+	Touch()
 	NoteRequest()
+	GivesWay() bool
 	Linger()
 }
 
@@ -76,22 +78,30 @@
 			conn.Work()
 			defer conn.Await()
 		}
-		defer func() {
-			if req.lease != nil {
-				r.budget.release(req.lease)
-				return
-			}
-			if tracked {
-				conn.NoteRequest()
-			}
-			if ctx.RequestBodyStream() != nil && isLong(ctx) {
-				closeAfter(ctx)
-			}
-		}()
+		defer r.end(ctx, req)
 		next(ctx)
 	}
 }
 
+// end gives back what a request has taken, and closes its connection after the response if
+// much of the body was not read or if others wait for the connection's place.
+func (r *BodyReader) end(ctx *fasthttp.RequestCtx, req *request) {
+	conn, tracked := ctx.Conn().(connection)
+	if tracked && conn.GivesWay() {
+		ctx.SetConnectionClose()
+	}
+	if req.lease != nil {
+		r.budget.release(req.lease)
+		return
+	}
+	if tracked {
+		conn.NoteRequest()
+	}
+	if ctx.RequestBodyStream() != nil && isLong(ctx) {
+		closeAfter(ctx)
+	}
+}
+
 // isLong reports whether the unread body of a request is not worth reading.
 func isLong(ctx *fasthttp.RequestCtx) bool {
 	n := ctx.Request.Header.ContentLength()
@@ -128,7 +138,11 @@
 	}
 	var p pieces
 	defer p.free()
-	err := r.readAll(stream, &p, l, ctx.Request.Header.ContentLength())
+	progressed := func() {}
+	if tracked {
+		progressed = conn.Touch
+	}
+	err := r.readAll(stream, &p, l, ctx.Request.Header.ContentLength(), progressed)
 	if err == nil {
 		err = r.budget.finish(l, p.size*workFactor)
 	}
@@ -142,8 +156,9 @@
 	return p.join(), true
 }
 
-// readAll reads a body as its bytes arrive. announced is its size, below 0 if that is not known.
-func (r *BodyReader) readAll(stream io.Reader, p *pieces, l *lease, announced int) error {
+// readAll reads a body as its bytes arrive, and calls progressed for each progressBytes.
+// announced is its size, below 0 if that is not known.
+func (r *BodyReader) readAll(stream io.Reader, p *pieces, l *lease, announced int, progressed func()) error {
 	if announced > r.maxBytes {
 		return errTooLarge
 	}
@@ -166,7 +181,9 @@
 		case err != nil:
 			return err
 		}
-		r.budget.note(l, n)
+		if r.budget.note(l, n) {
+			progressed()
+		}
 	}
 }
 
--- a/internal/bodyreader/budget.go
+++ b/internal/bodyreader/budget.go
@@ -132,14 +132,17 @@
 	l.share, l.bytes = nil, 0
 }
 
-// note notes that n bytes of a body have arrived.
-func (b *budget) note(l *lease, n int) {
+// note notes that n bytes of a body have arrived, and reports whether that makes progressBytes
+// since it last did.
+func (b *budget) note(l *lease, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.progress += n; l.progress >= progressBytes {
-		l.progress = 0
-		l.dueBy = time.Now().Add(progressTime)
+	if l.progress += n; l.progress < progressBytes {
+		return false
 	}
+	l.progress = 0
+	l.dueBy = time.Now().Add(progressTime)
+	return true
 }
 
 // wasCut reports whether the reading of a body was ended for lack of progress.
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"yuccapaddle/internal/bodyreader"
+	"yuccapaddle/internal/gatekeeper"
 )
 
 // idleTime is how long a connection is kept between two requests.
@@ -34,11 +36,6 @@
 	return func(s *fasthttp.Server) { s.ReadBufferSize = n }
 }
 
-// WithConnections sets the number of connections that are served at once.
-func WithConnections(n int) Option {
-	return func(s *fasthttp.Server) { s.Concurrency = n }
-}
-
 // New returns an HTTPServer. The handler reads bodies with bodyreader.Read only, as ctx.PostBody
 // has no bound.
 func New(handler fasthttp.RequestHandler, bodies *bodyreader.BodyReader, log *zap.Logger, opts ...Option) *HTTPServer {
@@ -47,7 +44,7 @@
 		// The handler is called when the first byte of a body is there, before memory is set aside for it.
 		StreamRequestBody: true, MaxRequestBodySize: 1,
 		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
-		Logger: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ConnState: noteState, Logger: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	for _, o := range opts {
 		o(s)
@@ -55,9 +52,19 @@
 	return &HTTPServer{server: s}
 }
 
+// noteState tells a connection that the first byte of a request has arrived.
+func noteState(c net.Conn, state fasthttp.ConnState) {
+	if conn, ok := c.(interface{ Touch() }); ok && state == fasthttp.StateActive {
+		conn.Touch()
+	}
+}
+
 // Serve serves the connections of a listener until it is shut down.
-func (s *HTTPServer) Serve(l net.Listener) error {
-	return s.server.Serve(l)
+func (s *HTTPServer) Serve(l *gatekeeper.Gatekeeper) error {
+	if err := s.server.Serve(l); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // Shutdown closes the listener and waits for the requests in progress until ctx ends.
--- a/internal/loader/host.go
+++ b/internal/loader/host.go
@@ -52,6 +52,9 @@
 	HeaderBytes int `json:"headerBytes"`
 	Connections int `json:"connections"`
 	InFlight    int `json:"inFlight"`
+	// Descriptors is the number of descriptors that the process may have, 0 for as many as the
+	// operating system allows.
+	Descriptors int `json:"descriptors"`
 	// MemoryMB is the memory that the process has, in megabytes. The bodies of all requests
 	// under way take up to a fixed fraction of it.
 	MemoryMB int `json:"memoryMb"`
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -18,11 +17,13 @@
 
 	"yuccapaddle"
 	"yuccapaddle/internal/administrator"
+	"yuccapaddle/internal/allotter"
 	"yuccapaddle/internal/applier"
 	"yuccapaddle/internal/authenticator"
 	"yuccapaddle/internal/bodyreader"
 	"yuccapaddle/internal/driver"
 	"yuccapaddle/internal/forwarder"
+	"yuccapaddle/internal/gatekeeper"
 	"yuccapaddle/internal/httpserver"
 	"yuccapaddle/internal/leaser"
 	"yuccapaddle/internal/limiter"
@@ -44,8 +45,6 @@
 	drainPollInterval = 20 * time.Millisecond
 	maxMessageBytes   = 4 << 20
 	shutdownTimeout   = 2 * time.Second
-	// bodyDivisor is one over the fraction of the memory that is for the bodies of requests.
-	bodyDivisor = 6
 )
 
 // Server is one host of the system.
@@ -71,8 +70,9 @@
 	startedAt    time.Time
 	noListeners  bool
 	dial         func(address string) (peer.PeerClient, error)
-	listeners    []net.Listener
+	listeners    []*gatekeeper.Gatekeeper
 	httpServers  []*httpserver.HTTPServer
+	limits       *allotter.Allotter
 	bodies       *bodyreader.BodyReader
 	grpcServer   *grpc.Server
 }
@@ -122,7 +122,8 @@
 	s.forward = forwarder.New(settings.Name, s.lease.Holder, s.localEngine, budget, forwarder.WithDial(s.dial), forwarder.WithToken(settings.Tokens.Peers))
 	auth := authenticator.New(settings.Tokens)
 	s.monitor = monitor.New(settings.Name, s.ready)
-	s.bodies = bodyreader.New(settings.Limits.BodyBytes, int64(settings.Limits.MemoryMB)<<20/bodyDivisor, s.monitor)
+	s.limits = allotter.New(settings.Limits.Descriptors, int64(settings.Limits.MemoryMB)<<20)
+	s.bodies = bodyreader.New(settings.Limits.BodyBytes, s.limits.BodyBytes(), s.monitor)
 	s.callerLimits = limiter.New(settings.Limits.CallerRate, settings.Limits.CallerBurst, settings.Limits.InFlight)
 	s.callerAPI = responder.New(auth, s.forward, s.callerLimits, settings, log, s.monitor.ObserveAnswer)
 	s.operatorAPI = administrator.New(auth, applier.New(store, nonce), s.configs, s.forward, store, settings, s.status, log,
@@ -263,8 +264,8 @@
 	}
 }
 
-func (s *Server) openListener(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func (s *Server) openListener(name, address string, maxConns int) (*gatekeeper.Gatekeeper, error) {
+	l, err := gatekeeper.Listen(address, name, maxConns, s.monitor, s.log)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -274,15 +275,16 @@
 
 func (s *Server) startServers(group *supervisor.Supervisor) error {
 	handlers := []struct {
-		address string
-		handle  fasthttp.RequestHandler
+		name, address string
+		maxConns      int
+		handle        fasthttp.RequestHandler
 	}{
-		{s.settings.Listen.Callers, s.callerAPI.Handle},
-		{s.settings.Listen.Operators, s.operatorAPI.Handle},
-		{s.settings.Listen.Metrics, s.monitor.Handle},
+		{"callers", s.settings.Listen.Callers, min(s.limits.Callers(), s.settings.Limits.Connections), s.callerAPI.Handle},
+		{"operators", s.settings.Listen.Operators, s.limits.Requests(), s.operatorAPI.Handle},
+		{"metrics", s.settings.Listen.Metrics, s.limits.Checks(), s.monitor.Handle},
 	}
 	for _, h := range handlers {
-		l, err := s.openListener(h.address)
+		l, err := s.openListener(h.name, h.address, h.maxConns)
 		if err != nil {
 			return err
 		}
@@ -290,11 +292,12 @@
 		s.httpServers = append(s.httpServers, srv)
 		group.Go("http "+h.address, func() error { return srv.Serve(l) })
 	}
-	l, err := s.openListener(s.settings.Listen.Peers)
+	l, err := s.openListener("peers", s.settings.Listen.Peers, s.limits.Peers())
 	if err != nil {
 		return err
 	}
-	s.grpcServer = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), peerauthenticator.New(s.settings.Tokens.Peers).ServerAuth())
+	s.grpcServer = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ChainUnaryInterceptor(gatekeeper.Unary),
+		peerauthenticator.New(s.settings.Tokens.Peers).ServerAuth())
 	peer.RegisterPeerServer(s.grpcServer, s.PeerServer())
 	group.Go("grpc", func() error { return s.grpcServer.Serve(l) })
 	return nil
@@ -319,6 +322,6 @@
 // for bodies.
 func (s *Server) newHTTPServer(handler fasthttp.RequestHandler) *httpserver.HTTPServer {
 	limits := s.settings.Limits
-	return httpserver.New(handler, s.bodies, s.log, httpserver.WithConnections(limits.Connections),
+	return httpserver.New(handler, s.bodies, s.log,
 		httpserver.WithHeaderBytes(limits.HeaderBytes), httpserver.WithReadTime(time.Duration(limits.ReadMS)*time.Millisecond))
 }
