httpserver: requests have 30 s to arrive, and a stop waits for none for ever

What callers saw: a host that was told to stop went on until it was killed, while clients held unfinished requests; small crowds held their connections for ever. Cause: no limit on the time of a request or of a silent connection, and Shutdown waited for all requests in progress without end.

ReadTimeout 30 s: the largest body takes 4.2 s at 2 Mbit/s, machines are suspended for seconds. gRPC handshakes have 30 s in place of 120. A stop gives requests in progress one second, at all listeners at once, and then closes the connections that are left.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"yuccapaddle"
@@ -45,6 +46,10 @@
 const (
 	maxMessageBytes = 8 << 20
 	maxBodyBytes    = 1 << 20
+	// handshakeTime is how long another host may take to open a connection.
+	handshakeTime = 30 * time.Second
+	// shutdownTime is how long the servers go on after a planned stop has drained.
+	shutdownTime = time.Second
 	// defaultMemory is the memory of a process that is not told how much it has, in bytes.
 	defaultMemory = 256 << 20
 )
@@ -193,7 +198,7 @@
 	handler := guard.HTTP(a.deps.NewCallerHandler(a.jobs, a.monitor))
 	callers, requests := a.newHTTPServer(a.countInFlight(handler)), a.newHTTPServer(a.countInFlight(guard.HTTP(a.requestAPI.Handle)))
 	readiness, metrics := a.newHTTPServer(guard.HTTP(a.handleReady)), a.newHTTPServer(guard.HTTP(a.inspection.Handle))
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes),
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(handshakeTime),
 		grpc.ChainUnaryInterceptor(gatekeeper.Unary, guard.Unary), grpc.ChainStreamInterceptor(gatekeeper.Stream, guard.Stream))
 	peer.RegisterJobsServer(peers, jobserver.New(a.elector, a.status))
 	servers := []server{
@@ -217,8 +222,7 @@
 		}
 		cancel()
 		peers.Stop()
-		forever := context.Background()
-		return errors.Join(callers.Shutdown(forever), readiness.Shutdown(forever), metrics.Shutdown(forever), requests.Shutdown(forever))
+		return shutDown(callers, readiness, metrics, requests)
 	})
 	a.log.Info("started", zap.String("callers", a.cfg.Callers), zap.String("peers", a.cfg.Peers))
 	err := group.Wait()
@@ -272,6 +276,18 @@
 	return httpserver.New(handler, a.bodies, a.log)
 }
 
+// shutDown shuts the servers down at once. What is still being received or sent after
+// shutdownTime is cut off.
+func shutDown(servers ...*httpserver.HTTPServer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error { return s.Shutdown(ctx) })
+	}
+	return group.Wait()
+}
+
 // countInFlight wraps a handler to count the requests in progress, for which a
 // planned stop waits, and to close connections during the stop.
 func (a *Assembler) countInFlight(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,18 +16,24 @@
 	"yuccapaddle/internal/gatekeeper"
 )
 
-// idleTime is how long a connection is kept between two requests.
-const idleTime = 60 * time.Second
+const (
+	// readTime is how long a request may take to arrive, from its first byte, and how long a new
+	// connection may be silent.
+	readTime = 30 * time.Second
+	// idleTime is how long a connection is kept between two requests.
+	idleTime = 60 * time.Second
+)
 
 // HTTPServer serves the requests of one listener.
 type HTTPServer struct {
-	server *fasthttp.Server
+	server   *fasthttp.Server
+	listener atomic.Pointer[gatekeeper.Gatekeeper]
 }
 
 // Option changes an HTTPServer under construction.
 type Option func(*fasthttp.Server)
 
-// WithReadTime sets how long a request may take to arrive.
+// WithReadTime sets how long a request may take to arrive, in place of 30 s.
 func WithReadTime(d time.Duration) Option {
 	return func(s *fasthttp.Server) { s.ReadTimeout = d }
 }
@@ -40,7 +47,7 @@
 // has no bound.
 func New(handler fasthttp.RequestHandler, bodies *bodyreader.BodyReader, log *zap.Logger, opts ...Option) *HTTPServer {
 	s := &fasthttp.Server{
-		Handler: bodies.Wrap(handler), Name: "yuccapaddle", IdleTimeout: idleTime,
+		Handler: bodies.Wrap(handler), Name: "yuccapaddle", ReadTimeout: readTime, IdleTimeout: idleTime,
 		// The handler is called when the first byte of a body is there, before memory is set aside for it.
 		StreamRequestBody: true, MaxRequestBodySize: 1,
 		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
@@ -61,13 +68,22 @@
 
 // Serve serves the connections of a listener until it is shut down.
 func (s *HTTPServer) Serve(l *gatekeeper.Gatekeeper) error {
+	s.listener.Store(l)
 	if err := s.server.Serve(l); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
 }
 
-// Shutdown closes the listener and waits for the requests in progress until ctx ends.
+// Shutdown closes the listener, waits for the requests in progress until ctx ends, and then
+// closes the connections that are left: those of clients that do not end what they have begun.
 func (s *HTTPServer) Shutdown(ctx context.Context) error {
-	return s.server.ShutdownWithContext(ctx)
+	err := s.server.ShutdownWithContext(ctx)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	if l := s.listener.Load(); l != nil {
+		l.CloseAll()
+	}
+	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	maxMessageBytes   = 4 << 20
 	shutdownTimeout   = 2 * time.Second
+	// handshakeTime is how long another host may take to open a connection.
+	handshakeTime = 30 * time.Second
 )
 
 // Server is one host of the system.
@@ -296,7 +298,7 @@
 	if err != nil {
 		return err
 	}
-	s.grpcServer = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ChainUnaryInterceptor(gatekeeper.Unary),
+	s.grpcServer = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(handshakeTime), grpc.ChainUnaryInterceptor(gatekeeper.Unary),
 		peerauthenticator.New(s.settings.Tokens.Peers).ServerAuth())
 	peer.RegisterPeerServer(s.grpcServer, s.PeerServer())
 	group.Go("grpc", func() error { return s.grpcServer.Serve(l) })
