httpserver: a response has 30 s to be read

What callers saw: clients that send requests and read no answer kept their connections, and the requests in work on them, for ever. Cause: no limit on the time of a write.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -20,6 +20,8 @@
 	// readTime is how long a request may take to arrive, from its first byte, and how long a new
 	// connection may be silent.
 	readTime = 30 * time.Second
+	// writeTime is how long a client may take to read a response.
+	writeTime = 30 * time.Second
 	// idleTime is how long a connection is kept between two requests.
 	idleTime = 60 * time.Second
 )
@@ -38,6 +40,11 @@
 	return func(s *fasthttp.Server) { s.ReadTimeout = d }
 }
 
+// WithWriteTime sets how long a client may take to read a response, in place of 30 s.
+func WithWriteTime(d time.Duration) Option {
+	return func(s *fasthttp.Server) { s.WriteTimeout = d }
+}
+
 // WithHeaderBytes sets the size of the largest header.
 func WithHeaderBytes(n int) Option {
 	return func(s *fasthttp.Server) { s.ReadBufferSize = n }
@@ -47,7 +54,7 @@
 // has no bound.
 func New(handler fasthttp.RequestHandler, bodies *bodyreader.BodyReader, log *zap.Logger, opts ...Option) *HTTPServer {
 	s := &fasthttp.Server{
-		Handler: bodies.Wrap(handler), Name: "yuccapaddle", ReadTimeout: readTime, IdleTimeout: idleTime,
+		Handler: bodies.Wrap(handler), Name: "yuccapaddle", ReadTimeout: readTime, WriteTimeout: writeTime, IdleTimeout: idleTime,
 		// The handler is called when the first byte of a body is there, before memory is set aside for it.
 		StreamRequestBody: true, MaxRequestBodySize: 1,
 		CloseOnShutdown: true, NoDefaultServerHeader: true, DisablePreParseMultipartForm: true,
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -68,6 +69,22 @@
 	shutDown(c, s, ended, time.Second)
 }
 
+// TestUnreadAnswers checks that the connection of a client is closed that goes on sending
+// requests and reads no answer.
+func TestUnreadAnswers(t *testing.T) {
+	c := qt.New(t)
+	s, address, ended := serve(c, httpserver.WithWriteTime(100*time.Millisecond))
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(conn.SetDeadline(time.Now().Add(time.Minute)), qt.IsNil)
+	for err == nil {
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%v", err))
+	shutDown(c, s, ended, time.Second)
+}
+
 // TestShutdown checks that a server shuts down while a client holds part of a request.
 func TestShutdown(t *testing.T) {
 	c := qt.New(t)
