accepter, planner: accepted jobs take half of the memory, fairly by workspace

What callers saw: jobs inside all limits that wait, handed in without end, filled the active host, and each host that took over. Cause: nothing bounded the jobs that a host keeps.

Jobs count by their texts, steps and tasks, those of a former host too. A workspace may have as much as it leaves to the others, so there is always some for the next one.

Not bound: submissions passed on by all hosts at once that wait for a commit, in sum, at the active host.

--- a/batch.go
+++ b/batch.go
@@ -25,6 +25,8 @@
 	// Heartbeat is the time within which a worker registers again. A capacity that grows counts
 	// once it has been registered for longer; at 0 it counts at once.
 	Heartbeat time.Duration
+	// JobMemory is the memory that accepted jobs may take, in bytes, 0 for no limit.
+	JobMemory int64
 	// LongestLease is how long a lease that a worker has granted may last.
 	LongestLease time.Duration
 }
--- a/cmd/yuccapaddled/platform.go
+++ b/cmd/yuccapaddled/platform.go
@@ -88,6 +88,7 @@
 		Host: s.Host, Domain: s.Domain, Region: s.Region,
 		Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics, Requests: s.Requests,
 	}
+	limits := allotter.New(s.Descriptors, s.MemoryMB*bytesPerMB)
 	bounds := executor.Bounds{
 		MaxLeaseMS: s.Bounds.MaxLeaseMS, ApplyWithinMS: s.Bounds.ApplyMS, LeaveWithinMS: min(s.Bounds.DrainMS, s.Bounds.EvacuateMS),
 		Planner: yuccapaddle.PlanLimits{
@@ -98,13 +99,14 @@
 			OrderByDelayCost: s.Capacity.OrderByDelay,
 			LearnStalls:      s.Capacity.LearnStalls,
 			ProveWorkers:     true,
+			JobMemory:        limits.JobBytes(),
 			Heartbeat:        time.Duration(s.HeartbeatMS) * time.Millisecond,
 		},
 	}
 	opts := append(outageOptions(&s.Outage),
 		assembler.WithDrainTime(time.Duration(drainFraction*s.Bounds.GraceS*float64(time.Second))),
 		assembler.WithCPUShare(s.CPUShare),
-		assembler.WithLimits(allotter.New(s.Descriptors, s.MemoryMB*bytesPerMB)),
+		assembler.WithLimits(limits),
 		assembler.WithMinLease(time.Duration(s.MinLeaseMS)*time.Millisecond))
 	host := assembler.New(cfg, deps, bounds, namer.Unique(s.Host), log, opts...)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/allotter/allotter.go
+++ b/internal/allotter/allotter.go
@@ -27,6 +27,8 @@
 	// callers and for the bodies of requests.
 	connDivisor = 4
 	bodyDivisor = 6
+	// jobDivisor is one over the fraction of the memory for accepted jobs.
+	jobDivisor = 2
 )
 
 // Allotter holds the limits of a process.
@@ -65,6 +67,9 @@
 // BodyBytes returns the memory for the bodies of all requests under way, in bytes.
 func (a *Allotter) BodyBytes() int64 { return a.memory / bodyDivisor }
 
+// JobBytes returns the memory for accepted jobs, in bytes.
+func (a *Allotter) JobBytes() int64 { return a.memory / jobDivisor }
+
 func (a *Allotter) conns(divisor int) int {
 	byMemory := a.memory / connDivisor / connBytes * callerDivisor / int64(divisor)
 	return max(min(a.sockets/divisor, int(byMemory)), minConns)
--- a/internal/executor/submission.go
+++ b/internal/executor/submission.go
@@ -57,7 +57,8 @@
 // if commits stall, with WithHeldCalls only shortly before the deadline of ctx; such a job
 // never runs, since only admitted jobs are part of a commit. It is an *InfeasibleError for a
 // strict job that the registered workers could not hold, and for one that needs more than
-// its workspace's quota, and ErrIDTaken if another caller's job has the ID. Other errors match ErrNotAccepted if the job was not admitted, and
+// its workspace's quota, ErrTooMuchWork if there is no memory left for it, and ErrIDTaken if
+// another caller's job has the ID. Other errors match ErrNotAccepted if the job was not admitted, and
 // ErrUnknown if it was.
 func (e *Executor) Submit(ctx context.Context, j *yuccapaddle.Job) error {
 	s := e.newSubmission(ctx, j)
@@ -143,6 +144,12 @@
 		s.result <- admission{err: &yuccapaddle.InfeasibleError{Reason: reason}}
 		return false
 	}
+	if !e.plan.HasRoom(s.job) {
+		e.meter.Count("accepted_work", "refused", 1)
+		e.log.Info("refused", zap.String("job", s.job.ID), zap.String("detail", "the jobs accepted before take the memory that its workspace may have"))
+		s.result <- admission{err: yuccapaddle.ErrTooMuchWork}
+		return false
+	}
 	e.plan.Submit(s.job)
 	s.result <- admission{done: e.addCommitWaiter()}
 	return true
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -147,6 +147,8 @@
 		return &peer.JobAnswer{Refused: true, Why: infeasible.Reason, Epoch: epoch}, nil
 	case errors.Is(err, yuccapaddle.ErrIDTaken):
 		return &peer.JobAnswer{Refused: true, Taken: true, Epoch: epoch}, nil
+	case errors.Is(err, yuccapaddle.ErrTooMuchWork):
+		return nil, status.Error(codes.ResourceExhausted, err.Error())
 	case errors.Is(err, executor.ErrLedgerUnavailable):
 		return &peer.JobAnswer{Refused: true, Epoch: epoch}, nil
 	case errors.Is(err, yuccapaddle.ErrNotAccepted):
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yuccapaddle"
+	"yuccapaddle/internal/accepter"
 	"yuccapaddle/internal/cancelkeeper"
 	"yuccapaddle/internal/estimator"
 	"yuccapaddle/internal/evacuator"
@@ -62,6 +63,7 @@
 	placing            []*unit   // since the latest batch, see permitStarts
 	committing         []*unit   // the same, in the latest batch
 	cancellations      *cancelkeeper.CancelKeeper
+	accepted           *accepter.Accepter
 	newCancellations   []yuccapaddle.JobRecord // since the latest batch
 }
 
@@ -91,7 +93,7 @@
 	p := &Planner{
 		rules: (&yuccapaddle.Rules{}).Index(), jobs: map[string]*job{}, workers: map[string]*worker{},
 		limits: limits, quotas: quotakeeper.New(), dirtyJobs: map[string]*job{}, claims: map[*unit]bool{}, unsettled: map[*unit]bool{}, suspects: map[*unit]bool{}, advice: map[yuccapaddle.StepID]*advice{},
-		cancellations: cancelkeeper.New(), runTimes: estimator.New(), evacuator: evacuator.New(), learnedTimes: map[runKind]learnedTime{}, looks: map[string]time.Time{},
+		cancellations: cancelkeeper.New(), accepted: accepter.New(limits.JobMemory), runTimes: estimator.New(), evacuator: evacuator.New(), learnedTimes: map[runKind]learnedTime{}, looks: map[string]time.Time{},
 		committedBy: func(uint64) time.Time { return time.Time{} },
 	}
 	for _, o := range opts {
@@ -128,7 +130,7 @@
 	}
 	spec.Accepted = p.wall.UnixMilli()
 	j := newJob(spec)
-	p.jobs[spec.ID] = j
+	p.addJob(j)
 	p.markDirty(j)
 	j.specChanged = true
 	p.changed = true
@@ -277,8 +279,7 @@
 func (p *Planner) removeExpired() {
 	for id, j := range p.jobs {
 		if j.state.Final() && !j.busy() && p.now.Sub(j.endedAt) > p.limits.Retention {
-			delete(p.jobs, id)
-			delete(p.dirtyJobs, id)
+			p.removeJob(j)
 			p.removed = append(p.removed, yuccapaddle.JobRecord{ID: id, PartCount: j.partCount()})
 		}
 	}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -223,7 +223,7 @@
 			return fmt.Errorf("restore units of job %q: %w", spec.ID, err)
 		}
 	}
-	p.jobs[spec.ID] = j
+	p.addJob(j)
 	p.changed = true
 	p.openOccurrences(j)
 	// The former host may have failed after it committed the parts and before the state.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -190,7 +190,7 @@
 // request.
 func isRefusal(err error) bool {
 	var infeasible *yuccapaddle.InfeasibleError
-	return errors.Is(err, errRefused) || errors.Is(err, yuccapaddle.ErrIDTaken) || errors.As(err, &infeasible)
+	return errors.Is(err, errRefused) || errors.Is(err, yuccapaddle.ErrIDTaken) || errors.Is(err, yuccapaddle.ErrTooMuchWork) || errors.As(err, &infeasible)
 }
 
 // callOnce makes one attempt, at the local executor if this host is active, otherwise at
@@ -212,6 +212,8 @@
 	ctx, sent := connector.TrackSent(ctx)
 	answer, err := req.remote(ctx, client, epoch)
 	switch {
+	case status.Code(err) == codes.ResourceExhausted:
+		return attempt{err: yuccapaddle.ErrTooMuchWork} // nothing was done
 	case err != nil:
 		return attempt{err: err, epoch: epoch, maybeExecuted: sent() && status.Code(err) != codes.InvalidArgument}
 	case answer.GetRefused():
@@ -244,7 +246,7 @@
 		return attempt{answer: answer}
 	case errors.Is(err, executor.ErrLedgerUnavailable):
 		return attempt{err: errRefused, loadedEpoch: loadedEpoch}
-	case errors.As(err, &infeasible), errors.Is(err, yuccapaddle.ErrIDTaken):
+	case errors.As(err, &infeasible), errors.Is(err, yuccapaddle.ErrIDTaken), errors.Is(err, yuccapaddle.ErrTooMuchWork):
 		return attempt{err: err, loadedEpoch: loadedEpoch}
 	}
 	return attempt{err: err, epoch: e.Epoch(), maybeExecuted: !errors.Is(err, yuccapaddle.ErrNotAccepted)}
--- a/jobservice.go
+++ b/jobservice.go
@@ -36,6 +36,10 @@
 // ErrNotAccepted.
 var ErrIDTaken = fmt.Errorf("%w: another job has its ID", ErrNotAccepted)
 
+// ErrTooMuchWork reports a job that is refused because the jobs accepted before take the memory
+// that its workspace may have. It matches ErrNotAccepted.
+var ErrTooMuchWork = fmt.Errorf("%w: too much work is accepted already", ErrNotAccepted)
+
 // InfeasibleError reports a job that is refused because it would not fit on the
 // registered workers even if they were idle, or not into the quota of its workspace. It
 // matches ErrNotAccepted.
