monitor: /metrics takes no body

Found by reading the change before it lands: the handler of the metrics reads the body of its request whole, and since the server leaves bodies to the handlers nothing bounded it. No other handler reads a body but with bodyreader.Read.

--- a/crowd/client_test.go
+++ b/crowd/client_test.go
@@ -143,6 +143,15 @@
 	waitForClose(conn)
 }
 
+// endlessMetrics asks for the metrics with a body that does not end.
+func endlessMetrics(ctx context.Context, conn net.Conn, _ target) {
+	_, err := io.WriteString(conn, head("/metrics", "Transfer-Encoding: chunked\r\n\r\n"))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat(" ", chunkBytes))
+	for err == nil && ctx.Err() == nil {
+		_, err = io.WriteString(conn, chunk)
+	}
+}
+
 // drip announces the largest body and sends it a byte at a time.
 func drip(ctx context.Context, conn net.Conn, t target) {
 	_, err := io.WriteString(conn, head(t.path(), announcement(largestBody)))
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// TestMetricsWithBody checks clients that ask for the metrics with endless bodies, at both kinds
+// of host.
+func TestMetricsWithBody(t *testing.T) {
+	t.Run("job_path", func(t *testing.T) {
+		b := newTestbed(t, false)
+		b.meet(group{smallCrowd, endlessMetrics, b.at(metrics)})
+	})
+	t.Run("request_path", func(t *testing.T) {
+		b := newRequestPathHost(t, false)
+		b.meetRequestPath(group{smallCrowd, endlessMetrics, b.at(metrics)})
+	})
+}
+
 // TestDecodedBodies checks clients whose bodies grow when they are decoded.
 func TestDecodedBodies(t *testing.T) {
 	for name, g := range map[string]group{
--- a/crowd/requestpath_test.go
+++ b/crowd/requestpath_test.go
@@ -76,17 +76,22 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newRequestPathHost(t, test.limited)
-			h := b.hosts[0]
 			test.group.targets = b.at(test.listener)
-			ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
-			defer cancel()
-			var crowd errgroup.Group
-			crowd.Go(func() error { return test.group.run(ctx) })
-			pause(ctx, crowdTime/2)
-			b.c.Check(!h.lives() || h.answersAll(), qt.IsTrue, qt.Commentf("while the crowd stays"))
-			b.c.Assert(crowd.Wait(), qt.IsNil)
-			b.checkHosts()
-			b.c.Check(!h.lives() || h.answersAll(), qt.IsTrue, qt.Commentf("once the crowd has gone"))
+			b.meetRequestPath(test.group)
 		})
 	}
 }
+
+// meetRequestPath is meet for a host of the request path.
+func (b *testbed) meetRequestPath(g group) {
+	h := b.hosts[0]
+	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+	defer cancel()
+	var crowd errgroup.Group
+	crowd.Go(func() error { return g.run(ctx) })
+	pause(ctx, crowdTime/2)
+	b.c.Check(!h.lives() || h.answersAll(), qt.IsTrue, qt.Commentf("while the crowd stays"))
+	b.c.Assert(crowd.Wait(), qt.IsNil)
+	b.checkHosts()
+	b.c.Check(!h.lives() || h.answersAll(), qt.IsTrue, qt.Commentf("once the crowd has gone"))
+}
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -79,7 +79,7 @@
 func (m *Monitor) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/metrics":
-		m.metrics(ctx)
+		m.serveMetrics(ctx)
 	case "/livez":
 		writer.JSON(ctx, fasthttp.StatusOK, "alive")
 	case "/readyz":
@@ -93,6 +93,16 @@
 	}
 }
 
+// serveMetrics serves /metrics to requests without a body: the handler of the metrics would
+// read one whole, of any size.
+func (m *Monitor) serveMetrics(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsGet() || ctx.RequestBodyStream() != nil {
+		writer.Error(ctx, fasthttp.StatusBadRequest, "use GET /metrics without a body")
+		return
+	}
+	m.metrics(ctx)
+}
+
 // Close reports the last values and ends the collection.
 func (m *Monitor) Close() error {
 	return m.close()
