review: the stand-in drops a crashed worker's entry after three silent intervals

Cause: the stand-in removed the entry at once, and let workers check in three times as often as heartbeat-ms, which PROTOCOL.md does not say.

--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -14,10 +14,11 @@
 // Bounds of the small deployment that the workers keep.
 const (
 	holdMax     = 6 * time.Second
-	stopTime    = 200 * time.Millisecond // stop-timeout-ms is 400
-	startupTime = time.Second            // of a task that lasts
-	failTime    = 300 * time.Millisecond // until a task on a failing worker fails
-	checkIn     = 500 * time.Millisecond // heartbeat-ms is 1,500
+	stopTime    = 200 * time.Millisecond  // stop-timeout-ms is 400
+	startupTime = time.Second             // of a task that lasts
+	failTime    = 300 * time.Millisecond  // until a task on a failing worker fails
+	checkIn     = 1500 * time.Millisecond // heartbeat-ms
+	silence     = 3 * checkIn             // after which the store drops an entry
 	gangTimeout = 3 * time.Second
 )
 
@@ -124,10 +125,10 @@
 		w.lab.record("worker", w.id(), "crash ends "+t, r.number)
 	}
 	w.runs = map[string]*run{}
-	srv := w.server
+	srv, id := w.server, w.id()
 	w.mu.Unlock()
 	_ = srv.Close()
-	w.lab.store.remove("servers/" + w.id())
+	time.AfterFunc(silence, func() { w.lab.store.remove("servers/" + id) })
 }
 
 // register writes the worker's entry into the store. The caller holds w.mu.
